--- /dev/null
+++ b/crates/ports/src/clock.rs
@@ -0,0 +1,20 @@
+//! Time as an interface.
+
+use std::time::Duration;
+
+/// A clock that never steps back and runs on while the machine is suspended.
+pub trait Clock: Send + Sync + 'static {
+    /// Time since an arbitrary start, the same for all threads of the process.
+    fn now(&self) -> Duration;
+}
+
+/// The clock of the operating system (`CLOCK_BOOTTIME`).
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Duration {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+    }
+}
