Put every decision into one crate without IO

Cause: the decisions are to be measured by the very code that the daemon runs. Ruled out: policy inside the daemon (cannot be driven without sockets), a trait per decision (there is one of each). Change: chain hashes, rendezvous, placement with beliefs that ride on answers, buckets and parts of rates, the guard of spending, claims, stream order, retries, quarantine, health, fair queue, version trial.

--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,20 @@
+//! Every decision of the router: placement, rate sharing, claims, retries, quarantine, health,
+//! queueing and version moves.
+//!
+//! This crate is plain data in, decision out. It never does IO, never reads a clock and never
+//! spawns: time and random numbers are passed in, so that a measurement drives the very code
+//! that the daemon runs.
+
+pub mod bucket;
+pub mod chain;
+pub mod claim;
+pub mod fair_queue;
+pub mod health;
+pub mod parts;
+pub mod placement;
+pub mod quarantine;
+pub mod rendezvous;
+pub mod retry;
+pub mod spend_guard;
+pub mod stream_order;
+pub mod version_trial;
