Reach the outside: HTTP wrapper, platform, targets, peers, settings

Cause: the roles need adapters that say whether a call may have taken effect. Ruled out: a client that resends by itself (hyper-util's default; 'not run' would not be ours to say), pooled connections for calls that may not be repeated (a pooled one may be silent). Change: web (client with NotSent, Broken, Timeout kept apart; dropshot start), platform, targets with an allow rule for headers, peers over h2 and bincode with mutual proof, settings in layers whose errors name file, line and field.

--- /dev/null
+++ b/crates/settings/src/layers.rs
@@ -0,0 +1,165 @@
+//! Reading, merging and checking the layers of the settings.
+
+use std::fmt;
+use std::fs;
+use std::path::Path;
+
+use jsonc_parser::ast;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions};
+use serde_json::Value;
+
+use crate::fields::Settings;
+
+/// One source of settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Layer {
+    /// Where it comes from: a file's path, or `--set`.
+    pub origin: Box<str>,
+    /// Its text.
+    pub text: Box<str>,
+}
+
+impl Layer {
+    /// Reads a file.
+    pub fn read(path: &Path) -> Result<Layer, SettingsError> {
+        let origin: Box<str> = path.display().to_string().into();
+        match fs::read_to_string(path) {
+            Ok(text) => Ok(Layer { origin, text: text.into() }),
+            Err(error) => Err(SettingsError {
+                origin,
+                line: 0,
+                field: "".into(),
+                fault: error.to_string().into(),
+            }),
+        }
+    }
+
+    /// A layer that sets one field, from `path.to.field=value`; the value is JSON or plain text.
+    pub fn single(text: &str) -> Result<Layer, SettingsError> {
+        let origin: Box<str> = "--set".into();
+        let Some((path, value)) = text.split_once('=') else {
+            let fault = format!("found {text:?}; allowed: path.to.field=value");
+            return Err(SettingsError { origin, line: 1, field: "".into(), fault: fault.into() });
+        };
+        let value: Value =
+            serde_json::from_str(value).unwrap_or_else(|_| Value::String(value.into()));
+        let nested = path.rsplit('.').fold(value, |inner, name| {
+            let mut outer = serde_json::Map::new();
+            outer.insert(name.into(), inner);
+            Value::Object(outer)
+        });
+        Ok(Layer { origin, text: nested.to_string().into() })
+    }
+}
+
+/// What is wrong with the settings, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The file, or `--set`.
+    pub origin: Box<str>,
+    /// The line, from 1; 0 if there is none.
+    pub line: usize,
+    /// The field's path, such as `limits.body_bytes`.
+    pub field: Box<str>,
+    /// What was found and what is allowed.
+    pub fault: Box<str>,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}:{}: ", self.origin, self.line)?;
+        if !self.field.is_empty() {
+            write!(out, "field {}: ", self.field)?;
+        }
+        out.write_str(&self.fault)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// Merges the layers, the later over the earlier, and checks the whole.
+pub fn load(layers: &[Layer]) -> Result<Settings, SettingsError> {
+    let merged = merge(layers)?;
+    let settings: Settings = serde_path_to_error::deserialize(&merged)
+        .map_err(|error| locate(layers, &error.path().to_string(), &error.inner().to_string()))?;
+    if let Some((path, found, allowed)) = settings.out_of_bounds() {
+        return Err(locate(layers, path, &format!("found {found}; allowed: {allowed}")));
+    }
+    Ok(settings)
+}
+
+/// The merged layers as plain JSON, not checked.
+pub fn merge(layers: &[Layer]) -> Result<Value, SettingsError> {
+    let mut merged = Value::Object(serde_json::Map::new());
+    for layer in layers {
+        let value = jsonc_parser::parse_to_serde_value(&layer.text, &parse_options())
+            .map_err(|error| SettingsError {
+                origin: layer.origin.clone(),
+                line: error.line_display(),
+                field: "".into(),
+                fault: error.kind().to_string().into(),
+            })?
+            .unwrap_or(Value::Null);
+        if !value.is_object() {
+            return Err(SettingsError {
+                origin: layer.origin.clone(),
+                line: 1,
+                field: "".into(),
+                fault: "found no object; allowed: one JSON object".into(),
+            });
+        }
+        lay_over(&mut merged, value);
+    }
+    Ok(merged)
+}
+
+fn parse_options() -> ParseOptions {
+    ParseOptions { allow_comments: true, allow_trailing_commas: true, ..ParseOptions::default() }
+}
+
+fn lay_over(under: &mut Value, over: Value) {
+    match (under, over) {
+        (Value::Object(under), Value::Object(over)) => {
+            for (name, value) in over {
+                lay_over(under.entry(name).or_insert(Value::Null), value);
+            }
+        }
+        (under, over) => *under = over,
+    }
+}
+
+/// Finds the last layer that holds the deepest part of `path`.
+fn locate(layers: &[Layer], path: &str, fault: &str) -> SettingsError {
+    let unknown = fault.strip_prefix("unknown field `").and_then(|it| it.split('`').next());
+    let mut path = path.to_string();
+    if let Some(name) = unknown.filter(|it| !path.ends_with(*it)) {
+        path = if path == "." { name.to_string() } else { format!("{path}.{name}") };
+    }
+    let names: Vec<&str> = path.split('.').filter(|it| !it.is_empty()).collect();
+    let best = layers
+        .iter()
+        .map(|layer| (layer, depth_and_line(&layer.text, &names)))
+        .max_by_key(|(_, (depth, _))| *depth);
+    let (origin, line) =
+        best.map_or(("settings".into(), 0), |(layer, (_, line))| (layer.origin.clone(), line));
+    SettingsError { origin, line, field: path.as_str().into(), fault: fault.into() }
+}
+
+fn depth_and_line(text: &str, names: &[&str]) -> (usize, usize) {
+    let parsed = jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &parse_options());
+    let Some(mut value) = parsed.ok().and_then(|it| it.value) else { return (0, 1) };
+    let mut start = value.range().start;
+    for (depth, name) in names.iter().enumerate() {
+        let ast::Value::Object(object) = value else { return (depth, line_of(text, start)) };
+        let found = object.properties.into_iter().find(|it| it.name.as_str() == *name);
+        let Some(property) = found else { return (depth, line_of(text, start)) };
+        start = property.range.start;
+        value = property.value;
+    }
+    (names.len(), line_of(text, start))
+}
+
+fn line_of(text: &str, offset: usize) -> usize {
+    text.as_bytes()[..offset].iter().filter(|it| **it == b'\n').count() + 1
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,14 @@
+//! Settings of one daemon: a base file, overlays, and single values from the command line, in
+//! JSON with comments, merged and checked as a whole.
+//!
+//! This crate reads files and nothing else; it never reaches the network. Every error names
+//! file, line, field, what was found and what is allowed.
+
+mod fields;
+mod layers;
+
+pub use fields::{
+    InstanceSettings, LimitSettings, LogFormat, LogSettings, Millis, PeerSettings,
+    PlatformSettings, SecretSettings, Settings, TimeoutSettings, TrafficSettings,
+};
+pub use layers::{Layer, SettingsError, load, merge};
--- /dev/null
+++ b/crates/web/src/lib.rs
@@ -0,0 +1,13 @@
+//! HTTP plumbing that every program here shares: one client wrapper over hyper-util, one way to
+//! start a dropshot server, one log set-up.
+//!
+//! This crate classifies what happened on the wire and nothing more; it decides no retry and
+//! knows no kind of request.
+
+pub mod client;
+pub mod logs;
+mod piece_body;
+pub mod plain;
+pub mod server;
+
+pub use piece_body::piece_body;
