Stand in for platform, engines, services and a network that breaks

Cause: no outside system may be started here; the published protocols are met by stand-ins. Ruled out: dropshot for engine and service. It puts an x-request-id of its own on each answer, so the stand-ins could not repeat ours: the first demo ended with target_failed after four retries for crossed answers. They run on a bare hyper server; the platform stays on dropshot.

--- /dev/null
+++ b/crates/stand-ins/src/engine.rs
@@ -0,0 +1,591 @@
+//! A model engine: batches, caches prefixes in bounded memory, streams, resumes, cancels, takes
+//! orders, and fails as told.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use dropshot::Body;
+use futures::stream;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use indexmap::IndexMap;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
+use web::plain::{self, PlainServer};
+use web::server::{StartError, json_answer};
+use xxhash_rust::xxh3;
+
+use crate::engine_cache::EngineCache;
+use crate::engine_run::{EngineRun, ORPHAN_TIME, RunStage};
+use crate::faulty_body;
+
+pub use crate::engine_run::piece_text;
+
+/// Longest body taken.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// Tokens generated when the request does not say.
+const DEFAULT_TOKENS: u64 = 16;
+/// Requests whose headers and bodies are kept for tests.
+const KEPT_REQUESTS: usize = 512;
+
+/// The shape of one engine.
+#[derive(Debug, Clone)]
+pub struct EngineShape {
+    /// Its model.
+    pub model: String,
+    /// Time to compute one prompt token that is not cached.
+    pub prefill_per_token: Duration,
+    /// Time between generated tokens.
+    pub pace: Duration,
+    /// Requests run at once.
+    pub slots: usize,
+    /// Pieces the cache holds.
+    pub cache_pieces: usize,
+    /// Bytes in one piece.
+    pub piece_bytes: usize,
+    /// Time to load a version.
+    pub load_time: Duration,
+    /// It refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// A crash ends the process instead of only emptying the engine.
+    pub exit_on_crash: bool,
+}
+
+impl Default for EngineShape {
+    fn default() -> EngineShape {
+        EngineShape {
+            model: "desk".into(),
+            prefill_per_token: Duration::from_micros(2),
+            pace: Duration::from_millis(2),
+            slots: 16,
+            cache_pieces: 64,
+            piece_bytes: 16_000,
+            load_time: Duration::from_millis(400),
+            checks_fencing: true,
+            exit_on_crash: false,
+        }
+    }
+}
+
+/// How the engine fails.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// Answers every request with this status.
+    pub fail_status: Option<u16>,
+    /// Fails only requests on this version.
+    pub bad_version: Option<u64>,
+    /// Slows the first token.
+    pub delay_first_ms: u64,
+    /// Cuts each stream after this piece, this many times.
+    pub cut_after: Option<u64>,
+    /// How many streams are cut or silenced.
+    pub fault_count: u32,
+    /// Goes silent after this piece.
+    pub silent_after: Option<u64>,
+    /// Sends each piece twice.
+    pub duplicate: bool,
+    /// Swaps the second and third piece.
+    pub swap: bool,
+    /// Forgets generations whose reader went.
+    pub refuse_resume: bool,
+    /// Puts another request's id on answers, this many times.
+    pub cross_answers: u32,
+    /// Crashes on prompts that hold this text.
+    pub crash_on: Option<String>,
+}
+
+/// What the engine did so far.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct EngineStats {
+    /// Requests begun.
+    pub requests: u64,
+    /// Prompt tokens asked.
+    pub prompt_tokens: u64,
+    /// Prompt tokens found in the cache.
+    pub cached_tokens: u64,
+    /// Generations cancelled.
+    pub cancelled: u64,
+    /// Generations resumed.
+    pub resumed: u64,
+    /// Crashes.
+    pub crashes: u64,
+    /// Generations running.
+    pub running: u64,
+    /// Orders obeyed.
+    pub orders: u64,
+    /// The life.
+    pub incarnation: u64,
+    /// The version loaded.
+    pub version: u64,
+    /// A version is loading.
+    pub loading: bool,
+}
+
+/// An order to an engine.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineOrder {
+    /// The order's id; a repeated order is obeyed once.
+    pub id: String,
+    /// The fencing number of who gives it.
+    pub fencing: u64,
+    /// The version to be at.
+    pub version: u64,
+}
+
+#[derive(Debug)]
+struct EngineState {
+    cache: EngineCache,
+    runs: IndexMap<String, Arc<EngineRun>>,
+    faults: EngineFaults,
+    stats: EngineStats,
+    highest_fencing: u64,
+    seen: Vec<String>,
+}
+
+/// What the handlers share.
+#[derive(Debug)]
+pub struct EngineStandIn {
+    shape: EngineShape,
+    slots: Semaphore,
+    state: Mutex<EngineState>,
+}
+
+impl EngineStandIn {
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// What it did so far.
+    pub fn stats(&self) -> EngineStats {
+        let state = self.lock();
+        let running = state.runs.values().filter(|it| !it.is_over()).count() as u64;
+        EngineStats { running, ..state.stats.clone() }
+    }
+
+    /// Headers and bodies of the last requests, as text.
+    pub fn seen(&self) -> Vec<String> {
+        self.lock().seen.clone()
+    }
+
+    /// Crashes: every stream is cut, the cache is lost, a new life begins.
+    pub fn crash(&self) {
+        if self.shape.exit_on_crash {
+            std::process::exit(70);
+        }
+        let mut state = self.lock();
+        for (_, run) in state.runs.drain(..) {
+            run.stop();
+        }
+        state.cache.clear();
+        state.stats.crashes += 1;
+        state.stats.incarnation += 1;
+    }
+
+    fn cancel(&self, id: &str) -> Response<Body> {
+        let mut state = self.lock();
+        if let Some(run) = state.runs.shift_remove(id) {
+            let ran = !run.is_over();
+            run.stop();
+            state.stats.cancelled += u64::from(ran);
+        }
+        done()
+    }
+
+    fn remember(&self, headers: &HeaderMap, body: &str) {
+        let mut state = self.lock();
+        if state.seen.len() == KEPT_REQUESTS {
+            state.seen.remove(0);
+        }
+        state.seen.push(format!("{headers:?} {body}"));
+    }
+}
+
+/// A running engine.
+pub type EngineServer = PlainServer<EngineStandIn>;
+
+/// Starts an engine.
+pub fn start(address: SocketAddr, shape: EngineShape) -> Result<EngineServer, StartError> {
+    let stats = EngineStats {
+        incarnation: rand::random::<u32>().into(),
+        version: 1,
+        ..EngineStats::default()
+    };
+    let state = EngineState {
+        cache: EngineCache::new(shape.cache_pieces, shape.piece_bytes),
+        runs: IndexMap::new(),
+        faults: EngineFaults::default(),
+        stats,
+        highest_fencing: 0,
+        seen: Vec::new(),
+    };
+    let slots = Semaphore::new(shape.slots);
+    let context = Arc::new(EngineStandIn { shape, slots, state: Mutex::new(state) });
+    plain::start(address, context, MAX_BODY_BYTES, handle)
+}
+
+async fn handle(engine: Arc<EngineStandIn>, parts: Parts, body: Bytes) -> Response<Body> {
+    match (parts.method.as_str(), parts.uri.path()) {
+        ("POST", "/v1/chat/completions") => run_request(engine, &parts, &body, true).await,
+        ("POST", "/v1/completions") => run_request(engine, &parts, &body, false).await,
+        ("POST", "/v1/cancel") => with_body(&body, |it: CancelBody| engine.cancel(&it.request_id)),
+        ("POST", "/v1/orders") => with_body(&body, |it| take_order(&engine, it)),
+        ("GET", "/v1/state") => json_answer(StatusCode::OK, &engine.stats()),
+        ("POST", "/stand-in/faults") => with_body(&body, |it| {
+            engine.set_faults(it);
+            done()
+        }),
+        ("POST", "/stand-in/crash") => {
+            engine.crash();
+            done()
+        }
+        _ => error_answer(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+/// Names a generation.
+#[derive(Deserialize)]
+struct CancelBody {
+    request_id: String,
+}
+
+fn take_order(engine: &Arc<EngineStandIn>, order: EngineOrder) -> Response<Body> {
+    let mut state = engine.lock();
+    if engine.shape.checks_fencing && order.fencing < state.highest_fencing {
+        return error_answer(StatusCode::CONFLICT, "overtaken by a greater fencing number");
+    }
+    state.highest_fencing = state.highest_fencing.max(order.fencing);
+    if state.stats.version != order.version && !state.stats.loading {
+        state.stats.loading = true;
+        state.stats.orders += 1;
+        tokio::spawn(load(engine.clone(), order.version));
+    }
+    drop(state);
+    json_answer(StatusCode::ACCEPTED, &engine.stats())
+}
+
+async fn load(engine: Arc<EngineStandIn>, version: u64) {
+    tokio::time::sleep(engine.shape.load_time).await;
+    let mut state = engine.lock();
+    state.stats.version = version;
+    state.stats.loading = false;
+    state.cache.clear();
+}
+
+fn with_body<T: DeserializeOwned>(
+    body: &[u8],
+    answer: impl FnOnce(T) -> Response<Body>,
+) -> Response<Body> {
+    match serde_json::from_slice(body) {
+        Ok(it) => answer(it),
+        Err(error) => error_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+fn done() -> Response<Body> {
+    json_answer(StatusCode::OK, &serde_json::json!({}))
+}
+
+fn error_answer(status: StatusCode, message: &str) -> Response<Body> {
+    json_answer(status, &serde_json::json!({ "error": { "message": message } }))
+}
+
+/// The fields of a request that the engine reads.
+#[derive(Debug, Deserialize)]
+struct ModelBody {
+    #[serde(default)]
+    messages: Vec<ModelMessage>,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    cache_salt: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct ModelMessage {
+    role: String,
+    content: String,
+}
+
+impl ModelBody {
+    fn text(&self, chat: bool) -> String {
+        if !chat {
+            return self.prompt.clone();
+        }
+        self.messages.iter().map(|it| format!("{}\n{}\n", it.role, it.content)).collect()
+    }
+}
+
+async fn run_request(
+    engine: Arc<EngineStandIn>,
+    parts: &Parts,
+    body: &[u8],
+    chat: bool,
+) -> Response<Body> {
+    let headers = &parts.headers;
+    engine.remember(headers, &String::from_utf8_lossy(body));
+    let asked: ModelBody = match serde_json::from_slice(body) {
+        Ok(it) => it,
+        Err(error) => return error_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let prompt = asked.text(chat);
+    let faults = engine.lock().faults.clone();
+    if faults.crash_on.as_ref().is_some_and(|it| prompt.contains(it)) {
+        engine.crash();
+        return faulty_body::broken_answer();
+    }
+    let id =
+        header(headers, "x-request-id").unwrap_or_else(|| format!("{:x}", rand::random::<u64>()));
+    let after = header(headers, "last-event-id").and_then(|it| it.parse::<u64>().ok());
+    let version = engine.lock().stats.version;
+    let bad = faults.bad_version.is_none_or(|it| it == version);
+    if let Some(status) = faults.fail_status.filter(|_| bad) {
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        return error_answer(status, "failed by a fault");
+    }
+    if bad {
+        tokio::time::sleep(Duration::from_millis(faults.delay_first_ms)).await;
+    }
+    let run = match after {
+        Some(_) => match resume(&engine, &id, &faults) {
+            Some(run) => run,
+            None => return error_answer(StatusCode::NOT_FOUND, "nothing to resume"),
+        },
+        None => begin(&engine, &id, &asked, prompt.into_bytes(), version).await,
+    };
+    let (prompt_tokens, cached_tokens) = (run.prompt_tokens, run.cached_tokens);
+    let mut answer = if asked.stream {
+        stream_answer(&engine, run, &id, chat, after.unwrap_or(0))
+    } else {
+        whole_answer(&engine, &run, &id, chat).await
+    };
+    label(&engine, answer.headers_mut(), &id);
+    let numbers = [("x-engine-prompt", prompt_tokens), ("x-engine-cached", cached_tokens)];
+    for (name, value) in numbers {
+        answer.headers_mut().insert(name, value.into());
+    }
+    answer
+}
+
+async fn begin(
+    engine: &Arc<EngineStandIn>,
+    id: &str,
+    asked: &ModelBody,
+    prompt: Vec<u8>,
+    version: u64,
+) -> Arc<EngineRun> {
+    let scope = xxh3::xxh3_64_with_seed(asked.cache_salt.as_bytes(), version);
+    let tokens = prompt.len().div_ceil(4) as u64;
+    let run = {
+        let mut state = engine.lock();
+        let cached = state.cache.run(scope, &prompt) as u64 / 4;
+        state.stats.requests += 1;
+        state.stats.prompt_tokens += tokens;
+        state.stats.cached_tokens += cached;
+        let run = EngineRun::new(tokens, cached);
+        state.runs.insert(id.into(), run.clone());
+        run
+    };
+    let count = asked.max_tokens.unwrap_or(DEFAULT_TOKENS);
+    tokio::spawn(generate(engine.clone(), run.clone(), prompt, version, count, id.into()));
+    run
+}
+
+async fn generate(
+    engine: Arc<EngineStandIn>,
+    run: Arc<EngineRun>,
+    prompt: Vec<u8>,
+    version: u64,
+    count: u64,
+    id: String,
+) {
+    {
+        let Ok(_slot) = engine.slots.acquire().await else { return };
+        let fresh = (run.prompt_tokens - run.cached_tokens) as u32;
+        tokio::time::sleep(engine.shape.prefill_per_token * fresh).await;
+        run.generate(&prompt, version, count, engine.shape.pace).await;
+    }
+    tokio::time::sleep(ORPHAN_TIME).await;
+    if run.readers() == 0 {
+        engine.lock().runs.shift_remove(&id);
+    }
+}
+
+fn resume(engine: &EngineStandIn, id: &str, faults: &EngineFaults) -> Option<Arc<EngineRun>> {
+    let mut state = engine.lock();
+    let run = state.runs.get(id).cloned().filter(|_| !faults.refuse_resume)?;
+    state.stats.resumed += 1;
+    Some(run)
+}
+
+async fn whole_answer(
+    engine: &EngineStandIn,
+    run: &EngineRun,
+    id: &str,
+    chat: bool,
+) -> Response<Body> {
+    let mut stage = run.watch();
+    let ended = stage.wait_for(|it| !matches!(it, RunStage::Running(_))).await;
+    let ended = ended.map_or(RunStage::Stopped, |it| *it);
+    let RunStage::Whole(count) = ended else { return faulty_body::broken_answer() };
+    let text: String = (1..=count).filter_map(|it| run.piece(it)).map(String::from).collect();
+    let choice = match chat {
+        true => serde_json::json!({
+            "index": 0, "finish_reason": "stop",
+            "message": { "role": "assistant", "content": text },
+        }),
+        false => serde_json::json!({ "index": 0, "finish_reason": "stop", "text": text }),
+    };
+    let answer = serde_json::json!({
+        "id": id,
+        "object": if chat { "chat.completion" } else { "text_completion" },
+        "model": engine.shape.model,
+        "choices": [choice],
+        "usage": usage(run, count),
+    });
+    json_answer(StatusCode::OK, &answer)
+}
+
+fn usage(run: &EngineRun, count: u64) -> serde_json::Value {
+    serde_json::json!({
+        "prompt_tokens": run.prompt_tokens,
+        "completion_tokens": count,
+        "total_tokens": run.prompt_tokens + count,
+        "prompt_tokens_details": { "cached_tokens": run.cached_tokens },
+    })
+}
+
+struct StreamState {
+    engine: Arc<EngineStandIn>,
+    run: Arc<EngineRun>,
+    stage: tokio::sync::watch::Receiver<RunStage>,
+    id: String,
+    chat: bool,
+    sent: u64,
+    ended: bool,
+    faults: EngineFaults,
+    faulty: bool,
+}
+
+fn stream_answer(
+    engine: &Arc<EngineStandIn>,
+    run: Arc<EngineRun>,
+    id: &str,
+    chat: bool,
+    after: u64,
+) -> Response<Body> {
+    let (faults, faulty) = {
+        let mut state = engine.lock();
+        let faulty = state.faults.fault_count > 0;
+        state.faults.fault_count = state.faults.fault_count.saturating_sub(1);
+        (state.faults.clone(), faulty)
+    };
+    let stage = run.watch();
+    let state = StreamState {
+        engine: engine.clone(),
+        run,
+        stage,
+        id: id.into(),
+        chat,
+        sent: after,
+        ended: false,
+        faults,
+        faulty,
+    };
+    let pieces = stream::unfold(state, |state| Box::pin(next_piece(state)));
+    let mut answer = Response::new(web::piece_body(Box::pin(pieces)));
+    let kind = HeaderValue::from_static("text/event-stream");
+    answer.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    answer
+}
+
+async fn next_piece(mut state: StreamState) -> Option<(io::Result<Bytes>, StreamState)> {
+    if state.ended {
+        return None;
+    }
+    if state.faulty && state.faults.cut_after == Some(state.sent) {
+        state.ended = true;
+        return Some((Err(faulty_body::cut()), state));
+    }
+    if state.faulty && state.faults.silent_after == Some(state.sent) {
+        tokio::time::sleep(Duration::from_secs(3_600)).await;
+    }
+    let sent = state.sent;
+    let ready = state.stage.wait_for(|it| match it {
+        RunStage::Running(count) => *count > sent,
+        _ => true,
+    });
+    let stage = ready.await.map_or(RunStage::Stopped, |it| *it);
+    let text = match stage {
+        RunStage::Stopped => {
+            state.ended = true;
+            return Some((Err(faulty_body::cut()), state));
+        }
+        RunStage::Whole(count) if sent >= count => {
+            state.ended = true;
+            let usage = usage(&state.run, count);
+            format!("data: {{\"choices\":[],\"usage\":{usage}}}\n\ndata: [DONE]\n\n")
+        }
+        _ => numbered(&mut state),
+    };
+    Some((Ok(text.into()), state))
+}
+
+fn numbered(state: &mut StreamState) -> String {
+    let number = state.sent + 1;
+    state.sent = number;
+    let order = match number {
+        2 if state.faults.swap && state.run.piece(3).is_some() => {
+            state.sent = 3;
+            vec![3, 2]
+        }
+        _ if state.faults.duplicate => vec![number, number],
+        _ => vec![number],
+    };
+    order.into_iter().map(|it| event(state, it)).collect()
+}
+
+fn event(state: &StreamState, number: u64) -> String {
+    let text = state.run.piece(number).unwrap_or_default();
+    let choice = match state.chat {
+        true => serde_json::json!({ "index": 0, "delta": { "content": text } }),
+        false => serde_json::json!({ "index": 0, "text": text }),
+    };
+    let object = if state.chat { "chat.completion.chunk" } else { "text_completion" };
+    let chunk = serde_json::json!({
+        "id": state.id, "object": object, "model": state.engine.shape.model, "choices": [choice],
+    });
+    format!("id: {number}\ndata: {chunk}\n\n")
+}
+
+fn label(engine: &EngineStandIn, headers: &mut HeaderMap, id: &str) {
+    let running = engine.stats().running;
+    let mut state = engine.lock();
+    let crossed = state.faults.cross_answers > 0;
+    state.faults.cross_answers = state.faults.cross_answers.saturating_sub(1);
+    let id = if crossed { "another" } else { id };
+    if let Ok(value) = HeaderValue::from_str(id) {
+        headers.insert("x-request-id", value);
+    }
+    headers.insert("x-engine-incarnation", state.stats.incarnation.into());
+    headers.insert("x-engine-version", state.stats.version.into());
+    headers.insert("x-engine-running", running.into());
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name).and_then(|it| it.to_str().ok()).map(String::from)
+}
--- /dev/null
+++ b/crates/stand-ins/src/kv_store.rs
@@ -0,0 +1,73 @@
+//! A store of kept KV cache: blobs by name, each read at a set speed.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use dropshot::{
+    ApiDescription, Body, HttpError, HttpServer, Path, RequestContext, UntypedBody, endpoint,
+};
+use http::{Response, StatusCode};
+use indexmap::IndexMap;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use web::server::{StartError, json_answer};
+
+/// Longest blob taken.
+const MAX_BLOB_BYTES: usize = 16 << 20;
+/// Blobs kept; the oldest goes first.
+const MAX_BLOBS: usize = 10_000;
+
+/// What the handlers share.
+#[derive(Debug, Default)]
+pub struct KvStandIn {
+    blobs: Mutex<IndexMap<String, Bytes>>,
+    delay: Duration,
+}
+
+type Context = RequestContext<Arc<KvStandIn>>;
+
+/// Starts a store that answers each call after `delay`.
+pub fn start(
+    address: SocketAddr,
+    delay: Duration,
+) -> Result<HttpServer<Arc<KvStandIn>>, StartError> {
+    let mut api = ApiDescription::new();
+    api.register(get_blob).expect("the first endpoint cannot clash");
+    api.register(put_blob).expect("methods differ");
+    let context = Arc::new(KvStandIn { delay, ..KvStandIn::default() });
+    web::server::start(address, api, context, MAX_BLOB_BYTES)
+}
+
+/// The name of a blob.
+#[derive(Deserialize, JsonSchema)]
+struct BlobPath {
+    name: String,
+}
+
+#[endpoint { method = GET, path = "/v1/blocks/{name}" }]
+async fn get_blob(rqctx: Context, path: Path<BlobPath>) -> Result<Response<Body>, HttpError> {
+    let store = rqctx.context();
+    tokio::time::sleep(store.delay).await;
+    let blobs = store.blobs.lock().unwrap_or_else(|it| it.into_inner());
+    let found = blobs.get(&path.into_inner().name).cloned();
+    let blob = found.ok_or_else(|| HttpError::for_not_found(None, "no such blob".into()))?;
+    Ok(Response::new(Body::with_content(blob)))
+}
+
+#[endpoint { method = PUT, path = "/v1/blocks/{name}" }]
+async fn put_blob(
+    rqctx: Context,
+    path: Path<BlobPath>,
+    body: UntypedBody,
+) -> Result<Response<Body>, HttpError> {
+    let store = rqctx.context();
+    tokio::time::sleep(store.delay).await;
+    let mut blobs = store.blobs.lock().unwrap_or_else(|it| it.into_inner());
+    if blobs.len() == MAX_BLOBS {
+        blobs.shift_remove_index(0);
+    }
+    blobs.insert(path.into_inner().name, Bytes::copy_from_slice(body.as_bytes()));
+    Ok(json_answer(StatusCode::OK, &serde_json::json!({})))
+}
--- /dev/null
+++ b/crates/stand-ins/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for what kingcupshift meets in the field: the platform, model engines, plain
+//! services, a KV-cache store and a network that breaks.
+//!
+//! They speak the published protocols over real sockets and fail as told. The daemon never uses
+//! this crate; tests, the demo and measurements do.
+
+pub mod engine;
+mod engine_cache;
+mod engine_run;
+mod faulty_body;
+pub mod kv_store;
+pub mod platform;
+pub mod relay;
+pub mod service;
--- /dev/null
+++ b/crates/stand-ins/src/platform.rs
@@ -0,0 +1,371 @@
+//! The platform: instance list, transactional table, object store and weight store, with faults
+//! switched by a call.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dropshot::{
+    ApiDescription, Body, HttpError, HttpServer, Path, RequestContext, TypedBody, UntypedBody,
+    endpoint,
+};
+use http::{Response, StatusCode};
+use ids::Revision;
+use indexmap::IndexMap;
+use ports::{Change, Commit, Condition, Member, Row, Transaction};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use web::server::{StartError, json_answer};
+
+use crate::faulty_body;
+
+/// Longest body taken.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// How long a call hangs when its service is silent.
+const SILENCE: Duration = Duration::from_secs(3_600);
+
+/// A service of the platform.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum PlatformPart {
+    /// The instance list.
+    List,
+    /// The table.
+    Table,
+    /// The object store.
+    Objects,
+    /// The weight store.
+    Weights,
+}
+
+/// How a service behaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case", tag = "mode")]
+pub enum PlatformFault {
+    /// As it should.
+    #[default]
+    Healthy,
+    /// It refuses every call.
+    Down,
+    /// It answers late.
+    Slow {
+        /// By how much.
+        delay_ms: u64,
+    },
+    /// Calls take effect and their answers are lost.
+    LoseAnswers {
+        /// For this many calls with an effect.
+        calls: u32,
+    },
+    /// Calls hang and take no effect.
+    Silent,
+}
+
+/// Switches a fault.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct FaultSwitch {
+    /// The service.
+    pub part: PlatformPart,
+    /// How it behaves from now on.
+    #[serde(flatten)]
+    pub fault: PlatformFault,
+}
+
+/// Calls served so far.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize, JsonSchema)]
+pub struct PlatformStats {
+    /// Reads and scans of the table.
+    pub table_reads: u64,
+    /// Transactions tried.
+    pub table_writes: u64,
+    /// Reads of objects.
+    pub object_reads: u64,
+    /// Writes of objects.
+    pub object_writes: u64,
+    /// Reads of the list.
+    pub list_reads: u64,
+}
+
+#[derive(Debug)]
+struct PlatformState {
+    rows: BTreeMap<Box<str>, Row>,
+    revision: u64,
+    members: IndexMap<String, (Member, Instant)>,
+    list_lag: Duration,
+    objects: BTreeMap<String, Bytes>,
+    faults: BTreeMap<PlatformPart, PlatformFault>,
+    stats: PlatformStats,
+}
+
+/// What the handlers share.
+#[derive(Debug)]
+pub struct PlatformStandIn {
+    state: Mutex<PlatformState>,
+}
+
+impl PlatformStandIn {
+    fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    /// Switches a fault from inside a test.
+    pub fn set_fault(&self, part: PlatformPart, fault: PlatformFault) {
+        self.lock().faults.insert(part, fault);
+    }
+
+    /// Calls served so far.
+    pub fn stats(&self) -> PlatformStats {
+        self.lock().stats
+    }
+
+    /// A row's text.
+    pub fn row(&self, key: &str) -> Option<Box<str>> {
+        self.lock().rows.get(key).map(|it| it.value.clone())
+    }
+
+    /// All rows whose key starts with `prefix`.
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        let state = self.lock();
+        state.rows.values().filter(|it| it.key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Takes an instance off the list at once.
+    pub fn unlist(&self, id: &str) {
+        self.lock().members.shift_remove(id);
+    }
+
+    /// Waits as the fault says; returns whether the answer is to be lost, or a refusal.
+    async fn meet_fault(&self, part: PlatformPart, effect: bool) -> Result<bool, HttpError> {
+        let fault = self.lock().faults.get(&part).copied().unwrap_or_default();
+        match fault {
+            PlatformFault::Healthy => Ok(false),
+            PlatformFault::Down => {
+                Err(HttpError::for_unavail(None, "switched off by a fault".into()))
+            }
+            PlatformFault::Slow { delay_ms } => {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                Ok(false)
+            }
+            PlatformFault::Silent => {
+                tokio::time::sleep(SILENCE).await;
+                Err(HttpError::for_unavail(None, "silent by a fault".into()))
+            }
+            PlatformFault::LoseAnswers { calls } if effect && calls > 0 => {
+                let left = PlatformFault::LoseAnswers { calls: calls - 1 };
+                self.lock().faults.insert(part, left);
+                Ok(true)
+            }
+            PlatformFault::LoseAnswers { .. } => Ok(false),
+        }
+    }
+}
+
+impl PlatformState {
+    fn holds(&self, condition: &Condition) -> bool {
+        self.rows.get(&condition.key).map(|it| it.revision) == condition.revision
+    }
+
+    fn apply(&mut self, change: &Change) {
+        match &change.value {
+            None => {
+                self.rows.remove(&change.key);
+            }
+            Some(value) => {
+                let row = Row {
+                    key: change.key.clone(),
+                    revision: Revision(self.revision),
+                    value: value.clone(),
+                };
+                self.rows.insert(change.key.clone(), row);
+            }
+        }
+    }
+}
+
+type Context = RequestContext<Arc<PlatformStandIn>>;
+
+/// Starts the platform. Instances not announced for `list_lag` leave the list.
+pub fn start(
+    address: SocketAddr,
+    list_lag: Duration,
+) -> Result<HttpServer<Arc<PlatformStandIn>>, StartError> {
+    let state = PlatformState {
+        rows: BTreeMap::new(),
+        revision: 0,
+        members: IndexMap::new(),
+        list_lag,
+        objects: BTreeMap::new(),
+        faults: BTreeMap::new(),
+        stats: PlatformStats::default(),
+    };
+    let context = Arc::new(PlatformStandIn { state: Mutex::new(state) });
+    web::server::start(address, api(), context, MAX_BODY_BYTES)
+}
+
+fn api() -> ApiDescription<Arc<PlatformStandIn>> {
+    let mut api = ApiDescription::new();
+    let registered = [
+        api.register(table_read),
+        api.register(table_scan),
+        api.register(table_commit),
+        api.register(list_members),
+        api.register(announce_member),
+        api.register(get_object),
+        api.register(put_object),
+        api.register(get_weights),
+        api.register(switch_fault),
+        api.register(read_stats),
+    ];
+    for it in registered {
+        it.expect("the endpoints do not clash");
+    }
+    api
+}
+
+#[endpoint { method = POST, path = "/v1/table/read" }]
+async fn table_read(rqctx: Context, body: UntypedBody) -> Result<Response<Body>, HttpError> {
+    let platform = rqctx.context();
+    platform.meet_fault(PlatformPart::Table, false).await?;
+    let asked: platform::wire::ReadRequest = parse(&body)?;
+    let mut state = platform.lock();
+    state.stats.table_reads += 1;
+    let rows = state.rows.get(&asked.key).cloned().into_iter().collect();
+    Ok(rows_answer(rows, state.revision))
+}
+
+#[endpoint { method = POST, path = "/v1/table/scan" }]
+async fn table_scan(rqctx: Context, body: UntypedBody) -> Result<Response<Body>, HttpError> {
+    let platform = rqctx.context();
+    platform.meet_fault(PlatformPart::Table, false).await?;
+    let asked: platform::wire::ScanRequest = parse(&body)?;
+    let mut state = platform.lock();
+    state.stats.table_reads += 1;
+    let rows = state
+        .rows
+        .values()
+        .filter(|it| it.key.starts_with(&*asked.prefix) && it.key > asked.after)
+        .take(asked.limit)
+        .cloned()
+        .collect();
+    Ok(rows_answer(rows, state.revision))
+}
+
+#[endpoint { method = POST, path = "/v1/table/commit" }]
+async fn table_commit(rqctx: Context, body: UntypedBody) -> Result<Response<Body>, HttpError> {
+    let platform = rqctx.context();
+    let lost = platform.meet_fault(PlatformPart::Table, true).await?;
+    let txn: Transaction = parse(&body)?;
+    let commit = {
+        let mut state = platform.lock();
+        state.stats.table_writes += 1;
+        if txn.conditions.iter().all(|it| state.holds(it)) {
+            state.revision += 1;
+            for change in &txn.changes {
+                state.apply(change);
+            }
+            Commit::Done(Revision(state.revision))
+        } else {
+            Commit::Conflict
+        }
+    };
+    if lost {
+        return Ok(faulty_body::broken_answer());
+    }
+    Ok(json_answer(StatusCode::OK, &platform::wire::CommitAnswer { commit }))
+}
+
+#[endpoint { method = GET, path = "/v1/instances" }]
+async fn list_members(rqctx: Context) -> Result<Response<Body>, HttpError> {
+    let platform = rqctx.context();
+    platform.meet_fault(PlatformPart::List, false).await?;
+    let mut state = platform.lock();
+    state.stats.list_reads += 1;
+    let lag = state.list_lag;
+    state.members.retain(|_, (_, at)| at.elapsed() < lag);
+    let members = state.members.values().map(|(it, _)| it.clone()).collect();
+    Ok(json_answer(StatusCode::OK, &platform::wire::MembersAnswer { members }))
+}
+
+#[endpoint { method = PUT, path = "/v1/instances" }]
+async fn announce_member(rqctx: Context, body: UntypedBody) -> Result<Response<Body>, HttpError> {
+    let platform = rqctx.context();
+    platform.meet_fault(PlatformPart::List, true).await?;
+    let member: Member = parse(&body)?;
+    platform.lock().members.insert(member.id.to_string(), (member, Instant::now()));
+    Ok(json_answer(StatusCode::OK, &serde_json::json!({})))
+}
+
+/// The name of an object.
+#[derive(Deserialize, JsonSchema)]
+struct ObjectPath {
+    name: String,
+}
+
+#[endpoint { method = GET, path = "/v1/objects/{name}" }]
+async fn get_object(rqctx: Context, path: Path<ObjectPath>) -> Result<Response<Body>, HttpError> {
+    let platform = rqctx.context();
+    platform.meet_fault(PlatformPart::Objects, false).await?;
+    let mut state = platform.lock();
+    state.stats.object_reads += 1;
+    let found = state.objects.get(&path.into_inner().name).cloned();
+    let data = found.ok_or_else(|| HttpError::for_not_found(None, "no such object".into()))?;
+    Ok(Response::new(Body::with_content(data)))
+}
+
+#[endpoint { method = PUT, path = "/v1/objects/{name}" }]
+async fn put_object(
+    rqctx: Context,
+    path: Path<ObjectPath>,
+    body: UntypedBody,
+) -> Result<Response<Body>, HttpError> {
+    let platform = rqctx.context();
+    let lost = platform.meet_fault(PlatformPart::Objects, true).await?;
+    let data = Bytes::copy_from_slice(body.as_bytes());
+    let mut state = platform.lock();
+    state.stats.object_writes += 1;
+    state.objects.insert(path.into_inner().name, data);
+    if lost {
+        return Ok(faulty_body::broken_answer());
+    }
+    Ok(json_answer(StatusCode::OK, &serde_json::json!({})))
+}
+
+#[endpoint { method = GET, path = "/v1/weights/{name}" }]
+async fn get_weights(rqctx: Context, path: Path<ObjectPath>) -> Result<Response<Body>, HttpError> {
+    let platform = rqctx.context();
+    platform.meet_fault(PlatformPart::Weights, false).await?;
+    let name = path.into_inner().name;
+    if name.starts_with("missing") {
+        return Err(HttpError::for_not_found(None, "no such weights".into()));
+    }
+    Ok(json_answer(StatusCode::OK, &serde_json::json!({ "name": name })))
+}
+
+#[endpoint { method = POST, path = "/stand-in/faults" }]
+async fn switch_fault(
+    rqctx: Context,
+    body: TypedBody<FaultSwitch>,
+) -> Result<Response<Body>, HttpError> {
+    let switch = body.into_inner();
+    rqctx.context().set_fault(switch.part, switch.fault);
+    Ok(json_answer(StatusCode::OK, &serde_json::json!({})))
+}
+
+#[endpoint { method = GET, path = "/stand-in/stats" }]
+async fn read_stats(rqctx: Context) -> Result<Response<Body>, HttpError> {
+    Ok(json_answer(StatusCode::OK, &rqctx.context().stats()))
+}
+
+fn rows_answer(rows: Vec<Row>, revision: u64) -> Response<Body> {
+    let answer = platform::wire::RowsAnswer { rows, revision: Revision(revision) };
+    json_answer(StatusCode::OK, &answer)
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &UntypedBody) -> Result<T, HttpError> {
+    serde_json::from_slice(body.as_bytes())
+        .map_err(|error| HttpError::for_bad_request(None, error.to_string()))
+}
