--- /dev/null
+++ b/crates/control/src/claim_store.rs
@@ -0,0 +1,218 @@
+//! Claims on calls that may not be repeated.
+
+use std::future::Future;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use ids::{CustomerId, ErrorKind, Incarnation, InstanceId, Refusal, Revision, RouteId};
+use indexmap::IndexSet;
+use policy::claim::{self, ClaimRow, ClaimStage, ClaimVerdict, KeptAnswer, OwnerWord};
+use ports::{Commit, StoreError, Table, Transaction};
+use sha2::{Digest, Sha256};
+
+/// Rounds of claiming, reading and judging before a claim is given up.
+const CLAIM_ROUNDS: u32 = 4;
+/// Tries to record an outcome before it is left to the background.
+const RECORD_TRIES: u32 = 40;
+/// The pause between them.
+const RECORD_PAUSE: Duration = Duration::from_secs(3);
+
+/// A claim this daemon holds.
+#[derive(Debug, Clone)]
+pub struct ClaimHandle {
+    key: Box<str>,
+    row: ClaimRow,
+    revision: Revision,
+}
+
+/// How claiming ended.
+#[derive(Debug)]
+pub enum ClaimStart {
+    /// This attempt alone may run the request.
+    Own(ClaimHandle),
+    /// It ran before; this is its answer.
+    Replay(KeptAnswer),
+    /// It may not run.
+    Refuse(Refusal),
+}
+
+/// The row key of an idempotency key. Keys of different customers and routes never meet.
+pub fn claim_key(customer: Option<&CustomerId>, route: &RouteId, key: &str) -> String {
+    let digest = Sha256::digest(key.as_bytes());
+    let digest: String = digest.iter().take(16).map(|it| format!("{it:02x}")).collect();
+    format!("claim/{}/{route}/{digest}", customer.map_or("-", |it| it.as_str()))
+}
+
+/// One daemon's claims.
+#[derive(Debug)]
+pub struct ClaimStore<T> {
+    table: T,
+    own: InstanceId,
+    incarnation: Incarnation,
+    /// Attempts that may yet be sent, or were sent and are not recorded.
+    open: Mutex<IndexSet<Box<str>>>,
+}
+
+impl<T: Table> ClaimStore<T> {
+    /// A store of the claims of this life of `own`.
+    pub fn new(table: T, own: InstanceId, incarnation: Incarnation) -> ClaimStore<T> {
+        ClaimStore { table, own, incarnation, open: Mutex::default() }
+    }
+
+    /// What this daemon knows of an attempt it is said to have claimed in `life`.
+    pub fn word(&self, attempt: &str, life: Incarnation) -> OwnerWord {
+        if life != self.incarnation {
+            return OwnerWord::Unknown;
+        }
+        if self.lock().contains(attempt) { OwnerWord::InFlight } else { OwnerWord::NeverSent }
+    }
+
+    /// Claims `key` for `attempt`. `ask` asks the owner of a claim that stands in the way.
+    pub async fn begin<F, Fut>(
+        &self,
+        key: &str,
+        fingerprint: &str,
+        attempt: &str,
+        ask: F,
+    ) -> ClaimStart
+    where
+        F: Fn(ClaimRow) -> Fut,
+        Fut: Future<Output = OwnerWord>,
+    {
+        self.lock().insert(attempt.into());
+        let start = self.settle(key, fingerprint, attempt, ask).await;
+        if !matches!(start, ClaimStart::Own(_)) {
+            // Never sent: whoever finds the row of this attempt, should a lost write still
+            // land, learns so by asking.
+            self.lock().swap_remove(attempt);
+        }
+        start
+    }
+
+    /// Records how the claimed request ended. Until it is recorded, the attempt counts as open.
+    pub async fn record(&self, handle: &ClaimHandle, stage: ClaimStage) -> Result<(), StoreError> {
+        let row = ClaimRow { stage, ..handle.row.clone() };
+        let mut revision = handle.revision;
+        loop {
+            let txn = Transaction::default()
+                .require(&handle.key, Some(revision))
+                .put(&handle.key, encode(&row));
+            match self.table.commit(txn).await {
+                Ok(Commit::Done(_)) => break,
+                Ok(Commit::Conflict) => {}
+                Err(error) => {
+                    if !self.is_recorded(handle, &row).await? {
+                        return Err(error);
+                    }
+                    break;
+                }
+            }
+            // A conflict: an earlier try of this record landed, or another took the row over.
+            match self.table.read(&handle.key).await? {
+                Some(found) => match decode(&found.value) {
+                    Some(it) if it == row => break,
+                    Some(it) if it.attempt == row.attempt => revision = found.revision,
+                    _ => break,
+                },
+                None => break,
+            }
+        }
+        self.lock().swap_remove(&*row.attempt);
+        Ok(())
+    }
+
+    /// Records an outcome however long the table is away, up to some minutes.
+    pub async fn record_late(&self, handle: ClaimHandle, stage: ClaimStage) {
+        for _ in 0..RECORD_TRIES {
+            if self.record(&handle, stage.clone()).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(RECORD_PAUSE).await;
+        }
+        tracing::error!("claims: outcome of attempt {} was never recorded", handle.row.attempt);
+    }
+
+    async fn settle<F, Fut>(
+        &self,
+        key: &str,
+        fingerprint: &str,
+        attempt: &str,
+        ask: F,
+    ) -> ClaimStart
+    where
+        F: Fn(ClaimRow) -> Fut,
+        Fut: Future<Output = OwnerWord>,
+    {
+        let row = ClaimRow {
+            fingerprint: fingerprint.into(),
+            attempt: attempt.into(),
+            owner: self.own.clone(),
+            incarnation: self.incarnation,
+            stage: ClaimStage::Claimed,
+        };
+        let mut over = None;
+        for _ in 0..CLAIM_ROUNDS {
+            let txn = Transaction::default().require(key, over).put(key, encode(&row));
+            match self.table.commit(txn).await {
+                Ok(Commit::Done(revision)) => {
+                    return ClaimStart::Own(ClaimHandle { key: key.into(), row, revision });
+                }
+                Err(StoreError::Unavailable(_)) => return unavailable(),
+                Ok(Commit::Conflict) | Err(_) => {}
+            }
+            let found = match self.table.read(key).await {
+                Ok(it) => it,
+                Err(_) => return unavailable(),
+            };
+            let Some(found) = found else {
+                // The claim's answer was lost and it has not landed: claim again.
+                over = None;
+                continue;
+            };
+            let Some(other) = decode(&found.value) else {
+                return ClaimStart::Refuse(Refusal::not_run(ErrorKind::Internal));
+            };
+            let mut verdict = claim::judge_claim(&other, attempt, fingerprint, None);
+            if verdict == ClaimVerdict::AskOwner {
+                let word = if other.owner == self.own {
+                    self.word(&other.attempt, other.incarnation)
+                } else {
+                    ask(other.clone()).await
+                };
+                verdict = claim::judge_claim(&other, attempt, fingerprint, Some(word));
+            }
+            match verdict {
+                ClaimVerdict::Own => {
+                    let revision = found.revision;
+                    return ClaimStart::Own(ClaimHandle { key: key.into(), row, revision });
+                }
+                ClaimVerdict::Replay(answer) => return ClaimStart::Replay(answer),
+                ClaimVerdict::Refuse(refusal) => return ClaimStart::Refuse(refusal),
+                ClaimVerdict::TakeOver => over = Some(found.revision),
+                ClaimVerdict::AskOwner => return unavailable(),
+            }
+        }
+        unavailable()
+    }
+
+    async fn is_recorded(&self, handle: &ClaimHandle, row: &ClaimRow) -> Result<bool, StoreError> {
+        let found = self.table.read(&handle.key).await?;
+        Ok(found.and_then(|it| decode(&it.value)).is_some_and(|it| it == *row))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexSet<Box<str>>> {
+        self.open.lock().unwrap_or_else(|it| it.into_inner())
+    }
+}
+
+fn unavailable() -> ClaimStart {
+    ClaimStart::Refuse(Refusal::not_run(ErrorKind::ClaimUnavailable).retry_after(2))
+}
+
+fn encode(row: &ClaimRow) -> String {
+    serde_json::to_string(row).unwrap_or_default()
+}
+
+fn decode(text: &str) -> Option<ClaimRow> {
+    serde_json::from_str(text).ok()
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,13 @@
+//! The roles that keep or agree something through the platform's table and objects: the
+//! catalog, claims on calls that may not be repeated, and parts of customers' rates.
+//!
+//! Every role is generic over the ports, so that a test drives it with a table that fails as
+//! told. This crate speaks no HTTP, opens no socket and reads time only through the clock port.
+
+mod catalog_store;
+mod claim_store;
+mod part_holder;
+
+pub use catalog_store::{CatalogHead, CatalogStore, SubmitError, change_key};
+pub use claim_store::{ClaimHandle, ClaimStart, ClaimStore, claim_key};
+pub use part_holder::{HolderView, PartHolder, TakeResult};
--- /dev/null
+++ b/crates/control/src/part_holder.rs
@@ -0,0 +1,292 @@
+//! The parts of customers' rates that this daemon holds, and its way to get and give them.
+
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use catalog::{CatalogState, Customer};
+use ids::{CustomerId, Incarnation, InstanceId, Revision};
+use indexmap::IndexMap;
+use policy::bucket::PartBucket;
+use policy::parts::{ListedMember, PartTable, PlanView};
+use policy::spend_guard::{PeerWord, SpendGuard};
+use ports::{Clock, Commit, StoreError, Table, Transaction};
+
+/// The row that maps customers to parts.
+const PARTS_KEY: &str = "rate/parts";
+/// Tickets remembered for refunds.
+const MAX_TICKETS: usize = 100_000;
+
+/// How a taking ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TakeResult {
+    /// This many tokens were taken.
+    Taken(u64),
+    /// Too few are there; ask again after this time, if that can help.
+    Short(Option<Duration>),
+    /// This daemon holds no part that it may spend now.
+    NotHolder,
+}
+
+/// What the daemon knows when it looks after its parts.
+#[derive(Debug, Clone, Copy)]
+pub struct HolderView<'a> {
+    /// The platform's list, if it was read just now.
+    pub members: Option<&'a [ListedMember]>,
+    /// The catalog.
+    pub catalog: &'a CatalogState,
+}
+
+#[derive(Debug)]
+struct HolderState {
+    table: PartTable,
+    row: Option<Revision>,
+    buckets: IndexMap<CustomerId, PartBucket>,
+    tickets: IndexMap<u64, (CustomerId, u64)>,
+    unlisted_since: IndexMap<InstanceId, Duration>,
+    guard: SpendGuard,
+    /// When the table was last read.
+    read_at: Option<Duration>,
+    stopped: bool,
+}
+
+/// This daemon's parts.
+#[derive(Debug)]
+pub struct PartHolder<T, C> {
+    store: T,
+    clock: C,
+    own: InstanceId,
+    incarnation: Incarnation,
+    state: Mutex<HolderState>,
+}
+
+impl<T: Table, C: Clock> PartHolder<T, C> {
+    /// A holder that has read nothing yet.
+    pub fn new(store: T, clock: C, own: InstanceId, incarnation: Incarnation) -> PartHolder<T, C> {
+        let state = HolderState {
+            table: PartTable::default(),
+            row: None,
+            buckets: IndexMap::new(),
+            tickets: IndexMap::new(),
+            unlisted_since: IndexMap::new(),
+            guard: SpendGuard::new(clock.now()),
+            read_at: None,
+            stopped: false,
+        };
+        PartHolder { store, clock, own, incarnation, state: Mutex::new(state) }
+    }
+
+    /// Marks that the process runs; called several times a second.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        self.lock().guard.tick(now);
+    }
+
+    /// The instances that hold parts of a customer's rate.
+    pub fn holders(&self, customer: &CustomerId) -> Vec<(InstanceId, Incarnation)> {
+        let state = self.lock();
+        let parts = state.table.parts.get(customer).map_or(&[][..], |it| it);
+        parts.iter().map(|it| (it.holder.clone(), it.incarnation)).collect()
+    }
+
+    /// The part table as last read.
+    pub fn table(&self) -> PartTable {
+        self.lock().table.clone()
+    }
+
+    /// Takes up to `tokens` of a customer's rate, at least `least` or nothing. The same ticket
+    /// is served once: a message that comes twice takes nothing more.
+    pub fn take(&self, customer: &Customer, tokens: u64, least: u64, ticket: u64) -> TakeResult {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.stopped || !state.guard.may_spend(now) {
+            return TakeResult::NotHolder;
+        }
+        let Some(share) = state.table.held(&customer.id, &self.own, self.incarnation) else {
+            return TakeResult::NotHolder;
+        };
+        let capacity = (customer.burst.0 as f64 * share.factor()).floor();
+        let rate = customer.rate.0 as f64 * share.factor();
+        if state.tickets.contains_key(&ticket) {
+            return TakeResult::Short(None);
+        }
+        let bucket = state
+            .buckets
+            .entry(customer.id.clone())
+            .or_insert_with(|| PartBucket::empty(now, capacity, rate));
+        bucket.resize(now, capacity, rate);
+        let taken = bucket.take(now, tokens as f64, least as f64) as u64;
+        if taken == 0 {
+            return TakeResult::Short(bucket.wait_for(now, least as f64));
+        }
+        if state.tickets.len() == MAX_TICKETS {
+            state.tickets.shift_remove_index(0);
+        }
+        state.tickets.insert(ticket, (customer.id.clone(), taken));
+        TakeResult::Taken(taken)
+    }
+
+    /// Takes back unused tokens of a ticket, at most what it took and only once.
+    pub fn refund(&self, ticket: u64, tokens: u64) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some((customer, taken)) = state.tickets.get_mut(&ticket) else { return };
+        let back = tokens.min(*taken);
+        *taken = 0;
+        let customer = customer.clone();
+        if let Some(bucket) = state.buckets.get_mut(&customer) {
+            bucket.put_back(now, back as f64);
+        }
+    }
+
+    /// What this daemon can say to a peer that asks whether it still holds its parts.
+    pub fn word_for(&self, peer: &InstanceId, life: Incarnation, fresh: Duration) -> PeerWord {
+        let now = self.clock.now();
+        let state = self.lock();
+        if state.read_at.is_none_or(|it| now.saturating_sub(it) > fresh) {
+            return PeerWord::OutageToo;
+        }
+        let mut parts = state.table.parts.values().flatten();
+        let taken = parts.any(|it| it.holder == *peer && it.incarnation > life);
+        if taken || state.unlisted_since.contains_key(peer) {
+            PeerWord::NotHolder
+        } else {
+            PeerWord::StillHolder
+        }
+    }
+
+    /// Hears a peer's word, asked for at `asked_at`.
+    pub fn hear(&self, asked_at: Duration, word: PeerWord) {
+        self.lock().guard.hear(asked_at, word);
+    }
+
+    /// Whether the holder may spend now.
+    pub fn may_spend(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        !state.stopped && state.guard.may_spend(now)
+    }
+
+    /// Reads the row, confirms, and takes what is this daemon's to take.
+    pub async fn sync(&self, view: HolderView<'_>) -> Result<(), StoreError> {
+        self.read_row(view.members).await?;
+        let Some(members) = view.members else { return Ok(()) };
+        let customers: Vec<CustomerId> = view.catalog.customers.keys().cloned().collect();
+        let (plan, row) = {
+            let mut state = self.lock();
+            if state.stopped {
+                return Ok(());
+            }
+            self.note_unlisted(&mut state, members);
+            let unlisted = self.unlisted_for(&state);
+            let view = PlanView {
+                own: &self.own,
+                incarnation: self.incarnation,
+                members,
+                unlisted: &unlisted,
+                customers: &customers,
+            };
+            (state.table.plan(view), state.row)
+        };
+        let Some((next, fresh)) = plan else { return Ok(()) };
+        let asked_at = self.clock.now();
+        if let Commit::Done(revision) = self.store.commit(parts_transaction(&next, row)).await? {
+            let mut state = self.lock();
+            let now = self.clock.now();
+            for id in fresh {
+                let Some(customer) = view.catalog.customers.get(&id) else { continue };
+                let Some(share) = next.held(&id, &self.own, self.incarnation) else { continue };
+                let capacity = (customer.burst.0 as f64 * share.factor()).floor();
+                let rate = customer.rate.0 as f64 * share.factor();
+                state.buckets.insert(id, PartBucket::full(now, capacity, rate));
+            }
+            state.table = next;
+            state.row = Some(revision);
+            state.guard.confirm(asked_at, members.len() <= 1);
+        }
+        Ok(())
+    }
+
+    /// Stops spending and gives all parts away, for a graceful stop.
+    pub async fn hand_over(&self, members: &[ListedMember]) -> Result<(), StoreError> {
+        self.lock().stopped = true;
+        self.read_row(Some(members)).await?;
+        let (plan, row) = {
+            let state = self.lock();
+            let unlisted = IndexMap::new();
+            let view = PlanView {
+                own: &self.own,
+                incarnation: self.incarnation,
+                members,
+                unlisted: &unlisted,
+                customers: &[],
+            };
+            (state.table.hand_over(view), state.row)
+        };
+        match plan {
+            Some(next) => self.store.commit(parts_transaction(&next, row)).await.map(drop),
+            None => Ok(()),
+        }
+    }
+
+    async fn read_row(&self, members: Option<&[ListedMember]>) -> Result<(), StoreError> {
+        let asked_at = self.clock.now();
+        let row = self.store.read(PARTS_KEY).await?;
+        let table = match &row {
+            None => PartTable::default(),
+            Some(it) => serde_json::from_str(&it.value)
+                .map_err(|error| StoreError::Malformed(error.to_string().into()))?,
+        };
+        let mut state = self.lock();
+        let newer = row.as_ref().map(|it| it.revision) >= state.row;
+        if newer {
+            state.row = row.map(|it| it.revision);
+            self.adopt(&mut state, table);
+            state.read_at = Some(asked_at);
+        }
+        // An instance that the platform does not list may lose its parts any moment.
+        let listed = members.map(|it| it.iter().any(|member| member.id == self.own));
+        if newer && listed != Some(false) {
+            let alone = members.is_some_and(|it| it.len() <= 1);
+            state.guard.confirm(asked_at, alone);
+        }
+        Ok(())
+    }
+
+    fn adopt(&self, state: &mut HolderState, table: PartTable) {
+        let (own, life) = (&self.own, self.incarnation);
+        state.buckets.retain(|id, _| table.held(id, own, life).is_some());
+        state.table = table;
+    }
+
+    fn note_unlisted(&self, state: &mut HolderState, members: &[ListedMember]) {
+        let now = self.clock.now();
+        let listed = |id: &InstanceId| members.iter().any(|it| it.id == *id);
+        state.unlisted_since.retain(|id, _| !listed(id));
+        let holders: Vec<InstanceId> = state
+            .table
+            .parts
+            .values()
+            .flatten()
+            .map(|it| it.holder.clone())
+            .filter(|it| !listed(it))
+            .collect();
+        for id in holders {
+            state.unlisted_since.entry(id).or_insert(now);
+        }
+    }
+
+    fn unlisted_for(&self, state: &HolderState) -> IndexMap<InstanceId, Duration> {
+        let now = self.clock.now();
+        let since = state.unlisted_since.iter();
+        since.map(|(id, at)| (id.clone(), now.saturating_sub(*at))).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HolderState> {
+        self.state.lock().unwrap_or_else(|it| it.into_inner())
+    }
+}
+
+fn parts_transaction(next: &PartTable, row: Option<Revision>) -> Transaction {
+    let text = serde_json::to_string(next).unwrap_or_default();
+    Transaction::default().require(PARTS_KEY, row).put(PARTS_KEY, text)
+}
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,277 @@
+//! The operators' side: the administration API.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use catalog::{CallerKey, ChangeSet, Operation};
+use control::SubmitError;
+use dropshot::{
+    ApiDescription, Body, ClientErrorStatusCode, HttpError, HttpResponseOk, Path, RequestContext,
+    TypedBody, endpoint,
+};
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderValue, Response, StatusCode};
+use ids::{CustomerId, KeyDigest, KeyId, Revision};
+use peers::PeerRequest;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::router::Router;
+use crate::status::{DaemonStatus, daemon_status};
+
+/// The pause between tries to have a withdrawal accepted.
+const WITHDRAW_PAUSE: Duration = Duration::from_secs(1);
+/// Tries to have a withdrawal accepted in the background.
+const WITHDRAW_TRIES: u32 = 3_600;
+
+type Context = RequestContext<Arc<Router>>;
+
+/// A change as operators submit it.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeSubmission {
+    /// Unique to this change; sending it again with the same id changes nothing twice.
+    #[serde(default)]
+    pub change_id: Option<String>,
+    /// Refuse if the catalog is not at this revision.
+    #[serde(default)]
+    pub expected_revision: Option<u64>,
+    /// The steps.
+    pub operations: Vec<Operation>,
+}
+
+/// An accepted change.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct ChangeAccepted {
+    /// The catalog's revision after it.
+    pub revision: u64,
+    /// Its id.
+    pub change_id: String,
+    /// Peers that have it by now.
+    pub peers_told: usize,
+    /// Peers listed.
+    pub peers: usize,
+}
+
+/// A key to create.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct KeyCreation {
+    /// Its name.
+    pub id: KeyId,
+    /// Whose it is.
+    pub customer: CustomerId,
+}
+
+/// A created key; the secret is shown only here.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct KeyCreated {
+    /// Its name.
+    pub id: KeyId,
+    /// Whose it is.
+    pub customer: CustomerId,
+    /// What callers send.
+    pub secret: String,
+    /// The catalog's revision after it.
+    pub revision: u64,
+}
+
+/// A withdrawn key.
+#[derive(Debug, Serialize, Deserialize, JsonSchema)]
+pub struct KeyWithdrawn {
+    /// Its name.
+    pub id: KeyId,
+    /// The catalog's revision without it; none while the table is unavailable.
+    pub revision: Option<u64>,
+    /// Peers that refuse it by now, besides the daemon that answers.
+    pub peers_told: usize,
+    /// Peers listed.
+    pub peers: usize,
+}
+
+/// Names a key.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct KeyPath {
+    id: KeyId,
+}
+
+/// The administration API.
+pub(crate) fn api() -> ApiDescription<Arc<Router>> {
+    let mut api = ApiDescription::new();
+    let registered = [
+        api.register(read_catalog),
+        api.register(submit_change),
+        api.register(check_change),
+        api.register(create_key),
+        api.register(withdraw_key),
+        api.register(read_status),
+        api.register(read_metrics),
+    ];
+    for it in registered {
+        it.expect("the endpoints do not clash");
+    }
+    api
+}
+
+/// The whole catalog in force here.
+#[endpoint { method = GET, path = "/v1/catalog" }]
+async fn read_catalog(rqctx: Context) -> Result<Response<Body>, HttpError> {
+    let router = authorized(&rqctx)?;
+    let catalog = router.catalog.current();
+    let catalog = catalog.ok_or_else(|| unavailable("no catalog has been read yet".into()))?;
+    Ok(web::server::json_answer(StatusCode::OK, &*catalog))
+}
+
+/// Submits a change.
+#[endpoint { method = POST, path = "/v1/changes" }]
+async fn submit_change(
+    rqctx: Context,
+    body: TypedBody<ChangeSubmission>,
+) -> Result<HttpResponseOk<ChangeAccepted>, HttpError> {
+    let router = authorized(&rqctx)?;
+    let submission = body.into_inner();
+    let expected = submission.expected_revision.map(Revision);
+    let change = ChangeSet { operations: submission.operations };
+    let change_id = submission.change_id.unwrap_or_else(new_secret);
+    accept(router, &change, &change_id, expected).await.map(HttpResponseOk)
+}
+
+/// Checks a change against the catalog in force here and changes nothing.
+#[endpoint { method = POST, path = "/v1/changes/check" }]
+async fn check_change(
+    rqctx: Context,
+    body: TypedBody<ChangeSubmission>,
+) -> Result<Response<Body>, HttpError> {
+    let router = authorized(&rqctx)?;
+    let catalog = router.catalog.current().unwrap_or_default();
+    let change = ChangeSet { operations: body.into_inner().operations };
+    let next = catalog.changed(&change, Revision(catalog.revision.0 + 1));
+    let next = next.map_err(|error| conflict(error.to_string()))?;
+    Ok(web::server::json_answer(StatusCode::OK, &next))
+}
+
+/// Creates a caller key and shows its secret, once.
+#[endpoint { method = POST, path = "/v1/keys" }]
+async fn create_key(
+    rqctx: Context,
+    body: TypedBody<KeyCreation>,
+) -> Result<HttpResponseOk<KeyCreated>, HttpError> {
+    let router = authorized(&rqctx)?;
+    let KeyCreation { id, customer } = body.into_inner();
+    let known = router.catalog.current().is_some_and(|it| it.key_by_id(&id).is_some());
+    if known {
+        return Err(conflict(format!("key {id} exists")));
+    }
+    let secret = new_secret();
+    let digest = KeyDigest::of_secret(&secret);
+    let key = CallerKey { id: id.clone(), digest, customer: customer.clone() };
+    let change = ChangeSet { operations: vec![Operation::PutKey(key)] };
+    let accepted = accept(router, &change, &new_secret(), None).await?;
+    let revision = accepted.revision;
+    Ok(HttpResponseOk(KeyCreated { id, customer, secret, revision }))
+}
+
+/// Withdraws a key: refused here and on every peer reached at once, even if the table is down.
+#[endpoint { method = POST, path = "/v1/keys/{id}/withdraw" }]
+async fn withdraw_key(
+    rqctx: Context,
+    path: Path<KeyPath>,
+) -> Result<HttpResponseOk<KeyWithdrawn>, HttpError> {
+    let router = authorized(&rqctx)?;
+    let id = path.into_inner().id;
+    let catalog = router.catalog.current().unwrap_or_default();
+    let digest = catalog.key_by_id(&id).map(|it| it.digest.clone());
+    let digest =
+        digest.ok_or_else(|| HttpError::for_not_found(None, format!("key {id} does not exist")))?;
+    router.block_key(digest.clone());
+    router.catalog.nudge();
+    let (peers_told, peers) = router.tell_peers(&PeerRequest::BlockKey(digest)).await;
+    let change = ChangeSet { operations: vec![Operation::DropKey(id.clone())] };
+    let change_id = new_secret();
+    let revision = match accept(router, &change, &change_id, None).await {
+        Ok(it) => Some(it.revision),
+        Err(error) => {
+            tracing::warn!("keys: withdrawal of {id} waits for the table: {error}");
+            let router = router.clone();
+            tokio::spawn(async move { withdraw_later(&router, &change, &change_id).await });
+            None
+        }
+    };
+    Ok(HttpResponseOk(KeyWithdrawn { id, revision, peers_told, peers }))
+}
+
+/// The state of this daemon.
+#[endpoint { method = GET, path = "/status" }]
+async fn read_status(rqctx: Context) -> Result<HttpResponseOk<DaemonStatus>, HttpError> {
+    let router = authorized(&rqctx)?;
+    Ok(HttpResponseOk(daemon_status(router)))
+}
+
+/// Counters and histograms in the text format of prometheus; needs no token.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn read_metrics(rqctx: Context) -> Result<Response<Body>, HttpError> {
+    let text = rqctx.context().metrics.text();
+    let mut answer = Response::new(Body::with_content(text));
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    Ok(answer)
+}
+
+/// Has a change accepted and tells the peers.
+pub(crate) async fn accept(
+    router: &Router,
+    change: &ChangeSet,
+    change_id: &str,
+    expected: Option<Revision>,
+) -> Result<ChangeAccepted, HttpError> {
+    let revision = router.catalog.submit(change, change_id, expected).await;
+    let revision = revision.map_err(|error| match error {
+        SubmitError::Invalid(_) | SubmitError::Moved(_) => conflict(error.to_string()),
+        SubmitError::Unavailable(_) | SubmitError::Unknown(_) => unavailable(error.to_string()),
+    })?;
+    tracing::info!("catalog: change {change_id} accepted at revision {revision}");
+    let change = serde_json::to_string(change).unwrap_or_default();
+    let message = PeerRequest::CatalogChanged { revision, change: change.into() };
+    let (peers_told, peers) = router.tell_peers(&message).await;
+    Ok(ChangeAccepted { revision: revision.0, change_id: change_id.into(), peers_told, peers })
+}
+
+async fn withdraw_later(router: &Router, change: &ChangeSet, change_id: &str) {
+    for _ in 0..WITHDRAW_TRIES {
+        tokio::time::sleep(WITHDRAW_PAUSE).await;
+        match router.catalog.submit(change, change_id, None).await {
+            Ok(_) | Err(SubmitError::Invalid(_)) => return,
+            Err(_) => {}
+        }
+    }
+    tracing::error!("keys: a withdrawal was never accepted");
+}
+
+fn authorized(rqctx: &Context) -> Result<&Arc<Router>, HttpError> {
+    let router = rqctx.context();
+    let given = rqctx.request.headers().get(AUTHORIZATION).and_then(|it| it.to_str().ok());
+    let given = given.and_then(|it| it.strip_prefix("Bearer ")).unwrap_or_default();
+    // Digests are compared, so that the time taken tells nothing of the token.
+    let wanted = Sha256::digest(router.settings.secrets.admin.as_bytes());
+    if Sha256::digest(given.as_bytes()) == wanted {
+        return Ok(router);
+    }
+    let status = ClientErrorStatusCode::UNAUTHORIZED;
+    Err(HttpError::for_client_error(None, status, "the operator's token is wrong".into()))
+}
+
+fn conflict(text: String) -> HttpError {
+    HttpError::for_client_error(None, ClientErrorStatusCode::CONFLICT, text)
+}
+
+fn unavailable(text: String) -> HttpError {
+    let mut error = HttpError::for_unavail(None, text.clone());
+    error.external_message = text;
+    error
+}
+
+fn new_secret() -> String {
+    let words: [u64; 3] = rand::random();
+    words.iter().map(|it| format!("{it:016x}")).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/background.rs
@@ -0,0 +1,252 @@
+//! The daemon's own tasks. Each ends when the stop channel closes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use catalog::CatalogState;
+use control::HolderView;
+use ids::Revision;
+use peers::{PeerRequest, PeerResponse};
+use ports::{Member, MemberList, MemberState};
+use tokio::sync::watch;
+
+use crate::router::Router;
+
+/// The time between two marks that the process runs.
+const TICK: Duration = Duration::from_millis(200);
+/// The time between two looks for room in the pools.
+const PUMP: Duration = Duration::from_millis(20);
+/// The time between two announcements to the platform.
+const ANNOUNCE: Duration = Duration::from_secs(4);
+/// The shortest time between two readings of the platform.
+const LEAST_POLL: Duration = Duration::from_millis(100);
+/// The time between two looks at one more engine; bounds what looks cost, however many there are.
+const LOOK: Duration = Duration::from_millis(50);
+/// The shortest time between two looks at the same engine.
+const LOOK_AGAIN: Duration = Duration::from_secs(2);
+/// Pause before a start is tried again.
+const START_PAUSE: Duration = Duration::from_millis(200);
+
+/// Starts all tasks.
+pub(crate) fn start(router: &Arc<Router>, stop: &watch::Receiver<()>) {
+    spawn(router, stop, tick);
+    spawn(router, stop, pump);
+    spawn(router, stop, announce);
+    spawn(router, stop, follow_catalog);
+    spawn(router, stop, poll_platform);
+    spawn(router, stop, look_at_engines);
+}
+
+fn spawn<F, Fut>(router: &Arc<Router>, stop: &watch::Receiver<()>, task: F)
+where
+    F: FnOnce(Arc<Router>) -> Fut,
+    Fut: Future<Output = ()> + Send + 'static,
+{
+    let task = task(router.clone());
+    let mut stop = stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = task => {}
+            _ = stop.changed() => {}
+        }
+    });
+}
+
+async fn tick(router: Arc<Router>) {
+    loop {
+        router.parts.tick();
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn pump(router: Arc<Router>) {
+    loop {
+        tokio::time::sleep(PUMP).await;
+        for desk in router.desks() {
+            desk.pump();
+        }
+    }
+}
+
+async fn announce(router: Arc<Router>) {
+    loop {
+        let state = if router.is_leaving() { MemberState::Leaving } else { MemberState::Live };
+        if let Err(error) = router.platform.announce(&own_member(&router, state)).await {
+            tracing::debug!("members: not announced: {error}");
+        }
+        tokio::time::sleep(ANNOUNCE).await;
+    }
+}
+
+/// This daemon as the platform lists it.
+pub(crate) fn own_member(router: &Router, state: MemberState) -> Member {
+    Member {
+        id: router.own.clone(),
+        incarnation: router.incarnation,
+        peer_address: router.settings.instance.peers,
+        failure_domain: router.settings.instance.failure_domain.clone(),
+        state,
+    }
+}
+
+async fn follow_catalog(router: Arc<Router>) {
+    let mut catalogs = router.catalog.watch();
+    loop {
+        let catalog = catalogs.borrow_and_update().clone();
+        if let Some(catalog) = catalog {
+            router.update_pools(&catalog);
+            if catalog.customers.keys().any(|it| router.parts.holders(it).is_empty()) {
+                router.poll_soon.notify_one();
+            }
+        }
+        if catalogs.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads the list and the head rows, again and again.
+async fn poll_platform(router: Arc<Router>) {
+    start_up(&router).await;
+    let period = router.settings.platform.poll_ms.duration();
+    loop {
+        poll_once(&router).await;
+        tokio::time::sleep(LEAST_POLL).await;
+        let jitter = rand::random_range(0.8..1.2);
+        tokio::select! {
+            () = tokio::time::sleep(period.mul_f64(jitter)) => {}
+            () = router.poll_soon.notified() => {}
+        }
+    }
+}
+
+async fn poll_once(router: &Arc<Router>) {
+    let listed = read_members(router).await;
+    let refreshed = router.catalog.refresh().await;
+    if let Err(error) = &refreshed {
+        tracing::debug!("catalog: not read: {error}");
+        ask_peers_for_catalog(router).await;
+    }
+    let catalog = router.catalog.current().unwrap_or_default();
+    let members = listed.then(|| router.members.listed());
+    let view = HolderView { members: members.as_deref(), catalog: &catalog };
+    let synced = router.parts.sync(view).await;
+    if let Err(error) = &synced {
+        tracing::debug!("rate: parts not read: {error}");
+    }
+    if refreshed.is_err() || synced.is_err() || !listed {
+        ping_peers(router).await;
+    }
+    let up = &router.metrics.platform_up;
+    up.with_label_values(&["list"]).set(i64::from(listed));
+    up.with_label_values(&["table"]).set(i64::from(refreshed.is_ok()));
+}
+
+async fn read_members(router: &Router) -> bool {
+    match router.platform.members().await {
+        Ok(members) => {
+            router.metrics.members.set(members.len() as i64);
+            let addresses: Vec<_> = members.iter().map(|it| it.peer_address).collect();
+            router.peers.keep_only(&addresses);
+            router.members.replace(members);
+            true
+        }
+        Err(error) => {
+            tracing::debug!("members: not read: {error}");
+            false
+        }
+    }
+}
+
+/// In an outage: whether peers see it too, and how far their catalogs are.
+async fn ping_peers(router: &Arc<Router>) {
+    let message = PeerRequest::Ping { catalog: router.catalog.revision() };
+    for (_, address) in router.members.peers() {
+        let asked_at = router.now();
+        if let Ok(PeerResponse::Pong { word, catalog }) = router.peers.call(address, &message).await
+        {
+            router.parts.hear(asked_at, word);
+            if catalog > router.catalog.revision() {
+                ask_for_catalog(router, address).await;
+            }
+        }
+    }
+}
+
+async fn ask_peers_for_catalog(router: &Router) {
+    for (_, address) in router.members.peers() {
+        if ask_for_catalog(router, address).await {
+            return;
+        }
+    }
+}
+
+/// Takes a peer's catalog if it is newer.
+async fn ask_for_catalog(router: &Router, address: std::net::SocketAddr) -> bool {
+    let after =
+        if router.catalog.current().is_some() { router.catalog.revision() } else { Revision(0) };
+    let message = PeerRequest::AskCatalog { after };
+    let answer = router.peers.call(address, &message).await;
+    let Ok(PeerResponse::Catalog(Some(text))) = answer else { return false };
+    match serde_json::from_str::<CatalogState>(&text) {
+        Ok(catalog) => router.catalog.adopt(catalog),
+        Err(_) => false,
+    }
+}
+
+/// The first catalog: whichever of peers, table and objects answers; the newest wins.
+async fn start_up(router: &Arc<Router>) {
+    while router.catalog.current().is_none() {
+        if read_members(router).await {
+            ask_peers_for_catalog(router).await;
+        }
+        let (_, refreshed) = tokio::join!(router.catalog.load_objects(), router.catalog.refresh());
+        if refreshed.is_ok() {
+            break;
+        }
+        let jitter = rand::random_range(0.5..1.5);
+        tokio::time::sleep(START_PAUSE.mul_f64(jitter)).await;
+    }
+    tracing::info!("catalog: at revision {}", router.catalog.revision());
+    take_snapshot(router).await;
+}
+
+/// Takes what helps a fresh start from the first peer that answers.
+async fn take_snapshot(router: &Router) {
+    for (_, address) in router.members.peers() {
+        let answer = router.peers.call(address, &PeerRequest::AskSnapshot).await;
+        let Ok(PeerResponse::Snapshot(snapshot)) = answer else { continue };
+        for digest in snapshot.blocked {
+            router.block_key(digest);
+        }
+        let now = router.now();
+        for strike in snapshot.strikes {
+            router.lock_quarantine().strike(now, strike);
+        }
+        for (pool, nodes) in snapshot.hottest {
+            if let Some(desk) = router.desk(&pool) {
+                desk.adopt(&nodes);
+            }
+        }
+        return;
+    }
+}
+
+/// Looks at engines in turn: their lives, versions and loads.
+async fn look_at_engines(router: Arc<Router>) {
+    loop {
+        let round = tokio::time::Instant::now() + LOOK_AGAIN;
+        for desk in router.desks().into_iter().filter(|it| it.is_engine()) {
+            for (target, address) in desk.targets() {
+                let (router, desk) = (router.clone(), desk.clone());
+                tokio::spawn(async move {
+                    if let Ok(status) = router.engines.status(address).await {
+                        desk.look(&target, status);
+                    }
+                });
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+        tokio::time::sleep_until(round).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front.rs
@@ -0,0 +1,142 @@
+//! The callers' side: one handler for every method and path.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use dropshot::{ApiDescription, Body, HttpError, Path, RawRequest, RequestContext};
+use http::request::Parts;
+use http::{Method, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use ids::{ErrorKind, KeyDigest, Refusal, RequestId};
+use web::server::AnyPath;
+
+use crate::caller_key::{self, CallerKeyText};
+use crate::model_body::ModelApi;
+use crate::refusal::refusal_answer;
+use crate::router::Router;
+use crate::{model_call, service_call};
+
+/// A caller's request, read whole.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) id: RequestId,
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) key: Option<KeyDigest>,
+    pub(crate) began: Instant,
+}
+
+/// The API of the callers' side.
+pub(crate) fn api() -> ApiDescription<Arc<Router>> {
+    let mut api = ApiDescription::new();
+    web::register_any!(api, handle);
+    api
+}
+
+async fn handle(
+    rqctx: RequestContext<Arc<Router>>,
+    _path: Path<AnyPath>,
+    raw: RawRequest,
+) -> Result<Response<Body>, HttpError> {
+    let router = rqctx.context();
+    let (parts, body) = raw.into_inner().into_parts();
+    // The server labels every answer with this id.
+    let id: RequestId = rqctx.request_id.parse().unwrap_or_else(|_| router.attempt_id());
+    if parts.uri.path() == "/healthz" {
+        return Ok(health(router));
+    }
+    let res = serve(router, &id, parts, body).await;
+    Ok(res.unwrap_or_else(|refusal| {
+        router.metrics.refuse(&refusal);
+        tracing::info!(
+            request = %id, kind = %refusal.kind, run = refusal.run.code(), "front: refused"
+        );
+        refusal_answer(&refusal, &id)
+    }))
+}
+
+async fn serve(
+    router: &Arc<Router>,
+    id: &RequestId,
+    mut parts: Parts,
+    body: Body,
+) -> Result<Response<Body>, Refusal> {
+    let began = Instant::now();
+    if router.is_leaving() {
+        return Err(Refusal::not_run(ErrorKind::Leaving).retry_after(1));
+    }
+    let _open = router.open_request();
+    check_headers(router, &parts)?;
+    let catalog = router.catalog.current();
+    let catalog = catalog.ok_or(Refusal::not_run(ErrorKind::ConfigMissing).retry_after(1))?;
+    let path = parts.uri.path().to_string();
+    let CallerKeyText(key) = caller_key::caller_key(&parts.headers)?;
+    check_no_key_in_uri(&parts, key)?;
+    let digest = key.map(KeyDigest::of_secret);
+    if digest.as_ref().is_some_and(|it| router.is_blocked(it)) {
+        return Err(Refusal::not_run(ErrorKind::KeyRefused));
+    }
+    let passed = targets::target_headers(&parts.headers, key);
+    let model = ModelApi::of_path(&path).filter(|_| parts.method == Method::POST);
+    if let Some(api) = model {
+        // A wrong key is told before the body is read; which route it is, only the body says.
+        if digest.as_ref().is_some_and(|it| !catalog.keys.contains_key(it)) {
+            return Err(Refusal::not_run(ErrorKind::KeyRefused));
+        }
+        let body = read_body(router, body).await?;
+        let request = CallerRequest { id: id.clone(), parts, body, key: digest, began };
+        return model_call::handle(router, &catalog, api, request).await;
+    }
+    let route = catalog.service_route(&path).cloned();
+    let route = route.ok_or(Refusal::not_run(ErrorKind::RouteUnknown))?;
+    let customer = caller_key::admit(&catalog, &route, digest.as_ref())?.cloned();
+    let body = read_body(router, body).await?;
+    let idempotency = parts.headers.get("idempotency-key").cloned();
+    parts.headers = passed;
+    let request = CallerRequest { id: id.clone(), parts, body, key: digest, began };
+    service_call::handle(router, &route, customer, idempotency, request).await
+}
+
+fn health(router: &Router) -> Response<Body> {
+    let ready = router.catalog.current().is_some() && !router.is_leaving();
+    let status = if ready { 200 } else { 503 };
+    let status = http::StatusCode::from_u16(status).unwrap_or_default();
+    web::server::json_answer(status, &serde_json::json!({ "ready": ready }))
+}
+
+fn check_headers(router: &Router, parts: &Parts) -> Result<(), Refusal> {
+    let bytes: usize =
+        parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    let limit = router.settings.limits.header_bytes;
+    if bytes > limit {
+        let detail = format!("found {bytes} bytes; allowed: {limit}");
+        return Err(Refusal::not_run(ErrorKind::HeadersTooLarge).detail(detail));
+    }
+    Ok(())
+}
+
+/// A key in the path or query would reach the target and logs.
+fn check_no_key_in_uri(parts: &Parts, key: Option<&str>) -> Result<(), Refusal> {
+    let uri = parts.uri.path_and_query().map_or("", |it| it.as_str());
+    if key.is_some_and(|it| uri.contains(it)) {
+        let refusal = Refusal::not_run(ErrorKind::BadRequest);
+        return Err(refusal.detail("the caller key stands in the path or query"));
+    }
+    Ok(())
+}
+
+async fn read_body(router: &Router, body: Body) -> Result<Bytes, Refusal> {
+    let limit = router.settings.limits.body_bytes;
+    let time = router.settings.timeouts.caller_body_ms.duration();
+    let whole = Limited::new(body, limit).collect();
+    match tokio::time::timeout(time, whole).await {
+        Err(_) => Err(Refusal::not_run(ErrorKind::CallerTimeout)),
+        Ok(Ok(it)) => Ok(it.to_bytes()),
+        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            let detail = format!("allowed: {limit} bytes");
+            Err(Refusal::not_run(ErrorKind::BodyTooLarge).detail(detail))
+        }
+        Ok(Err(error)) => Err(Refusal::not_run(ErrorKind::BadRequest).detail(error.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/member_view.rs
@@ -0,0 +1,57 @@
+//! The platform's list as this daemon last read it.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard};
+
+use ids::{Incarnation, InstanceId};
+use policy::parts::ListedMember;
+use ports::{Member, MemberState};
+
+/// The last list, kept through outages.
+#[derive(Debug)]
+pub(crate) struct MemberView {
+    own: InstanceId,
+    members: Mutex<Vec<Member>>,
+}
+
+impl MemberView {
+    pub(crate) fn new(own: InstanceId) -> MemberView {
+        MemberView { own, members: Mutex::default() }
+    }
+
+    pub(crate) fn replace(&self, members: Vec<Member>) {
+        *self.lock() = members;
+    }
+
+    pub(crate) fn all(&self) -> Vec<Member> {
+        self.lock().clone()
+    }
+
+    pub(crate) fn listed(&self) -> Vec<ListedMember> {
+        let members = self.lock();
+        members
+            .iter()
+            .map(|it| ListedMember {
+                id: it.id.clone(),
+                incarnation: it.incarnation,
+                leaving: it.state == MemberState::Leaving,
+            })
+            .collect()
+    }
+
+    /// Where peers listen, without this daemon.
+    pub(crate) fn peers(&self) -> Vec<(InstanceId, SocketAddr)> {
+        let members = self.lock();
+        let peers = members.iter().filter(|it| it.id != self.own);
+        peers.map(|it| (it.id.clone(), it.peer_address)).collect()
+    }
+
+    pub(crate) fn address(&self, id: &InstanceId) -> Option<(SocketAddr, Incarnation)> {
+        let members = self.lock();
+        members.iter().find(|it| it.id == *id).map(|it| (it.peer_address, it.incarnation))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Member>> {
+        self.members.lock().unwrap_or_else(|it| it.into_inner())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer_roles.rs
@@ -0,0 +1,127 @@
+//! What this daemon answers to its peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use catalog::ChangeSet;
+use control::TakeResult;
+use ids::{CustomerId, Incarnation, InstanceId, Revision};
+use peers::{PeerHandler, PeerRequest, PeerResponse, PeerSnapshot};
+
+use crate::router::Router;
+
+/// A reading of the table this old still counts as fresh when a peer asks.
+const FRESH_READING: Duration = Duration::from_secs(5);
+/// Hot prefixes of one pool in a snapshot.
+const SNAPSHOT_NODES: usize = 256;
+
+/// Answers messages from the shared state.
+#[derive(Debug)]
+pub(crate) struct PeerRoles {
+    pub(crate) router: Arc<Router>,
+}
+
+impl PeerHandler for PeerRoles {
+    async fn handle(
+        &self,
+        from: &InstanceId,
+        life: Incarnation,
+        request: PeerRequest,
+    ) -> PeerResponse {
+        let router = &self.router;
+        match request {
+            PeerRequest::Take { customer, tokens, least, ticket } => {
+                self.take(&customer, tokens, least, ticket)
+            }
+            PeerRequest::Refund { ticket, tokens, .. } => {
+                router.parts.refund(ticket, tokens);
+                PeerResponse::Done
+            }
+            PeerRequest::AskAttempt { attempt, incarnation } => {
+                PeerResponse::Attempt(router.claims.word(&attempt, incarnation))
+            }
+            PeerRequest::Ping { catalog } => {
+                self.catch_up(catalog);
+                let word = router.parts.word_for(from, life, FRESH_READING);
+                PeerResponse::Pong { word, catalog: router.catalog.revision() }
+            }
+            PeerRequest::AskCatalog { after } => PeerResponse::Catalog(self.catalog_after(after)),
+            PeerRequest::CatalogChanged { revision, change } => {
+                self.take_change(revision, &change);
+                PeerResponse::Done
+            }
+            PeerRequest::BlockKey(digest) => {
+                router.block_key(digest);
+                router.catalog.nudge();
+                PeerResponse::Done
+            }
+            PeerRequest::Strikes(strikes) => {
+                let now = router.now();
+                let mut quarantine = router.lock_quarantine();
+                for strike in strikes {
+                    quarantine.strike(now, strike);
+                }
+                PeerResponse::Done
+            }
+            PeerRequest::AskSnapshot => PeerResponse::Snapshot(self.snapshot()),
+            PeerRequest::Hello(_) | PeerRequest::Prove { .. } => {
+                PeerResponse::Refused("the connection is open already".into())
+            }
+        }
+    }
+}
+
+impl PeerRoles {
+    fn take(&self, customer: &CustomerId, tokens: u64, least: u64, ticket: u64) -> PeerResponse {
+        let catalog = self.router.catalog.current();
+        let known = catalog.as_ref().and_then(|it| it.customers.get(customer));
+        let Some(customer) = known else { return PeerResponse::NotHolder };
+        match self.router.parts.take(customer, tokens, least, ticket) {
+            TakeResult::Taken(tokens) => PeerResponse::Taken { tokens, retry_after_ms: None },
+            TakeResult::Short(after) => PeerResponse::Taken {
+                tokens: 0,
+                retry_after_ms: after.map(|it| it.as_millis() as u64),
+            },
+            TakeResult::NotHolder => PeerResponse::NotHolder,
+        }
+    }
+
+    fn catalog_after(&self, after: Revision) -> Option<Box<str>> {
+        let catalog = self.router.catalog.current()?;
+        if catalog.revision <= after {
+            return None;
+        }
+        serde_json::to_string(&*catalog).ok().map(Into::into)
+    }
+
+    fn take_change(&self, revision: Revision, change: &str) {
+        let Ok(change) = serde_json::from_str::<ChangeSet>(change) else { return };
+        if !self.router.catalog.adopt_change(revision, &change) {
+            self.catch_up(revision);
+        }
+    }
+
+    /// Reads what is newer, if a peer knows more.
+    fn catch_up(&self, seen: Revision) {
+        if seen <= self.router.catalog.revision() {
+            return;
+        }
+        let router = self.router.clone();
+        tokio::spawn(async move {
+            if let Err(error) = router.catalog.refresh().await {
+                tracing::debug!("catalog: not read: {error}");
+            }
+        });
+    }
+
+    fn snapshot(&self) -> PeerSnapshot {
+        let desks = self.router.desks();
+        let hottest =
+            desks.into_iter().map(|it| (it.id.clone(), it.hottest(SNAPSHOT_NODES))).collect();
+        PeerSnapshot {
+            hottest,
+            strikes: self.router.lock_quarantine().strikes(),
+            blocked: self.router.blocked(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router.rs
@@ -0,0 +1,217 @@
+//! What all requests and tasks of the daemon share.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use catalog::CatalogState;
+use control::{CatalogStore, ClaimStore, PartHolder};
+use ids::{Incarnation, InstanceId, KeyDigest, PoolId, RequestId};
+use indexmap::{IndexMap, IndexSet};
+use peers::{PeerNetwork, PeerRequest};
+use platform::HttpPlatform;
+use policy::placement::PlacementCosts;
+use policy::quarantine::{QuarantineTable, Strike};
+use ports::{Clock, SystemClock};
+use settings::Settings;
+use targets::EngineClient;
+use tokio::sync::Notify;
+
+use crate::member_view::MemberView;
+use crate::metrics::Metrics;
+use crate::pool::PoolDesk;
+
+/// A pool with this daemon's clock.
+pub(crate) type Desk = PoolDesk<SystemClock>;
+
+/// The shared state of one daemon.
+#[derive(Debug)]
+pub(crate) struct Router {
+    pub(crate) settings: Settings,
+    pub(crate) own: InstanceId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: SystemClock,
+    pub(crate) platform: HttpPlatform,
+    pub(crate) catalog: CatalogStore<HttpPlatform>,
+    pub(crate) claims: ClaimStore<HttpPlatform>,
+    pub(crate) parts: PartHolder<HttpPlatform, SystemClock>,
+    pub(crate) peers: PeerNetwork,
+    pub(crate) members: MemberView,
+    pub(crate) engines: EngineClient,
+    pub(crate) metrics: Metrics,
+    /// Wakes the task that reads the platform.
+    pub(crate) poll_soon: Notify,
+    pub(crate) quarantine: Mutex<QuarantineTable>,
+    pools: Mutex<IndexMap<PoolId, Arc<Desk>>>,
+    blocked: Mutex<IndexSet<KeyDigest>>,
+    open: AtomicUsize,
+    leaving: AtomicBool,
+}
+
+/// Counts a request as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenRequest {
+    router: Arc<Router>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        let before = self.router.open.fetch_sub(1, Ordering::Relaxed);
+        self.router.metrics.open_requests.set(before as i64 - 1);
+    }
+}
+
+impl Router {
+    pub(crate) fn new(settings: Settings, incarnation: Incarnation) -> Router {
+        let own = settings.instance.id.clone();
+        let clock = SystemClock;
+        let address = platform::PlatformAddress {
+            list: settings.platform.list,
+            table: settings.platform.table,
+            objects: settings.platform.objects,
+            weights: settings.platform.weights,
+        };
+        let platform = HttpPlatform::new(address, settings.platform.deadline_ms.duration());
+        let peers = PeerNetwork::new(
+            own.clone(),
+            incarnation,
+            settings.secrets.peer.clone(),
+            settings.peers.deadline_ms.duration(),
+        );
+        Router {
+            catalog: CatalogStore::new(platform.clone()),
+            claims: ClaimStore::new(platform.clone(), own.clone(), incarnation),
+            parts: PartHolder::new(platform.clone(), clock, own.clone(), incarnation),
+            peers,
+            members: MemberView::new(own.clone()),
+            engines: EngineClient::new(&settings.secrets.target),
+            metrics: Metrics::new(),
+            poll_soon: Notify::new(),
+            quarantine: Mutex::default(),
+            pools: Mutex::default(),
+            blocked: Mutex::default(),
+            open: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            platform,
+            settings,
+            own,
+            incarnation,
+            clock,
+        }
+    }
+
+    /// The pool with this id.
+    pub(crate) fn desk(&self, id: &PoolId) -> Option<Arc<Desk>> {
+        self.lock_pools().get(id).cloned()
+    }
+
+    /// All pools.
+    pub(crate) fn desks(&self) -> Vec<Arc<Desk>> {
+        self.lock_pools().values().cloned().collect()
+    }
+
+    /// Takes over what a newer catalog says of pools.
+    pub(crate) fn update_pools(&self, catalog: &CatalogState) {
+        self.metrics.catalog_revision.set(catalog.revision.0 as i64);
+        // The catalog has caught up with these.
+        self.lock_blocked().retain(|it| catalog.keys.contains_key(it));
+        let costs = self.placement_costs();
+        let limit = self.settings.limits.queue_length;
+        let mut pools = self.lock_pools();
+        pools.retain(|id, _| catalog.pools.contains_key(id));
+        for (id, pool) in &catalog.pools {
+            let desk = pools
+                .entry(id.clone())
+                .or_insert_with(|| Arc::new(PoolDesk::new(pool.clone(), costs, limit, self.clock)));
+            desk.update(pool, catalog);
+        }
+    }
+
+    /// A new attempt's id: unique in the fleet, and safe in a header.
+    pub(crate) fn attempt_id(&self) -> RequestId {
+        let text = format!("{:016x}{:016x}", rand::random::<u64>(), rand::random::<u64>());
+        text.parse().expect("hexadecimal digits make an id")
+    }
+
+    /// Time on the daemon's clock.
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Whether this daemon takes no new requests.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts one more open request until the value is dropped.
+    pub(crate) fn open_request(self: &Arc<Self>) -> OpenRequest {
+        let before = self.open.fetch_add(1, Ordering::Relaxed);
+        self.metrics.open_requests.set(before as i64 + 1);
+        OpenRequest { router: self.clone() }
+    }
+
+    /// Requests being handled.
+    pub(crate) fn open_count(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Refuses a key from now on, whatever the catalog says.
+    pub(crate) fn block_key(&self, digest: KeyDigest) {
+        self.lock_blocked().insert(digest);
+    }
+
+    /// Whether a key is refused ahead of the catalog.
+    pub(crate) fn is_blocked(&self, digest: &KeyDigest) -> bool {
+        self.lock_blocked().contains(digest)
+    }
+
+    /// Keys refused ahead of the catalog.
+    pub(crate) fn blocked(&self) -> Vec<KeyDigest> {
+        self.lock_blocked().iter().cloned().collect()
+    }
+
+    /// Charges a crash to a request, here and on every peer.
+    pub(crate) async fn strike(&self, strike: Strike) {
+        let new = self.lock_quarantine().strike(self.now(), strike);
+        if !new {
+            return;
+        }
+        self.metrics.strikes.inc();
+        self.tell_peers(&PeerRequest::Strikes(vec![strike])).await;
+    }
+
+    /// Sends a message to all peers and waits until each answered or missed its deadline.
+    /// Returns how many answered, of how many.
+    pub(crate) async fn tell_peers(&self, message: &PeerRequest) -> (usize, usize) {
+        let peers = self.members.peers();
+        let calls = peers.iter().map(|(_, address)| self.peers.call(*address, message));
+        let answers = futures::future::join_all(calls).await;
+        (answers.iter().filter(|it| it.is_ok()).count(), peers.len())
+    }
+
+    pub(crate) fn lock_quarantine(&self) -> MutexGuard<'_, QuarantineTable> {
+        self.quarantine.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    fn lock_blocked(&self) -> MutexGuard<'_, IndexSet<KeyDigest>> {
+        self.blocked.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    fn lock_pools(&self) -> MutexGuard<'_, IndexMap<PoolId, Arc<Desk>>> {
+        self.pools.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    fn placement_costs(&self) -> PlacementCosts {
+        let traffic = &self.settings.traffic;
+        PlacementCosts {
+            piece_tokens: traffic.piece_tokens,
+            prefill_s: traffic.prefill_us / 1e6,
+            slot_s: traffic.slot_ms.duration().as_secs_f64(),
+            ..PlacementCosts::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -0,0 +1,366 @@
+//! A small fleet for tests: stand-ins in the test's process, daemons as processes of their own.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dropshot::HttpServer;
+use http::{HeaderMap, Method, Request, StatusCode};
+use rustix::process::{Pid, Signal};
+use serde_json::{Value, json};
+use stand_ins::engine::{self, EngineServer, EngineShape};
+use stand_ins::platform::{self, PlatformStandIn};
+use stand_ins::service::{self, ServiceServer};
+use web::client::{CallError, Connection, HttpCaller};
+
+pub const ADMIN_TOKEN: &str = "test-operator-token";
+const TARGET_SECRET: &str = "test-target-secret";
+/// How long anything that should happen soon may take on a busy machine.
+pub const SOON: Duration = Duration::from_secs(15);
+/// The bound that the promises mean by "seconds".
+pub const SECONDS: Duration = Duration::from_secs(5);
+
+pub struct Fleet {
+    pub platform: HttpServer<Arc<PlatformStandIn>>,
+    pub platform_address: SocketAddr,
+    pub engines: Vec<EngineServer>,
+    pub service: ServiceServer,
+    pub daemons: Vec<Daemon>,
+    pub caller: HttpCaller,
+    pub key: String,
+    settings: Vec<String>,
+}
+
+pub struct Daemon {
+    child: Child,
+    pub id: String,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+    pub peers: SocketAddr,
+    platform: SocketAddr,
+}
+
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+
+    pub fn kind(&self) -> String {
+        self.json()["error"]["kind"].as_str().unwrap_or_default().into()
+    }
+
+    pub fn run(&self) -> String {
+        self.json()["error"]["run"].as_str().unwrap_or_default().into()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Daemon {
+    pub fn signal(&self, signal: Signal) {
+        let id = Pid::from_child(&self.child);
+        rustix::process::kill_process(id, signal).expect("the process was started here");
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process was started here");
+        self.child.wait().expect("the process was started here");
+    }
+
+    /// Waits for a process that was told to stop.
+    pub fn wait(&mut self) {
+        self.child.wait().expect("the process was started here");
+    }
+
+    fn start(
+        id: &str,
+        ports: [SocketAddr; 3],
+        platform: SocketAddr,
+        settings: &[String],
+    ) -> Daemon {
+        let base = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/base.json");
+        let [callers, admin, peers] = ports;
+        let mut command = Command::new(env!("CARGO_BIN_EXE_kingcupshiftd"));
+        command.arg("serve").arg("--base").arg(base).stdin(Stdio::null());
+        let mut values = vec![
+            format!("instance.id={id}"),
+            "instance.failure_domain=north".into(),
+            format!("instance.callers={callers}"),
+            format!("instance.admin={admin}"),
+            format!("instance.peers={peers}"),
+            "secrets.peer=test-peer-secret-x".into(),
+            format!("secrets.admin={ADMIN_TOKEN}"),
+            format!("secrets.target={TARGET_SECRET}"),
+            format!("log.filter={}", std::env::var("TEST_LOG").unwrap_or("error".into())),
+        ];
+        let parts = ["list", "table", "objects", "weights"];
+        values.extend(parts.map(|it| format!("platform.{it}={platform}")));
+        values.extend(settings.iter().cloned());
+        for value in values {
+            command.arg("--set").arg(value);
+        }
+        let child = command.spawn().expect("the daemon was built with this test");
+        Daemon { child, id: id.into(), callers, admin, peers, platform }
+    }
+}
+
+impl Fleet {
+    /// Starts `daemons` daemons before `engines` engines and one order service, with one
+    /// customer whose key is `key`.
+    pub async fn start(daemons: usize, engines: usize) -> Fleet {
+        Fleet::start_with(daemons, engines, EngineShape::default(), &[]).await
+    }
+
+    pub async fn start_with(
+        daemons: usize,
+        engines: usize,
+        shape: EngineShape,
+        settings: &[&str],
+    ) -> Fleet {
+        let loopback: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let list_lag = Duration::from_secs(9);
+        let platform = platform::start(loopback, list_lag).expect("a free port");
+        let platform_address = platform.local_addr();
+        let engines = (0..engines)
+            .map(|_| engine::start(loopback, shape.clone()).expect("a free port"))
+            .collect();
+        let service = service::start(loopback, "orders").expect("a free port");
+        let mut fleet = Fleet {
+            platform,
+            platform_address,
+            engines,
+            service,
+            daemons: Vec::new(),
+            caller: HttpCaller::new(Duration::from_secs(60)),
+            key: String::new(),
+            settings: settings.iter().map(|it| it.to_string()).collect(),
+        };
+        for number in 1..=daemons {
+            fleet.add_daemon(&format!("entry-{number}"));
+        }
+        for daemon in 0..daemons {
+            fleet.wait_ready(daemon).await;
+        }
+        fleet.fill_catalog().await;
+        fleet.key = fleet.add_customer("shop", 1_000_000, 10_000_000).await;
+        fleet.wait_in_force().await;
+        fleet
+    }
+
+    /// Starts one more daemon.
+    pub fn add_daemon(&mut self, id: &str) {
+        let ports = [free_address(), free_address(), free_address()];
+        let daemon = Daemon::start(id, ports, self.platform_address, &self.settings);
+        self.daemons.push(daemon);
+    }
+
+    /// Starts one more daemon that reaches the platform at another address.
+    pub fn add_daemon_behind(&mut self, id: &str, platform: SocketAddr) {
+        let ports = [free_address(), free_address(), free_address()];
+        self.daemons.push(Daemon::start(id, ports, platform, &self.settings));
+    }
+
+    /// Starts a daemon again at the place of one that ended.
+    pub fn restart(&mut self, index: usize) {
+        let old = &mut self.daemons[index];
+        let _ = old.child.kill();
+        let _ = old.child.wait();
+        let ports = [old.callers, old.admin, old.peers];
+        let (id, platform) = (old.id.clone(), old.platform);
+        self.daemons[index] = Daemon::start(&id, ports, platform, &self.settings);
+    }
+
+    pub async fn wait_ready(&self, index: usize) {
+        let address = self.daemons[index].callers;
+        until(SOON, "the daemon is ready", async || {
+            let answer = self.send(Method::GET, address, "/healthz", &[], Bytes::new()).await;
+            answer.is_ok_and(|it| it.status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// Waits until all daemons have the same catalog and list each other, and the customers'
+    /// parts are known everywhere.
+    pub async fn wait_in_force(&self) {
+        until(SOON, "the catalog is in force and parts are held", async || {
+            let mut revisions = Vec::new();
+            for daemon in &self.daemons {
+                let Ok(status) = self.status(daemon.admin).await else { return false };
+                let listed = status["instances"].as_array().map_or(0, Vec::len);
+                if listed < self.daemons.len() || status["may_spend"] != json!(true) {
+                    return false;
+                }
+                revisions.push(status["catalog_revision"].as_u64());
+            }
+            revisions.dedup();
+            revisions.len() == 1 && self.platform.app_private().row("rate/parts").is_some()
+        })
+        .await;
+    }
+
+    pub async fn status(&self, admin: SocketAddr) -> Result<Value, CallError> {
+        let token = format!("Bearer {ADMIN_TOKEN}");
+        let headers = [("authorization", token.as_str())];
+        let answer = self.send(Method::GET, admin, "/status", &headers, Bytes::new()).await?;
+        Ok(answer.json())
+    }
+
+    pub async fn metric(&self, index: usize, line: &str) -> f64 {
+        let admin = self.daemons[index].admin;
+        let answer = self.send(Method::GET, admin, "/metrics", &[], Bytes::new()).await;
+        let text = answer.expect("the daemon answers").body;
+        let found = text.lines().find_map(|it| it.strip_prefix(line));
+        found.and_then(|it| it.trim().parse().ok()).unwrap_or(0.0)
+    }
+
+    pub async fn admin(&self, index: usize, path: &str, body: Value) -> Answer {
+        let token = format!("Bearer {ADMIN_TOKEN}");
+        let headers = [("authorization", token.as_str()), ("content-type", "application/json")];
+        let admin = self.daemons[index].admin;
+        let body = Bytes::from(body.to_string());
+        let answer = self.send(Method::POST, admin, path, &headers, body).await;
+        answer.expect("the daemon answers operators")
+    }
+
+    pub async fn change(&self, operations: Value) {
+        let answer = self.admin(0, "/v1/changes", json!({ "operations": operations })).await;
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+    }
+
+    pub async fn add_customer(&self, id: &str, rate: u64, burst: u64) -> String {
+        let customer = json!({ "id": id, "rate": rate, "burst": burst });
+        self.change(json!([{ "put_customer": customer }])).await;
+        let key = json!({ "id": format!("{id}-key"), "customer": id });
+        let answer = self.admin(0, "/v1/keys", key).await;
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+        answer.json()["secret"].as_str().unwrap_or_default().into()
+    }
+
+    /// One call of a caller with the fleet's key.
+    pub async fn call(
+        &self,
+        index: usize,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> Result<Answer, CallError> {
+        self.call_as(&self.key, index, path, headers, body).await
+    }
+
+    pub async fn call_as(
+        &self,
+        key: &str,
+        index: usize,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> Result<Answer, CallError> {
+        let token = format!("Bearer {key}");
+        let mut all = vec![("authorization", token.as_str()), ("content-type", "application/json")];
+        all.extend_from_slice(headers);
+        let address = self.daemons[index].callers;
+        self.send(Method::POST, address, path, &all, Bytes::from(body.to_string())).await
+    }
+
+    pub async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Answer, CallError> {
+        let mut request = Request::builder().method(method).uri(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(body.into()).expect("a valid request");
+        let fresh = Connection::Fresh;
+        let time = Duration::from_secs(60);
+        let answer = self.caller.call(request, fresh, time, 64 << 20).await?;
+        let (parts, body) = answer.into_parts();
+        let body = String::from_utf8_lossy(&body).into_owned();
+        Ok(Answer { status: parts.status, headers: parts.headers, body })
+    }
+
+    async fn fill_catalog(&self) {
+        let mut operations = vec![
+            json!({ "put_pool": { "id": "desk", "kind": "engine", "version": 1 } }),
+            json!({ "put_pool": { "id": "ordering", "kind": "service" } }),
+            json!({ "put_version": { "pool": "desk", "number": 1, "weights": "desk-1" } }),
+            json!({ "put_route": {
+                "id": "counter", "kind": "model", "model": "desk", "pool": "desk",
+            } }),
+            json!({ "put_route": {
+                "id": "orders", "kind": "service", "prefix": "/orders", "pool": "ordering",
+            } }),
+        ];
+        let engines = self.engines.iter().map(|it| ("desk", it.local_addr()));
+        let service = ("ordering", self.service.local_addr());
+        operations.extend(engines.chain([service]).enumerate().map(|(number, it)| {
+            json!({ "put_target": {
+                "id": format!("{}-{}", it.0, number + 1), "pool": it.0, "address": it.1,
+                "failure_domain": "north", "echoes_request_id": true, "checks_fencing": true,
+            } })
+        }));
+        self.change(json!(operations)).await;
+    }
+}
+
+/// A chat request.
+pub fn chat(prompt: &str, max_tokens: u64, stream: bool) -> Value {
+    json!({
+        "model": "desk", "stream": stream, "max_tokens": max_tokens, "temperature": 0,
+        "messages": [{ "role": "user", "content": prompt }],
+    })
+}
+
+/// The text an engine answers to [`chat`].
+pub fn expected_text(prompt: &str, version: u64, count: u64) -> String {
+    let prompt = format!("user\n{prompt}\n");
+    (1..=count).map(|it| String::from(engine::piece_text(prompt.as_bytes(), version, it))).collect()
+}
+
+/// The text of a whole stream; `None` if it has no end mark.
+pub fn streamed_text(body: &str) -> Option<String> {
+    if !body.trim_end().ends_with("data: [DONE]") {
+        return None;
+    }
+    let data = body.lines().filter_map(|it| it.strip_prefix("data: "));
+    let values = data.filter_map(|it| serde_json::from_str::<Value>(it).ok());
+    let pieces =
+        values.filter_map(|it| it["choices"][0]["delta"]["content"].as_str().map(String::from));
+    Some(pieces.collect())
+}
+
+/// Waits until `check` holds.
+pub async fn until(time: Duration, what: &str, check: impl AsyncFn() -> bool) {
+    let end = tokio::time::Instant::now() + time;
+    while !check().await {
+        assert!(tokio::time::Instant::now() < end, "not within {time:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound port")
+}
--- /dev/null
+++ b/crates/xtask/src/main.rs
@@ -0,0 +1,46 @@
+//! Chores of the project: the demo and the measurements. Never shipped.
+
+mod demo;
+mod fleet;
+mod test_run;
+
+use std::process;
+
+use argh::FromArgs;
+
+/// Chores of the project.
+#[derive(FromArgs)]
+struct XtaskArgs {
+    #[argh(subcommand)]
+    chore: Chore,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Chore {
+    Demo(DemoArgs),
+    Test(TestArgs),
+}
+
+/// Start a small fleet, send prompts and an order through it, print what came, stop the fleet.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct DemoArgs {}
+
+/// Run all tests but those that KNOWN-RED.txt names, and print these.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "test")]
+struct TestArgs {}
+
+#[tokio::main]
+async fn main() {
+    let args: XtaskArgs = argh::from_env();
+    let res = match args.chore {
+        Chore::Demo(_) => demo::run().await,
+        Chore::Test(_) => test_run::run(),
+    };
+    if let Err(error) = res {
+        eprintln!("xtask: {error}");
+        process::exit(1);
+    }
+}
