Run an order at most once, and say 'not run' only where it is true

Ruled out: a lie about the sending itself (the service had counted one execution, from the first sending); asking peers whether they saw the key (a restarted peer has forgotten). Change: with an idempotency key, run speaks of all sendings under the key. Before the claim row is read a refusal says maybe_run; a row read as absent, with writes refused, still proves not_run. Conclusion: usefulness lost: a first sending during a table outage is told maybe_run. The caller's resend under the same key is safe, and settles it.

--- a/crates/control/src/claim_store.rs
+++ b/crates/control/src/claim_store.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use ids::{CustomerId, ErrorKind, Incarnation, InstanceId, Refusal, Revision, RouteId};
+use ids::{CustomerId, ErrorKind, Incarnation, InstanceId, Refusal, Revision, RouteId, RunState};
 use indexmap::IndexSet;
 use policy::claim::{self, ClaimRow, ClaimStage, ClaimVerdict, KeptAnswer, OwnerWord};
 use ports::{Commit, StoreError, Table, Transaction};
@@ -157,15 +157,14 @@
                 Ok(Commit::Done(revision)) => {
                     return ClaimStart::Own(ClaimHandle { key: key.into(), row, revision });
                 }
-                Err(StoreError::Unavailable(_)) => return unavailable(),
                 Ok(Commit::Conflict) | Err(_) => {}
             }
             let found = match self.table.read(key).await {
                 Ok(it) => it,
-                Err(_) => return unavailable(),
+                Err(_) => return unavailable(RunState::MaybeRun),
             };
             let Some(found) = found else {
-                // The claim's answer was lost and it has not landed: claim again.
+                // Not claimed by anyone, so never sent; perhaps our own claim did not land.
                 over = None;
                 continue;
             };
@@ -189,10 +188,11 @@
                 ClaimVerdict::Replay(answer) => return ClaimStart::Replay(answer),
                 ClaimVerdict::Refuse(refusal) => return ClaimStart::Refuse(refusal),
                 ClaimVerdict::TakeOver => over = Some(found.revision),
-                ClaimVerdict::AskOwner => return unavailable(),
+                ClaimVerdict::AskOwner => return unavailable(RunState::MaybeRun),
             }
         }
-        unavailable()
+        // Every row read on the way said that no sending has run.
+        unavailable(RunState::NotRun)
     }
 
     async fn is_recorded(&self, handle: &ClaimHandle, row: &ClaimRow) -> Result<bool, StoreError> {
@@ -205,8 +205,11 @@
     }
 }
 
-fn unavailable() -> ClaimStart {
-    ClaimStart::Refuse(Refusal::not_run(ErrorKind::ClaimUnavailable).retry_after(2))
+/// A refusal while the claim cannot be written. Unless the row was read, an earlier sending under
+/// the same key may have run.
+fn unavailable(run: RunState) -> ClaimStart {
+    let refusal = Refusal::not_run(ErrorKind::ClaimUnavailable).retry_after(2);
+    ClaimStart::Refuse(Refusal { run, ..refusal })
 }
 
 fn encode(row: &ClaimRow) -> String {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -4,9 +4,10 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use catalog::{CatalogState, Customer, Route};
 use dropshot::{ApiDescription, Body, HttpError, Path, RawRequest, RequestContext};
 use http::request::Parts;
-use http::{Method, Response};
+use http::{HeaderValue, Method, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use ids::{ErrorKind, KeyDigest, Refusal, RequestId};
 use web::server::AnyPath;
@@ -14,7 +15,7 @@
 use crate::caller_key::{self, CallerKeyText};
 use crate::model_body::ModelApi;
 use crate::refusal::refusal_answer;
-use crate::router::Router;
+use crate::router::{OpenRequest, Router};
 use crate::{model_call, service_call};
 
 /// A caller's request, read whole.
@@ -46,7 +47,12 @@
     if parts.uri.path() == "/healthz" {
         return Ok(health(router));
     }
-    let res = serve(router, &id, parts, body).await;
+    let keyed = parts.headers.contains_key("idempotency-key");
+    let res = match receive(router, parts, body).await {
+        Ok(received) => received.answer(router, &id).await,
+        // The claim of the key was not read yet.
+        Err(refusal) => Err(if keyed { refusal.claim_unread() } else { refusal }),
+    };
     Ok(res.unwrap_or_else(|refusal| {
         router.metrics.refuse(&refusal);
         tracing::info!(
@@ -56,46 +62,76 @@
     }))
 }
 
-async fn serve(
-    router: &Arc<Router>,
-    id: &RequestId,
-    mut parts: Parts,
-    body: Body,
-) -> Result<Response<Body>, Refusal> {
+/// A request that was read, with what it leads to.
+struct Received {
+    _open: OpenRequest,
+    catalog: Arc<CatalogState>,
+    lead: Lead,
+    parts: Parts,
+    body: Bytes,
+    key: Option<KeyDigest>,
+    began: Instant,
+}
+
+enum Lead {
+    Model(ModelApi),
+    Service { route: Route, customer: Option<Customer>, idempotency: Option<HeaderValue> },
+}
+
+impl Received {
+    async fn answer(self, router: &Arc<Router>, id: &RequestId) -> Result<Response<Body>, Refusal> {
+        let Received { _open, catalog, lead, parts, body, key, began } = self;
+        let request = CallerRequest { id: id.clone(), parts, body, key, began };
+        match lead {
+            Lead::Model(api) => model_call::handle(router, &catalog, api, request).await,
+            Lead::Service { route, customer, idempotency } => {
+                service_call::handle(router, &route, customer, idempotency, request).await
+            }
+        }
+    }
+}
+
+/// Checks a request and reads its body.
+async fn receive(router: &Arc<Router>, mut parts: Parts, body: Body) -> Result<Received, Refusal> {
     let began = Instant::now();
     if router.is_leaving() {
         return Err(Refusal::not_run(ErrorKind::Leaving).retry_after(1));
     }
-    let _open = router.open_request();
+    let open = router.open_request();
     check_headers(router, &parts)?;
     let catalog = router.catalog.current();
     let catalog = catalog.ok_or(Refusal::not_run(ErrorKind::ConfigMissing).retry_after(1))?;
-    let path = parts.uri.path().to_string();
     let CallerKeyText(key) = caller_key::caller_key(&parts.headers)?;
     check_no_key_in_uri(&parts, key)?;
     let digest = key.map(KeyDigest::of_secret);
     if digest.as_ref().is_some_and(|it| router.is_blocked(it)) {
         return Err(Refusal::not_run(ErrorKind::KeyRefused));
     }
-    let passed = targets::target_headers(&parts.headers, key);
-    let model = ModelApi::of_path(&path).filter(|_| parts.method == Method::POST);
+    let lead = lead(&catalog, &parts, digest.as_ref())?;
+    parts.headers = targets::target_headers(&parts.headers, key);
+    let body = read_body(router, body).await?;
+    Ok(Received { _open: open, catalog, lead, parts, body, key: digest, began })
+}
+
+/// What a request leads to, and whether its key may go there.
+fn lead(
+    catalog: &CatalogState,
+    parts: &Parts,
+    digest: Option<&KeyDigest>,
+) -> Result<Lead, Refusal> {
+    let path = parts.uri.path();
+    let model = ModelApi::of_path(path).filter(|_| parts.method == Method::POST);
     if let Some(api) = model {
         // A wrong key is told before the body is read; which route it is, only the body says.
-        if digest.as_ref().is_some_and(|it| !catalog.keys.contains_key(it)) {
+        if digest.is_some_and(|it| !catalog.keys.contains_key(it)) {
             return Err(Refusal::not_run(ErrorKind::KeyRefused));
         }
-        let body = read_body(router, body).await?;
-        let request = CallerRequest { id: id.clone(), parts, body, key: digest, began };
-        return model_call::handle(router, &catalog, api, request).await;
+        return Ok(Lead::Model(api));
     }
-    let route = catalog.service_route(&path).cloned();
-    let route = route.ok_or(Refusal::not_run(ErrorKind::RouteUnknown))?;
-    let customer = caller_key::admit(&catalog, &route, digest.as_ref())?.cloned();
-    let body = read_body(router, body).await?;
+    let route = catalog.service_route(path).ok_or(Refusal::not_run(ErrorKind::RouteUnknown))?;
+    let customer = caller_key::admit(catalog, route, digest)?.cloned();
     let idempotency = parts.headers.get("idempotency-key").cloned();
-    parts.headers = passed;
-    let request = CallerRequest { id: id.clone(), parts, body, key: digest, began };
-    service_call::handle(router, &route, customer, idempotency, request).await
+    Ok(Lead::Service { route: route.clone(), customer, idempotency })
 }
 
 fn health(router: &Router) -> Response<Body> {
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -49,14 +49,20 @@
     };
     let key = idempotency_key(idempotency.as_ref())?;
     let repeatable = repeatable.iter().any(|it| **it == *request.parts.method.as_str());
-    let desk = router.desk(&route.pool).ok_or(Refusal::not_run(ErrorKind::NoTarget))?;
+    let key = key.filter(|_| !repeatable);
+    let unread = |it: Refusal| if key.is_some() { it.claim_unread() } else { it };
+    let desk = router.desk(&route.pool);
+    let desk = desk.ok_or_else(|| unread(Refusal::not_run(ErrorKind::NoTarget)))?;
     let ticket = match &customer {
-        Some(it) => Some(rate_desk::take_tokens(router, it, cost.0).await?),
+        Some(it) => {
+            let taken = rate_desk::take_tokens(router, it, cost.0).await;
+            Some(taken.map_err(unread)?)
+        }
         None => None,
     };
     let place = place_request(route, customer.as_ref(), cost.0);
     let call = ServiceCall { router: router.clone(), desk, request, place, repeatable };
-    let res = match key.filter(|_| !repeatable) {
+    let res = match key {
         Some(key) => call.run_claimed(route, customer.as_ref(), key).await,
         None => call.run().await.map(|it| call.response(it)),
     };
--- /dev/null
+++ b/crates/daemon/tests/at_most_once.rs
@@ -0,0 +1,278 @@
+//! A call that may not be repeated runs at most once, and "not run" is true.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Answer, Fleet, SOON, until};
+use http::StatusCode;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use stand_ins::engine::EngineShape;
+use stand_ins::platform::{PlatformFault, PlatformPart};
+use stand_ins::relay::RelayMode;
+use stand_ins::service::ServiceFaults;
+use web::client::CallError;
+
+/// What goes wrong during the first sending of an order.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    TableDown,
+    ClaimAnswerLost,
+    TableSilent,
+    TargetDropsAnswer,
+    TargetLate,
+    TargetRefusesConnection,
+    NetworkSilent,
+    OldConnectionsSilent,
+    NetworkCutMidway,
+    CrossedAnswer,
+}
+
+async fn fleet(daemons: usize) -> Fleet {
+    let settings = ["timeouts.service_ms=1200", "platform.deadline_ms=800"];
+    Fleet::start_with(daemons, 0, EngineShape::default(), &settings).await
+}
+
+async fn order(fleet: &Fleet, daemon: usize, key: &str, body: &Value) -> Result<Answer, CallError> {
+    fleet.call(daemon, "/orders", &[("idempotency-key", key)], body).await
+}
+
+fn bring_about(fleet: &Fleet, fault: Fault) {
+    let service = fleet.service.context();
+    match fault {
+        Fault::None => {}
+        Fault::TableDown => fleet.platform_fault(PlatformPart::Table, PlatformFault::Down),
+        Fault::ClaimAnswerLost => {
+            fleet.platform_fault(PlatformPart::Table, PlatformFault::LoseAnswers { calls: 1 });
+        }
+        Fault::TableSilent => fleet.platform_fault(PlatformPart::Table, PlatformFault::Silent),
+        Fault::TargetDropsAnswer => {
+            service.set_faults(ServiceFaults { drop_answers: 1, ..ServiceFaults::default() });
+        }
+        Fault::TargetLate => {
+            service.set_faults(ServiceFaults { delay_after_ms: 2_000, ..Default::default() });
+        }
+        Fault::TargetRefusesConnection => fleet.service_relay.set(RelayMode::Cut),
+        Fault::NetworkSilent => fleet.service_relay.set(RelayMode::Silent),
+        Fault::OldConnectionsSilent => fleet.service_relay.set(RelayMode::SilenceOld),
+        Fault::NetworkCutMidway => {
+            service.set_faults(ServiceFaults { delay_after_ms: 400, ..Default::default() });
+        }
+        Fault::CrossedAnswer => {
+            service.set_faults(ServiceFaults { cross_answers: 1, ..ServiceFaults::default() });
+        }
+    }
+}
+
+fn mend(fleet: &Fleet) {
+    fleet.platform_fault(PlatformPart::Table, PlatformFault::Healthy);
+    fleet.service.context().set_faults(ServiceFaults::default());
+    fleet.service_relay.set(RelayMode::Pass);
+}
+
+/// What an answer claims about the order; panics if "not run" was said of an order that ran.
+fn check_truth(fleet: &Fleet, order: &Value, answer: &Answer) {
+    let count = fleet.service.context().count(&order.to_string());
+    assert!(count <= 1, "ran {count} times: {answer:?}");
+    if answer.status == StatusCode::OK {
+        assert_eq!(count, 1, "answered but not run: {answer:?}");
+    }
+    if answer.run() == "not_run" {
+        assert_eq!(count, 0, "said not run, but ran: {answer:?}");
+    }
+}
+
+#[rstest]
+#[case(Fault::None)]
+#[case(Fault::TableDown)]
+#[case(Fault::ClaimAnswerLost)]
+#[case(Fault::TableSilent)]
+#[case(Fault::TargetDropsAnswer)]
+#[case(Fault::TargetLate)]
+#[case(Fault::TargetRefusesConnection)]
+#[case(Fault::NetworkSilent)]
+#[case(Fault::OldConnectionsSilent)]
+#[case(Fault::NetworkCutMidway)]
+#[case(Fault::CrossedAnswer)]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_sent_again_to_another_daemon_runs_once(#[case] fault: Fault) {
+    let fleet = fleet(2).await;
+    let warm = order(&fleet, 0, "warm", &json!({ "order": "warm" })).await.unwrap();
+    assert_eq!(warm.status, StatusCode::OK, "{}", warm.body);
+    let body = json!({ "order": "40 reams" });
+    bring_about(&fleet, fault);
+    let first = async {
+        let answer = order(&fleet, 0, "k1", &body).await.expect("the daemon answers");
+        check_truth(&fleet, &body, &answer);
+        answer
+    };
+    let cut = async {
+        if matches!(fault, Fault::NetworkCutMidway) {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            fleet.service_relay.set(RelayMode::Cut);
+        }
+    };
+    let (first, ()) = tokio::join!(first, cut);
+    mend(&fleet);
+    // Late work of the target has ended by then.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let second = order(&fleet, 1, "k1", &body).await.expect("the daemon answers");
+    check_truth(&fleet, &body, &second);
+    if matches!(fault, Fault::None | Fault::ClaimAnswerLost | Fault::OldConnectionsSilent) {
+        assert_eq!(first.status, StatusCode::OK, "{}", first.body);
+        assert_eq!(second.headers["idempotency-replayed"], "true");
+    }
+    if first.run() == "not_run" {
+        assert_eq!(second.status, StatusCode::OK, "not run, so it may run: {}", second.body);
+    }
+}
+
+#[rstest]
+#[case::while_it_runs(ServiceFaults { delay_before_ms: 700, ..Default::default() })]
+#[case::before_its_answer(ServiceFaults { delay_after_ms: 700, ..Default::default() })]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_daemon_is_killed_is_never_run_again(#[case] faults: ServiceFaults) {
+    let mut fleet = fleet(2).await;
+    fleet.service.context().set_faults(faults);
+    let body = json!({ "order": "kill" });
+    let token = format!("Bearer {}", fleet.key);
+    let address = fleet.daemons[0].callers;
+    let caller = fleet.caller.clone();
+    let text = body.to_string();
+    let sent = tokio::spawn(async move {
+        let request = http::Request::post(format!("http://{address}/orders"))
+            .header("authorization", token)
+            .header("idempotency-key", "k1")
+            .body(bytes::Bytes::from(text).into())
+            .unwrap();
+        let fresh = web::client::Connection::Fresh;
+        caller.call(request, fresh, Duration::from_secs(10), 1 << 20).await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let busy = order(&fleet, 1, "k1", &body).await.unwrap();
+    assert_eq!((busy.kind(), busy.run()), ("claim_busy".into(), "maybe_run".into()));
+    fleet.daemons[0].kill();
+    assert!(sent.await.unwrap().is_err(), "the killed daemon cannot have answered");
+    let resent = order(&fleet, 1, "k1", &body).await.unwrap();
+    assert_eq!((resent.kind(), resent.run()), ("outcome_unknown".into(), "maybe_run".into()));
+    // A successor at the same place knows nothing of the attempt either.
+    fleet.restart(0);
+    fleet.wait_ready(0).await;
+    until(SOON, "the successor answers of the order", async || {
+        order(&fleet, 0, "k1", &body).await.is_ok_and(|it| it.kind() == "outcome_unknown")
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert!(fleet.service.context().count(&body.to_string()) <= 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_daemon_is_frozen_is_never_run_again() {
+    let fleet = fleet(2).await;
+    fleet
+        .service
+        .context()
+        .set_faults(ServiceFaults { delay_before_ms: 300, ..Default::default() });
+    let body = json!({ "order": "freeze" });
+    let (first, second) = tokio::join!(order(&fleet, 0, "k1", &body), async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        fleet.daemons[0].signal(Signal::STOP);
+        let answer = order(&fleet, 1, "k1", &body).await.unwrap();
+        fleet.daemons[0].signal(Signal::CONT);
+        answer
+    });
+    assert_eq!(second.kind(), "outcome_unknown");
+    assert_eq!(first.unwrap().status, StatusCode::OK);
+    let replayed = order(&fleet, 1, "k1", &body).await.unwrap();
+    assert_eq!(replayed.headers["idempotency-replayed"], "true");
+    assert_eq!(fleet.service.context().count(&body.to_string()), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_sent_to_all_daemons_at_once_runs_once() {
+    let fleet = fleet(3).await;
+    fleet.service.context().set_faults(ServiceFaults { delay_before_ms: 50, ..Default::default() });
+    for round in 0..10 {
+        let body = json!({ "order": round });
+        let key = format!("k{round}");
+        let sends = (0..9).map(|it| order(&fleet, it % 3, &key, &body));
+        let answers = futures::future::join_all(sends).await;
+        let good = answers.iter().flatten().filter(|it| it.status == StatusCode::OK).count();
+        assert!(good >= 1, "{answers:?}");
+        assert_eq!(fleet.service.context().count(&body.to_string()), 1);
+        for answer in answers.iter().flatten() {
+            assert_ne!(answer.run(), "not_run", "it did run: {answer:?}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_key_a_call_is_sent_once() {
+    let fleet = fleet(1).await;
+    let body = json!({ "order": "no key" });
+    fleet.service.context().set_faults(ServiceFaults { drop_answers: 1, ..Default::default() });
+    let answer = fleet.call(0, "/orders", &[], &body).await.unwrap();
+    assert_eq!((answer.kind(), answer.run()), ("target_failed".into(), "maybe_run".into()));
+    assert_eq!(fleet.service.context().count(&body.to_string()), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_used_for_another_order_is_refused() {
+    let fleet = fleet(1).await;
+    order(&fleet, 0, "k1", &json!({ "order": 1 })).await.unwrap();
+    let other = order(&fleet, 0, "k1", &json!({ "order": 2 })).await.unwrap();
+    assert_eq!((other.kind(), other.run()), ("claim_mismatch".into(), "not_run".into()));
+}
+
+/// Orders sent and sent again to random daemons while faults come and go.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_order_runs_twice_under_random_faults(#[case] seed: u64) {
+    println!("seed {seed}");
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut fleet = fleet(3).await;
+    let faults = [
+        Fault::None,
+        Fault::TableDown,
+        Fault::ClaimAnswerLost,
+        Fault::TargetDropsAnswer,
+        Fault::TargetLate,
+        Fault::TargetRefusesConnection,
+        Fault::NetworkSilent,
+        Fault::OldConnectionsSilent,
+        Fault::CrossedAnswer,
+    ];
+    for number in 0..12 {
+        let body = json!({ "order": number });
+        let key = format!("k{number}");
+        let mut not_run_only = true;
+        for _ in 0..3 {
+            bring_about(&fleet, faults[random.random_range(0..faults.len())]);
+            let daemon = random.random_range(0..3);
+            if let Ok(answer) = order(&fleet, daemon, &key, &body).await {
+                check_truth(&fleet, &body, &answer);
+                not_run_only &= answer.run() == "not_run";
+            } else {
+                not_run_only = false;
+            }
+            mend(&fleet);
+            if random.random_bool(0.15) {
+                let victim = random.random_range(0..3);
+                fleet.restart(victim);
+                fleet.wait_ready(victim).await;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let count = fleet.service.context().count(&body.to_string());
+        assert!(count <= 1, "order {number} ran {count} times (seed {seed})");
+        assert!(!not_run_only || count == 0, "order {number} was said not to run (seed {seed})");
+    }
+}
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -14,7 +14,8 @@
 use rustix::process::{Pid, Signal};
 use serde_json::{Value, json};
 use stand_ins::engine::{self, EngineServer, EngineShape};
-use stand_ins::platform::{self, PlatformStandIn};
+use stand_ins::platform::{self, PlatformFault, PlatformPart, PlatformStandIn};
+use stand_ins::relay::Relay;
 use stand_ins::service::{self, ServiceServer};
 use web::client::{CallError, Connection, HttpCaller};
 
@@ -30,6 +31,10 @@
     pub platform_address: SocketAddr,
     pub engines: Vec<EngineServer>,
     pub service: ServiceServer,
+    /// The network between daemons and each engine.
+    pub engine_relays: Vec<Relay>,
+    /// The network between daemons and the order service.
+    pub service_relay: Relay,
     pub daemons: Vec<Daemon>,
     pub caller: HttpCaller,
     pub key: String,
@@ -139,15 +144,22 @@
         let list_lag = Duration::from_secs(9);
         let platform = platform::start(loopback, list_lag).expect("a free port");
         let platform_address = platform.local_addr();
-        let engines = (0..engines)
+        let engines: Vec<EngineServer> = (0..engines)
             .map(|_| engine::start(loopback, shape.clone()).expect("a free port"))
             .collect();
         let service = service::start(loopback, "orders").expect("a free port");
+        let mut engine_relays = Vec::new();
+        for engine in &engines {
+            engine_relays.push(Relay::start(engine.local_addr()).await.expect("a free port"));
+        }
+        let service_relay = Relay::start(service.local_addr()).await.expect("a free port");
         let mut fleet = Fleet {
             platform,
             platform_address,
             engines,
             service,
+            engine_relays,
+            service_relay,
             daemons: Vec::new(),
             caller: HttpCaller::new(Duration::from_secs(60)),
             key: String::new(),
@@ -165,6 +177,11 @@
         fleet
     }
 
+    /// Switches a fault of the platform.
+    pub fn platform_fault(&self, part: PlatformPart, fault: PlatformFault) {
+        self.platform.app_private().set_fault(part, fault);
+    }
+
     /// Starts one more daemon.
     pub fn add_daemon(&mut self, id: &str) {
         let ports = [free_address(), free_address(), free_address()];
@@ -313,8 +330,8 @@
                 "id": "orders", "kind": "service", "prefix": "/orders", "pool": "ordering",
             } }),
         ];
-        let engines = self.engines.iter().map(|it| ("desk", it.local_addr()));
-        let service = ("ordering", self.service.local_addr());
+        let engines = self.engine_relays.iter().map(|it| ("desk", it.address()));
+        let service = ("ordering", self.service_relay.address());
         operations.extend(engines.chain([service]).enumerate().map(|(number, it)| {
             json!({ "put_target": {
                 "id": format!("{}-{}", it.0, number + 1), "pool": it.0, "address": it.1,
--- a/crates/ids/src/error_kind.rs
+++ b/crates/ids/src/error_kind.rs
@@ -56,7 +56,8 @@
     Internal,
 }
 
-/// Whether the request ran on a target.
+/// Whether the request ran on a target. With an idempotency key this speaks of all sendings
+/// under the key, without one of this sending.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunState {
@@ -179,6 +180,15 @@
         Refusal { run: RunState::MaybeRun, ..Refusal::not_run(kind) }
     }
 
+    /// A refusal before the claim of an idempotency key was read: this sending did not run, but
+    /// an earlier one may have.
+    pub fn claim_unread(self) -> Refusal {
+        match self.run {
+            RunState::NotRun => Refusal { run: RunState::MaybeRun, ..self },
+            _ => self,
+        }
+    }
+
     /// Adds a detail.
     pub fn detail(self, text: impl Into<Box<str>>) -> Refusal {
         Refusal { detail: Some(text.into()), ..self }
