Refuse a withdrawn key within seconds, also where nobody can say so

Cause: an instance cut off from table and peers would have honoured a withdrawn key for as long as the cut lasts; keys in percent-encoded queries passed the check of the path. Ruled out: a lease on every key (a table outage would then stop the fleet). Change: an instance that neither the table nor most of its peers has answered for 4.5 s refuses keyed requests with config_stale; open routes go on. Tests found two faults of their own: ports taken by outgoing connections before the daemon bound them, and a holder out of reach in a cut that was set too early. Conclusion: an operator who prefers a cut-off site to serve raises timeouts.catalog_grace_ms and gives that promise up for as long.

--- a/crates/control/tests/rate_law.rs
+++ b/crates/control/tests/rate_law.rs
@@ -116,7 +116,7 @@
                 continue;
             }
             it.holder.tick();
-            if (self.step + index as u64) % POLL_STEPS != 0 {
+            if !(self.step + index as u64).is_multiple_of(POLL_STEPS) {
                 continue;
             }
             let reaches = !it.cut && !self.platform_down;
--- a/crates/daemon/src/background.rs
+++ b/crates/daemon/src/background.rs
@@ -18,6 +18,10 @@
 const PUMP: Duration = Duration::from_millis(20);
 /// The time between two announcements to the platform.
 const ANNOUNCE: Duration = Duration::from_secs(4);
+/// A table silent for this long is taken to be away.
+const OUTAGE_AFTER: Duration = Duration::from_millis(2_500);
+/// The time between two rounds of questions to peers while the table is away.
+const OUTAGE_LOOK: Duration = Duration::from_millis(1_000);
 /// The shortest time between two readings of the platform.
 const LEAST_POLL: Duration = Duration::from_millis(100);
 /// The time between two looks at one more engine; bounds what looks cost, however many there are.
@@ -34,6 +38,7 @@
     spawn(router, stop, announce);
     spawn(router, stop, follow_catalog);
     spawn(router, stop, poll_platform);
+    spawn(router, stop, ask_in_outage);
     spawn(router, stop, look_at_engines);
 }
 
@@ -121,27 +126,33 @@
 }
 
 async fn poll_once(router: &Arc<Router>) {
-    let listed = read_members(router).await;
-    let refreshed = router.catalog.refresh().await;
-    if let Err(error) = &refreshed {
-        tracing::debug!("catalog: not read: {error}");
-        ask_peers_for_catalog(router).await;
+    let asked_at = router.now();
+    let (listed, refreshed) = tokio::join!(read_members(router), router.catalog.refresh());
+    match &refreshed {
+        Ok(_) => router.hear_table(asked_at),
+        Err(error) => tracing::debug!("catalog: not read: {error}"),
     }
     let catalog = router.catalog.current().unwrap_or_default();
     let members = listed.then(|| router.members.listed());
     let view = HolderView { members: members.as_deref(), catalog: &catalog };
-    let synced = router.parts.sync(view).await;
-    if let Err(error) = &synced {
+    if let Err(error) = router.parts.sync(view).await {
         tracing::debug!("rate: parts not read: {error}");
     }
-    if refreshed.is_err() || synced.is_err() || !listed {
-        ping_peers(router).await;
-    }
     let up = &router.metrics.platform_up;
     up.with_label_values(&["list"]).set(i64::from(listed));
     up.with_label_values(&["table"]).set(i64::from(refreshed.is_ok()));
 }
 
+/// While the table is silent, asks peers what they know, again and again.
+async fn ask_in_outage(router: Arc<Router>) {
+    loop {
+        tokio::time::sleep(OUTAGE_LOOK).await;
+        if router.catalog.current().is_some() && router.table_silence() > OUTAGE_AFTER {
+            ping_peers(&router).await;
+        }
+    }
+}
+
 async fn read_members(router: &Router) -> bool {
     match router.platform.members().await {
         Ok(members) => {
@@ -174,6 +185,9 @@
         }
     }
     router.parts.hear(asked_at, &words, peers.len() + 1);
+    if 2 * (words.len() + 1) > peers.len() + 1 {
+        router.hear_most(asked_at);
+    }
 }
 
 async fn ask_peers_for_catalog(router: &Router) {
@@ -211,6 +225,7 @@
         tokio::time::sleep(START_PAUSE.mul_f64(jitter)).await;
     }
     tracing::info!("catalog: at revision {}", router.catalog.revision());
+    ping_peers(router).await;
     take_snapshot(router).await;
 }
 
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -107,6 +107,9 @@
     if digest.as_ref().is_some_and(|it| router.is_blocked(it)) {
         return Err(Refusal::not_run(ErrorKind::KeyRefused));
     }
+    if digest.is_some() && !router.is_confirmed() {
+        return Err(Refusal::not_run(ErrorKind::ConfigStale).retry_after(1));
+    }
     let lead = lead(&catalog, &parts, digest.as_ref())?;
     parts.headers = targets::target_headers(&parts.headers, key);
     let body = read_body(router, body).await?;
@@ -152,10 +155,11 @@
     Ok(())
 }
 
-/// A key in the path or query would reach the target and logs.
+/// A key in the path or query would reach the target and logs, however it is encoded.
 fn check_no_key_in_uri(parts: &Parts, key: Option<&str>) -> Result<(), Refusal> {
     let uri = parts.uri.path_and_query().map_or("", |it| it.as_str());
-    if key.is_some_and(|it| uri.contains(it)) {
+    let plain = percent_encoding::percent_decode_str(uri).decode_utf8_lossy();
+    if key.is_some_and(|it| uri.contains(it) || plain.contains(it)) {
         let refusal = Refusal::not_run(ErrorKind::BadRequest);
         return Err(refusal.detail("the caller key stands in the path or query"));
     }
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -1,6 +1,6 @@
 //! What all requests and tasks of the daemon share.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -44,6 +44,10 @@
     pub(crate) quarantine: Mutex<QuarantineTable>,
     pools: Mutex<IndexMap<PoolId, Arc<Desk>>>,
     blocked: Mutex<IndexSet<KeyDigest>>,
+    /// When the table or most peers last confirmed the catalog, in microseconds.
+    heard_at: AtomicU64,
+    /// When the table last answered, in microseconds.
+    table_at: AtomicU64,
     open: AtomicUsize,
     leaving: AtomicBool,
 }
@@ -90,6 +94,8 @@
             quarantine: Mutex::default(),
             pools: Mutex::default(),
             blocked: Mutex::default(),
+            heard_at: AtomicU64::new(0),
+            table_at: AtomicU64::new(0),
             open: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
             platform,
@@ -159,6 +165,31 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// The table answered a question asked at `asked_at`, so the catalog is the newest.
+    pub(crate) fn hear_table(&self, asked_at: Duration) {
+        self.table_at.fetch_max(asked_at.as_micros() as u64, Ordering::Relaxed);
+        self.hear_most(asked_at);
+    }
+
+    /// Most peers answered a question asked at `asked_at`, so the catalog is the newest that
+    /// any operator was told is in force.
+    pub(crate) fn hear_most(&self, asked_at: Duration) {
+        self.heard_at.fetch_max(asked_at.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// How long the table has not answered.
+    pub(crate) fn table_silence(&self) -> Duration {
+        let at = Duration::from_micros(self.table_at.load(Ordering::Relaxed));
+        self.now().saturating_sub(at)
+    }
+
+    /// Whether the catalog was confirmed lately.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        let at = Duration::from_micros(self.heard_at.load(Ordering::Relaxed));
+        let grace = self.settings.timeouts.catalog_grace_ms.duration();
+        self.now().saturating_sub(at) <= grace
+    }
+
     /// Refuses a key from now on, whatever the catalog says.
     pub(crate) fn block_key(&self, digest: KeyDigest) {
         self.lock_blocked().insert(digest);
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -40,7 +40,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     // The addresses come first: holding them proves that no earlier life of this place runs.
-    let listener = TcpListener::bind(settings.instance.peers).await?;
+    let instance = &settings.instance;
+    let listener = TcpListener::bind(instance.peers_listen.unwrap_or(instance.peers)).await?;
     let body_limit = settings.limits.body_bytes + 1;
     let (callers, operators) = (settings.instance.callers, settings.instance.admin);
     let incarnation = new_life(&settings).await;
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -2,10 +2,12 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -43,10 +45,13 @@
 
 pub struct Daemon {
     child: Child,
+    log: Arc<Mutex<String>>,
     pub id: String,
     pub callers: SocketAddr,
     pub admin: SocketAddr,
-    pub peers: SocketAddr,
+    pub peers_listen: SocketAddr,
+    /// The network between this daemon and those that call it.
+    pub peer_relay: Arc<Relay>,
     platform: SocketAddr,
 }
 
@@ -84,6 +89,11 @@
         rustix::process::kill_process(id, signal).expect("the process was started here");
     }
 
+    /// What the daemon has logged.
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         self.child.kill().expect("the process was started here");
@@ -98,11 +108,12 @@
     fn start(
         id: &str,
         ports: [SocketAddr; 3],
+        peer_relay: Arc<Relay>,
         platform: SocketAddr,
         settings: &[String],
     ) -> Daemon {
         let base = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/base.json");
-        let [callers, admin, peers] = ports;
+        let [callers, admin, peers_listen] = ports;
         let mut command = Command::new(env!("CARGO_BIN_EXE_kingcupshiftd"));
         command.arg("serve").arg("--base").arg(base).stdin(Stdio::null());
         let mut values = vec![
@@ -110,11 +121,12 @@
             "instance.failure_domain=north".into(),
             format!("instance.callers={callers}"),
             format!("instance.admin={admin}"),
-            format!("instance.peers={peers}"),
+            format!("instance.peers={}", peer_relay.address()),
+            format!("instance.peers_listen={peers_listen}"),
             "secrets.peer=test-peer-secret-x".into(),
             format!("secrets.admin={ADMIN_TOKEN}"),
             format!("secrets.target={TARGET_SECRET}"),
-            format!("log.filter={}", std::env::var("TEST_LOG").unwrap_or("error".into())),
+            format!("log.filter={}", std::env::var("TEST_LOG").unwrap_or("info".into())),
         ];
         let parts = ["list", "table", "objects", "weights"];
         values.extend(parts.map(|it| format!("platform.{it}={platform}")));
@@ -122,8 +134,15 @@
         for value in values {
             command.arg("--set").arg(value);
         }
-        let child = command.spawn().expect("the daemon was built with this test");
-        Daemon { child, id: id.into(), callers, admin, peers, platform }
+        command.stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the daemon was built with this test");
+        let log = Arc::new(Mutex::new(String::new()));
+        let stderr = child.stderr.take().expect("it was piped");
+        std::thread::spawn({
+            let log = log.clone();
+            move || collect(stderr, &log)
+        });
+        Daemon { child, log, id: id.into(), callers, admin, peers_listen, peer_relay, platform }
     }
 }
 
@@ -166,7 +185,7 @@
             settings: settings.iter().map(|it| it.to_string()).collect(),
         };
         for number in 1..=daemons {
-            fleet.add_daemon(&format!("entry-{number}"));
+            fleet.add_daemon(&format!("entry-{number}")).await;
         }
         for daemon in 0..daemons {
             fleet.wait_ready(daemon).await;
@@ -183,16 +202,15 @@
     }
 
     /// Starts one more daemon.
-    pub fn add_daemon(&mut self, id: &str) {
-        let ports = [free_address(), free_address(), free_address()];
-        let daemon = Daemon::start(id, ports, self.platform_address, &self.settings);
-        self.daemons.push(daemon);
+    pub async fn add_daemon(&mut self, id: &str) {
+        self.add_daemon_behind(id, self.platform_address).await;
     }
 
     /// Starts one more daemon that reaches the platform at another address.
-    pub fn add_daemon_behind(&mut self, id: &str, platform: SocketAddr) {
+    pub async fn add_daemon_behind(&mut self, id: &str, platform: SocketAddr) {
         let ports = [free_address(), free_address(), free_address()];
-        self.daemons.push(Daemon::start(id, ports, platform, &self.settings));
+        let relay = Arc::new(Relay::start(ports[2]).await.expect("a free port"));
+        self.daemons.push(Daemon::start(id, ports, relay, platform, &self.settings));
     }
 
     /// Starts a daemon again at the place of one that ended.
@@ -200,9 +218,9 @@
         let old = &mut self.daemons[index];
         let _ = old.child.kill();
         let _ = old.child.wait();
-        let ports = [old.callers, old.admin, old.peers];
-        let (id, platform) = (old.id.clone(), old.platform);
-        self.daemons[index] = Daemon::start(&id, ports, platform, &self.settings);
+        let ports = [old.callers, old.admin, old.peers_listen];
+        let (id, relay, platform) = (old.id.clone(), old.peer_relay.clone(), old.platform);
+        self.daemons[index] = Daemon::start(&id, ports, relay, platform, &self.settings);
     }
 
     pub async fn wait_ready(&self, index: usize) {
@@ -378,7 +396,27 @@
     }
 }
 
+fn collect(stderr: ChildStderr, log: &Mutex<String>) {
+    for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+        if std::env::var_os("TEST_LOG").is_some() {
+            eprintln!("{line}");
+        }
+        let mut log = log.lock().unwrap();
+        log.push_str(&line);
+        log.push('\n');
+    }
+}
+
+/// An address below the ports that outgoing connections get, so that none of them takes it
+/// before its daemon does.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound port")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let base = (std::process::id() * 97 % 18_000) as u16;
+    loop {
+        let port = 12_000 + (base + NEXT.fetch_add(1, Ordering::Relaxed)) % 18_000;
+        let address = ([127, 0, 0, 1], port).into();
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
--- a/crates/daemon/tests/fleet_rate.rs
+++ b/crates/daemon/tests/fleet_rate.rs
@@ -143,7 +143,7 @@
     // Five times the rate: 200 calls a second of 10 tokens each. Every fourth call goes to any
     // daemon, the rest to one.
     let pace = Duration::from_millis(5);
-    let skewed = |it: usize| if it % 4 == 0 { it / 4 % DAEMONS } else { 1 };
+    let skewed = |it: usize| if it.is_multiple_of(4) { it / 4 % DAEMONS } else { 1 };
     let mut admitted = Vec::new();
     let began = Instant::now();
     let mut send = async |fleet: &Fleet, time| {
@@ -180,7 +180,7 @@
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     // 32 calls a second of 10 tokens: 80% of the rate, three in four through one daemon.
     let pace = Duration::from_micros(31_250);
-    let skewed = |it: usize| if it % 4 == 0 { it / 4 % DAEMONS } else { 1 };
+    let skewed = |it: usize| if it.is_multiple_of(4) { it / 4 % DAEMONS } else { 1 };
     let (admitted, refused, sent) =
         send_for(&fleet, &key, Duration::from_secs(8), pace, skewed).await;
     println!("within its rate: {} of {sent} admitted, {refused} refused", admitted.len());
--- a/crates/ids/src/error_kind.rs
+++ b/crates/ids/src/error_kind.rs
@@ -52,6 +52,8 @@
     Leaving,
     /// This instance has no configuration yet.
     ConfigMissing,
+    /// This instance cannot confirm that its configuration is the newest.
+    ConfigStale,
     /// A fault of the daemon itself.
     Internal,
 }
@@ -119,6 +121,12 @@
     row(ErrorKind::Quarantined, 422, "quarantined", "requests like this crashed targets"),
     row(ErrorKind::Leaving, 503, "leaving", "this instance is leaving"),
     row(ErrorKind::ConfigMissing, 503, "config_missing", "no configuration has been read yet"),
+    row(
+        ErrorKind::ConfigStale,
+        503,
+        "config_stale",
+        "this instance is cut off and cannot tell whether the key still holds",
+    ),
     row(ErrorKind::Internal, 500, "internal", "a fault of the router"),
 ];
 
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -75,6 +75,9 @@
     pub admin: SocketAddr,
     /// Where peers reach it.
     pub peers: SocketAddr,
+    /// Where it listens for peers, if not at that address itself.
+    #[serde(default)]
+    pub peers_listen: Option<SocketAddr>,
 }
 
 /// Where the platform's services are.
@@ -188,6 +191,8 @@
     pub deferrable_queue_ms: Millis,
     /// For tokens of the customer's rate.
     pub rate_wait_ms: Millis,
+    /// For the table or most peers to confirm the catalog, before keyed requests are refused.
+    pub catalog_grace_ms: Millis,
     /// For open requests to end when this daemon leaves.
     pub drain_ms: Millis,
 }
@@ -203,6 +208,7 @@
             counter_queue_ms: Millis(10_000),
             deferrable_queue_ms: Millis(60_000),
             rate_wait_ms: Millis(1_000),
+            catalog_grace_ms: Millis(4_500),
             drain_ms: Millis(30_000),
         }
     }
@@ -280,6 +286,7 @@
             ("timeouts.first_token_ms", timeouts.first_token_ms),
             ("timeouts.next_token_ms", timeouts.next_token_ms),
             ("timeouts.service_ms", timeouts.service_ms),
+            ("timeouts.catalog_grace_ms", timeouts.catalog_grace_ms),
             ("timeouts.counter_queue_ms", timeouts.counter_queue_ms),
             ("timeouts.deferrable_queue_ms", timeouts.deferrable_queue_ms),
         ];
--- a/crates/xtask/src/fleet.rs
+++ b/crates/xtask/src/fleet.rs
@@ -248,6 +248,15 @@
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/base.json")
 }
 
+/// An address below the ports that outgoing connections get, so that none of them takes it
+/// before its process does.
 fn free_address() -> Result<SocketAddr, ChoreError> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    for _ in 0..1_000 {
+        let port = rand::random_range(12_000..30_000);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err("no free port".into())
 }
