Deliver streams whole, in order and once, or end them by an explicit error

Cause: pieces that come in another order than numbered were taken for a loss; the stream was resumed, swapped again, and given up after three mends. Ruled out: refusing to reorder (the gap is closed by the very next piece). Change: up to 8 pieces may come ahead of their turn; an end mark before a missing piece is a break.

--- a/crates/daemon/src/model_stream.rs
+++ b/crates/daemon/src/model_stream.rs
@@ -1,5 +1,6 @@
 //! The stream of a model's answer to its caller: whole, in order, once, or ended by an error.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::time::Instant;
 
@@ -21,6 +22,8 @@
 
 /// Pieces that may wait for a slow caller.
 const WAITING_PIECES: usize = 64;
+/// Pieces that may come ahead of their turn.
+const PIECES_AHEAD: u64 = 8;
 /// Times one stream is mended.
 const MAX_MENDS: u32 = 3;
 
@@ -42,6 +45,8 @@
     model: ModelRequest,
     begun: Begun<BegunStream>,
     order: StreamOrder,
+    /// Pieces that came ahead of their turn.
+    ahead: BTreeMap<u64, Value>,
     out: mpsc::Sender<io::Result<Bytes>>,
     used: Option<u64>,
     mends: u32,
@@ -66,6 +71,7 @@
         model,
         begun,
         order: StreamOrder::default(),
+        ahead: BTreeMap::new(),
         out: sender,
         used: None,
         mends: 0,
@@ -153,6 +159,9 @@
                 self.used = value["usage"]["total_tokens"].as_u64().or(self.used);
                 self.send(format!("data: {}\n\n", self.own_id(value))).await
             }
+            StreamEvent::End if !self.ahead.is_empty() => {
+                PieceStep::Broken(ExchangeError::Broken("a piece is missing at the end".into()))
+            }
             StreamEvent::End => {
                 self.order.end();
                 match self.send("data: [DONE]\n\n".into()).await {
@@ -167,6 +176,21 @@
         let Ok(value) = serde_json::from_slice::<Value>(data) else {
             return PieceStep::Broken(ExchangeError::Broken("a piece is no JSON".into()));
         };
+        let next = self.order.delivered() + 1;
+        if number > next && number <= next + PIECES_AHEAD {
+            self.ahead.insert(number, value);
+            return PieceStep::Go;
+        }
+        let mut step = self.take_in_turn(number, value).await;
+        while let PieceStep::Go = step {
+            let next = self.order.delivered() + 1;
+            let Some(value) = self.ahead.remove(&next) else { break };
+            step = self.take_in_turn(next, value).await;
+        }
+        step
+    }
+
+    async fn take_in_turn(&mut self, number: u64, value: Value) -> PieceStep {
         let content = value["choices"].to_string();
         match self.order.accept(number, content.as_bytes()) {
             PieceVerdict::Drop => PieceStep::Go,
@@ -188,6 +212,7 @@
     /// Mends a broken stream, on the same replica or by a replay on another; an end if it can't.
     async fn mend(&mut self, error: ExchangeError) -> Option<StreamEnd> {
         self.mends += 1;
+        self.ahead.clear();
         tracing::info!(request = %self.model.id, "stream: broke: {error}");
         if self.mends > MAX_MENDS {
             return Some(StreamEnd::Failed(cut("it broke too often")));
