--- a/crates/control/tests/rate_law.rs
+++ b/crates/control/tests/rate_law.rs
@@ -340,6 +340,36 @@
     world.check(1);
 }
 
+#[tokio::test]
+async fn a_right_that_lapsed_is_not_revived_by_peers_in_an_outage() {
+    let mut world = World::new(4, 1);
+    for _ in 0..50 {
+        world.pass().await;
+    }
+    let lost = world.holder_index();
+    (world.instances[lost].cut, world.instances[lost].deaf) = (true, true);
+    world.instances[lost].store.set(StoreFault::Down);
+    for _ in 0..400 {
+        world.pass().await;
+    }
+    // Its part is another's by now; the new holder dies, and only then the cut ends.
+    world.platform_down = true;
+    world.instances.iter().for_each(|it| it.store.set(StoreFault::Down));
+    let other = (lost + 1) % 4;
+    let parts = world.instances[other].holder.table().parts[&customer_id()].clone();
+    let id = world.instances[lost].id.clone();
+    assert!(parts.iter().all(|it| it.holder != id));
+    // The others start anew and know nothing of the row.
+    for index in (0..4).filter(|it| *it != lost) {
+        world.restart(index);
+    }
+    (world.instances[lost].cut, world.instances[lost].deaf) = (false, false);
+    for _ in 0..60 {
+        world.pass().await;
+    }
+    assert!(!world.ask(lost, 1), "its right has lapsed");
+}
+
 #[tokio::test]
 async fn a_customer_seen_late_by_one_instance_gets_no_second_burst() {
     let mut world = World::new(2, 1);
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,8 @@
 
 mod demo;
 mod fleet;
+mod mutant_table;
+mod mutants;
 mod test_run;
 
 use std::process;
@@ -19,6 +21,7 @@
 #[argh(subcommand)]
 enum Chore {
     Demo(DemoArgs),
+    Mutants(MutantsArgs),
     Test(TestArgs),
 }
 
@@ -27,6 +30,15 @@
 #[argh(subcommand, name = "demo")]
 struct DemoArgs {}
 
+/// Show that each promise's test fails without its mechanism.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "mutants")]
+struct MutantsArgs {
+    /// run only mutants whose name holds this
+    #[argh(option, default = "String::new()")]
+    only: String,
+}
+
 /// Run all tests but those that KNOWN-RED.txt names, and print these.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "test")]
@@ -37,6 +49,7 @@
     let args: XtaskArgs = argh::from_env();
     let res = match args.chore {
         Chore::Demo(_) => demo::run().await,
+        Chore::Mutants(it) => mutants::run(&it.only),
         Chore::Test(_) => test_run::run(),
     };
     if let Err(error) = res {
