Drive version moves under one lease, by absolute orders that are read back

Cause: nothing moved versions yet; a stage could be overwritten by whoever had not seen the fault. Ruled out: a lease for each of 31 models (16 writes a second; one driver gives the limit of three loads at once for the whole site and costs half a write a second), a deadline by wall clock (clocks are not synchronized; the age of a move travels in the lease row, two lease times added when a driver is lost), fencing alone (there are targets that ignore it: a new driver first waits as long as an order can live, orders are given only with that much lease left, and what still comes late is found as a stray and ordered back). Change: lease with fencing, plan of a move (pure), driver, stages that only go forward, evidence that stops a version on this daemon and its peers before any verdict is accepted. A test of the catalog file found that a pool could not be dropped with its versions; they go with it now.

--- a/crates/catalog/src/document.rs
+++ b/crates/catalog/src/document.rs
@@ -1,5 +1,6 @@
 //! A catalog as operators keep it in a file, and what must change to get there.
 
+use ids::PoolId;
 use indexmap::IndexMap;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -43,8 +44,14 @@
         if let Some(wanted) = &self.versions {
             let fresh = wanted.iter().filter(|it| !state.versions.contains(it));
             operations.extend(fresh.cloned().map(Operation::PutVersion));
+            // Versions of a pool that goes, go with it.
+            let stays = |pool: &PoolId| {
+                self.pools.as_ref().is_none_or(|it| it.iter().any(|it| it.id == *pool))
+            };
             let gone = state.versions.iter().filter(|old| {
-                !wanted.iter().any(|it| (&it.pool, it.number) == (&old.pool, old.number))
+                let named =
+                    wanted.iter().any(|it| (&it.pool, it.number) == (&old.pool, old.number));
+                !named && stays(&old.pool)
             });
             let drop =
                 |it: &Version| Operation::DropVersion { pool: it.pool.clone(), number: it.number };
--- a/crates/catalog/src/entity.rs
+++ b/crates/catalog/src/entity.rs
@@ -210,6 +210,17 @@
 }
 
 impl MoveStage {
+    /// Whether a move may go from this stage to `next`. A move that is being taken back never
+    /// goes on: whoever found the fault wins over whoever has not seen it yet.
+    pub fn may_become(self, next: MoveStage) -> bool {
+        match self {
+            MoveStage::Trial => matches!(next, MoveStage::Rollout | MoveStage::TakingBack),
+            MoveStage::Rollout => matches!(next, MoveStage::Done | MoveStage::TakingBack),
+            MoveStage::TakingBack => next == MoveStage::TakenBack,
+            MoveStage::Done | MoveStage::TakenBack => false,
+        }
+    }
+
     /// Whether the move has ended.
     pub fn is_over(self) -> bool {
         matches!(self, MoveStage::Done | MoveStage::TakenBack)
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -242,9 +242,14 @@
         if let Some(it) = self.open_move(&change.pool).filter(|it| it.id != change.id) {
             return Err(in_use("pool", change.pool.as_str(), format!("move {}", it.id)));
         }
-        let old = self.moves.get(&change.id);
-        if old.is_some_and(|it| it.stage.is_over()) {
-            return Err(in_use("move", change.id.as_str(), "a move that is over".into()));
+        let allowed = match self.moves.get(&change.id) {
+            Some(old) => old.stage.may_become(change.stage),
+            None => change.stage == MoveStage::Trial,
+        };
+        if !allowed {
+            let found = format!("{:?}", change.stage).into();
+            let allowed = "trial, then rollout, then done; or taking_back, then taken_back";
+            return Err(invalid("stage", change.id.as_str(), found, allowed));
         }
         if change.stage == MoveStage::Done {
             let pool = self.pools.get_mut(&change.pool);
--- a/crates/daemon/src/background.rs
+++ b/crates/daemon/src/background.rs
@@ -10,6 +10,7 @@
 use ports::{Member, MemberList, MemberState};
 use tokio::sync::watch;
 
+use crate::moves;
 use crate::router::Router;
 
 /// The time between two marks that the process runs.
@@ -40,6 +41,7 @@
     spawn(router, stop, poll_platform);
     spawn(router, stop, ask_in_outage);
     spawn(router, stop, look_at_engines);
+    spawn(router, stop, moves::drive);
 }
 
 fn spawn<F, Fut>(router: &Arc<Router>, stop: &watch::Receiver<()>, task: F)
@@ -159,6 +161,13 @@
             router.metrics.members.set(members.len() as i64);
             let addresses: Vec<_> = members.iter().map(|it| it.peer_address).collect();
             router.peers.keep_only(&addresses);
+            // The list names targets too, where the platform runs them.
+            let leaving: Vec<&str> = members
+                .iter()
+                .filter(|it| it.state == MemberState::Leaving)
+                .map(|it| it.id.as_str())
+                .collect();
+            router.desks().iter().for_each(|it| it.mark_leaving(&leaving));
             router.members.replace(members);
             true
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod model_body;
 mod model_call;
 mod model_stream;
+mod moves;
 mod peer_roles;
 mod pool;
 mod rate_desk;
--- a/crates/daemon/src/model_call.rs
+++ b/crates/daemon/src/model_call.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response, StatusCode};
 use ids::{
     CustomerId, ErrorKind, Incarnation, KeyDigest, PoolId, Refusal, RequestId, RouteId, RunState,
-    TokenCount,
+    TokenCount, VersionNumber,
 };
 use policy::chain::{self, ChainScope};
 use policy::quarantine::{Fingerprint, Standing, Strike};
@@ -24,6 +24,7 @@
 use crate::front::CallerRequest;
 use crate::model_body::{self, ModelApi, ModelBody};
 use crate::model_stream;
+use crate::moves;
 use crate::pool::{PlaceRequest, Placed, PlacedSlot};
 use crate::rate_desk::{self, RateTicket};
 use crate::router::{Desk, Router};
@@ -188,7 +189,7 @@
                     let first = Some(began.elapsed());
                     self.desk.learn(&slot.placed, labels, &self.place, first);
                     let version = labels.version.unwrap_or(slot.placed.version);
-                    self.desk.try_version(self.route.as_str(), version, false, first);
+                    self.see_version(version, false, first);
                     return Ok(Begun { slot, attempt, labels, answer });
                 }
                 Err(fault) => self.after_fault(&slot.placed, &attempt, fault).await?,
@@ -227,8 +228,7 @@
                 let busy = matches!(status.as_u16(), 429 | 503);
                 if !busy {
                     self.run = RunState::MaybeRun;
-                    let route = self.route.as_str();
-                    self.desk.try_version(route, placed.version, true, None);
+                    self.see_version(placed.version, true, None);
                 }
                 self.desk.fail(&placed.target, false);
                 let reason = if busy { RetryReason::TargetBusy } else { RetryReason::TargetError };
@@ -246,6 +246,12 @@
         Ok(())
     }
 
+    /// Evidence about the version that an attempt ran on.
+    fn see_version(&self, version: VersionNumber, failed: bool, latency: Option<Duration>) {
+        let found = self.desk.try_version(self.route.as_str(), version, failed, latency);
+        moves::report_fault(&self.router, found);
+    }
+
     /// Looks at a replica whose answer broke: a crash is charged to the request.
     pub(crate) async fn after_break(
         &self,
@@ -255,7 +261,7 @@
     ) {
         let version_fault = !matches!(error, ExchangeError::Crossed);
         if version_fault {
-            self.desk.try_version(self.route.as_str(), placed.version, true, None);
+            self.see_version(placed.version, true, None);
         }
         let before = self.desk.life(&placed.target).or(placed.incarnation);
         let before = placed.incarnation.or(before);
--- a/crates/daemon/src/peer_roles.rs
+++ b/crates/daemon/src/peer_roles.rs
@@ -52,6 +52,12 @@
                 router.catalog.nudge();
                 PeerResponse::Done
             }
+            PeerRequest::VersionFault { pool, id } => {
+                if let Some(desk) = router.desk(&pool) {
+                    desk.condemn(id);
+                }
+                PeerResponse::Done
+            }
             PeerRequest::Strikes(strikes) => {
                 let now = router.now();
                 let mut quarantine = router.lock_quarantine();
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use catalog::{CatalogState, Pool, PoolKind, Target, VersionMove};
-use ids::{CustomerId, ErrorKind, Incarnation, PoolId, Refusal, TargetId, VersionNumber};
+use ids::{CustomerId, ErrorKind, Incarnation, MoveId, PoolId, Refusal, TargetId, VersionNumber};
 use indexmap::IndexMap;
 use policy::chain::ChainHash;
 use policy::fair_queue::FairQueue;
@@ -64,6 +64,8 @@
     reported: u32,
     reported_at: Duration,
     apart: bool,
+    /// It said itself, or the platform's list says, that it leaves.
+    leaving: bool,
 }
 
 #[derive(Debug)]
@@ -81,6 +83,8 @@
     placement: PlacementTable,
     budget: RetryBudget,
     trial: VersionTrial,
+    /// The move whose new version gets nothing more, by own evidence or a peer's.
+    condemned: Option<MoveId>,
 }
 
 /// One pool, shared by all requests.
@@ -143,6 +147,7 @@
             placement: PlacementTable::new(costs),
             budget: RetryBudget::default(),
             trial: VersionTrial::default(),
+            condemned: None,
         };
         PoolDesk { id: pool.id, clock, queue_limit, state: Mutex::new(state) }
     }
@@ -179,7 +184,7 @@
     ) -> Result<PlacedSlot<C>, Refusal> {
         let receiver = {
             let mut state = self.lock();
-            if state.replicas.values().all(|it| it.target.leaving) {
+            if state.replicas.values().all(Replica::leaves) {
                 return Err(Refusal::not_run(ErrorKind::NoTarget).retry_after(1));
             }
             if state.queue.len() >= self.queue_limit {
@@ -264,6 +269,7 @@
         let Some(replica) = state.replicas.get_mut(&placed.target) else { return };
         replica.reported = labels.running.unwrap_or(replica.reported);
         replica.reported_at = now;
+        replica.leaving = labels.leaving;
         let computed = request.tokens.saturating_sub(labels.cached_tokens.unwrap_or(0)).max(1_000);
         let speed = first_token.map(|it| it.as_secs_f64() * 1_000.0 / computed as f64);
         replica.health.succeed(speed);
@@ -291,10 +297,19 @@
         state.see(now, target, Some(status.incarnation), Some(status.version));
         if let Some(replica) = state.replicas.get_mut(target) {
             replica.reported = status.running;
+            replica.leaving = status.leaving;
             replica.reported_at = now;
         }
     }
 
+    /// Takes over which targets the platform's list says are leaving.
+    pub(crate) fn mark_leaving(&self, leaving: &[&str]) {
+        let mut state = self.lock();
+        for replica in state.replicas.values_mut() {
+            replica.leaving |= leaving.contains(&replica.target.id.as_str());
+        }
+    }
+
     /// The life in which a replica was last seen.
     pub(crate) fn life(&self, target: &TargetId) -> Option<Incarnation> {
         self.lock().replicas.get(target).and_then(|it| it.health.life())
@@ -313,14 +328,15 @@
         versions
     }
 
-    /// One request's evidence about the running move.
+    /// One request's evidence about the running move. Returns the move and its fault when the
+    /// fault is first found.
     pub(crate) fn try_version(
         &self,
         route: &str,
         version: VersionNumber,
         failed: bool,
         latency: Option<Duration>,
-    ) -> Option<TrialFault> {
+    ) -> Option<(VersionMove, TrialFault)> {
         let mut state = self.lock();
         let open_move = state.open_move.clone()?;
         if version != open_move.from && version != open_move.to {
@@ -331,7 +347,20 @@
             failed,
             latency_s: latency.map(|it| it.as_secs_f64()),
         };
-        state.trial.see(route, sample)
+        let fault = state.trial.see(route, sample)?;
+        let first = state.condemned.as_ref() != Some(&open_move.id);
+        state.condemned = Some(open_move.id.clone());
+        first.then_some((open_move, fault))
+    }
+
+    /// Gives the new version of a move nothing more.
+    pub(crate) fn condemn(&self, id: MoveId) {
+        self.lock().condemned = Some(id);
+    }
+
+    /// Requests this daemon saw on the new version of the running move.
+    pub(crate) fn trial_requests(&self) -> u64 {
+        self.lock().trial.new_count()
     }
 
     /// Engines to look at, with their addresses.
@@ -390,9 +419,14 @@
             reported: 0,
             reported_at: Duration::ZERO,
             apart: false,
+            leaving: false,
         }
     }
 
+    fn leaves(&self) -> bool {
+        self.leaving || self.target.leaving
+    }
+
     fn view(&self, slots: u32) -> ReplicaView {
         ReplicaView {
             member: self.member,
@@ -405,7 +439,7 @@
     }
 
     fn may_work(&self, now: Duration) -> bool {
-        !self.target.leaving && !self.apart && self.health.state(now) == HealthState::Good
+        !self.leaves() && !self.apart && self.health.state(now) == HealthState::Good
     }
 
     fn has_room(&self, now: Duration, slots: u32) -> bool {
@@ -414,7 +448,7 @@
 
     fn status(&self, now: Duration) -> ReplicaStatus {
         let health = match self.health.state(now) {
-            _ if self.target.leaving => "leaving",
+            _ if self.leaves() => "leaving",
             HealthState::Good => "good",
             HealthState::Paused => "paused",
             HealthState::CrashLoop => "crash_loop",
@@ -477,10 +511,9 @@
         let runs = |index: &usize| self.replicas[*index].version.is_none_or(|it| it == version);
         if open.iter().any(runs) || request.only_version.is_some() {
             open.retain(runs);
-        } else if self.open_move.is_some() && self.trial.fault().is_some() {
+        } else if let Some(bad) = self.condemned_version() {
             // Nothing runs on a version whose fault shows, not even when the rest is busy.
-            let bad = self.open_move.as_ref().map(|it| it.to);
-            open.retain(|index| self.replicas[*index].version != bad);
+            open.retain(|index| self.replicas[*index].version != Some(bad));
         }
         let views: Vec<ReplicaView> =
             open.iter().map(|index| self.replicas[*index].view(slots)).collect();
@@ -501,6 +534,13 @@
         })
     }
 
+    /// The new version of the running move, if its fault shows or it is being taken back.
+    fn condemned_version(&self) -> Option<VersionNumber> {
+        let it = self.open_move.as_ref()?;
+        let back = it.stage == catalog::MoveStage::TakingBack;
+        (back || self.condemned.as_ref() == Some(&it.id)).then_some(it.to)
+    }
+
     /// The version a request is to run on: a small share goes to a version on trial.
     fn draw_version(&self) -> VersionNumber {
         let Some(it) = &self.open_move else { return self.pool.version };
@@ -508,7 +548,7 @@
             self.replicas.values().filter(|replica| replica.version == Some(it.to)).count() as f64;
         let all = self.replicas.len().max(1) as f64;
         let share = match it.stage {
-            _ if self.trial.fault().is_some() => 0.0,
+            _ if self.condemned_version().is_some() => 0.0,
             catalog::MoveStage::Trial => TRIAL_SHARE.min(on_new),
             catalog::MoveStage::Rollout => on_new / all,
             catalog::MoveStage::Done => 1.0,
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -1,6 +1,6 @@
 //! The messages.
 
-use ids::{CustomerId, Incarnation, InstanceId, KeyDigest, PoolId, Revision};
+use ids::{CustomerId, Incarnation, InstanceId, KeyDigest, MoveId, PoolId, Revision};
 use policy::chain::ChainHash;
 use policy::claim::OwnerWord;
 use policy::quarantine::Strike;
@@ -81,6 +81,13 @@
     },
     /// Tells of a key that is withdrawn, whether or not the table has accepted it yet.
     BlockKey(KeyDigest),
+    /// Tells that the new version of a move is bad.
+    VersionFault {
+        /// The pool.
+        pool: PoolId,
+        /// The move.
+        id: MoveId,
+    },
     /// Tells of crashes.
     Strikes(Vec<Strike>),
     /// Asks for what helps a daemon that has just started.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod fair_queue;
 pub mod health;
+pub mod move_plan;
 pub mod parts;
 pub mod placement;
 pub mod quarantine;
--- a/crates/stand-ins/src/engine.rs
+++ b/crates/stand-ins/src/engine.rs
@@ -97,6 +97,10 @@
     pub cross_answers: u32,
     /// Crashes on prompts that hold this text.
     pub crash_on: Option<String>,
+    /// Says that it leaves.
+    pub leaving: bool,
+    /// Begins loads and never ends them.
+    pub stuck_load: bool,
 }
 
 /// What the engine did so far.
@@ -124,6 +128,8 @@
     pub version: u64,
     /// A version is loading.
     pub loading: bool,
+    /// It finishes what it has and takes nothing new.
+    pub leaving: bool,
 }
 
 /// An order to an engine.
@@ -170,7 +176,7 @@
     pub fn stats(&self) -> EngineStats {
         let state = self.lock();
         let running = state.runs.values().filter(|it| !it.is_over()).count() as u64;
-        EngineStats { running, ..state.stats.clone() }
+        EngineStats { running, leaving: state.faults.leaving, ..state.stats.clone() }
     }
 
     /// Headers and bodies of the last requests, as text.
@@ -277,6 +283,9 @@
 async fn load(engine: Arc<EngineStandIn>, version: u64) {
     tokio::time::sleep(engine.shape.load_time).await;
     let mut state = engine.lock();
+    if state.faults.stuck_load {
+        return;
+    }
     state.stats.version = version;
     state.stats.loading = false;
     state.cache.clear();
@@ -584,6 +593,9 @@
     headers.insert("x-engine-incarnation", state.stats.incarnation.into());
     headers.insert("x-engine-version", state.stats.version.into());
     headers.insert("x-engine-running", running.into());
+    if state.faults.leaving {
+        headers.insert("x-engine-leaving", HeaderValue::from_static("true"));
+    }
 }
 
 fn header(headers: &HeaderMap, name: &str) -> Option<String> {
--- a/crates/targets/src/engine_client.rs
+++ b/crates/targets/src/engine_client.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use catalog::Target;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method, Request, Response};
 use hyper::body::Incoming;
 use ids::{Incarnation, RequestId, VersionNumber};
+use ports::{OrderFault, Orders, TargetState};
 use serde::{Deserialize, Serialize};
 use web::client::{CallError, Connection, HttpCaller};
 
@@ -60,6 +62,8 @@
     pub running: Option<u32>,
     /// Prompt tokens it found cached.
     pub cached_tokens: Option<u64>,
+    /// It finishes what it has and takes nothing new.
+    pub leaving: bool,
 }
 
 impl AnswerLabels {
@@ -71,6 +75,7 @@
             version: number("x-engine-version").map(VersionNumber),
             running: number("x-engine-running").and_then(|it| u32::try_from(it).ok()),
             cached_tokens: number("x-engine-cached"),
+            leaving: headers.get("x-engine-leaving").is_some_and(|it| it == "true"),
         }
     }
 }
@@ -86,28 +91,17 @@
     pub loading: bool,
     /// Requests on it now.
     pub running: u32,
+    /// It finishes what it has and takes nothing new.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
-/// An order to be at a version.
-#[derive(Debug, Clone, Serialize)]
-pub struct VersionOrder {
-    /// The order's id.
-    pub id: Box<str>,
-    /// The fencing number of the lease it is given under.
-    pub fencing: u64,
-    /// The version to be at.
-    pub version: VersionNumber,
-}
-
-/// Why an order was not taken.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum OrderError {
-    /// The target has seen a greater fencing number.
-    #[error("overtaken by a greater fencing number")]
-    Overtaken,
-    /// Whether it was taken is not known.
-    #[error("no clear answer: {0}")]
-    Unclear(Box<str>),
+/// An order to be at a version, as engines take it.
+#[derive(Debug, Serialize)]
+struct VersionOrder<'a> {
+    id: &'a str,
+    fencing: u64,
+    version: VersionNumber,
 }
 
 /// A client of all targets.
@@ -165,18 +159,6 @@
             .map_err(|error| ExchangeError::Broken(error.to_string().into()))
     }
 
-    /// Gives an order.
-    pub async fn order(&self, address: SocketAddr, order: &VersionOrder) -> Result<(), OrderError> {
-        let body = serde_json::to_vec(order).unwrap_or_default();
-        let res = self.small(Method::POST, address, "/v1/orders", body.into()).await;
-        let answer = res.map_err(|error| OrderError::Unclear(error.to_string().into()))?;
-        match answer.status() {
-            http::StatusCode::CONFLICT => Err(OrderError::Overtaken),
-            it if it.is_success() => Ok(()),
-            it => Err(OrderError::Unclear(it.as_str().into())),
-        }
-    }
-
     /// Tells an engine that nobody waits for this attempt any more.
     pub async fn cancel(
         &self,
@@ -220,6 +202,35 @@
     }
 }
 
+impl Orders for EngineClient {
+    async fn state(&self, target: &Target) -> Option<TargetState> {
+        let status = self.status(target.address).await.ok()?;
+        Some(TargetState {
+            incarnation: status.incarnation,
+            version: status.version,
+            loading: status.loading,
+        })
+    }
+
+    async fn order(
+        &self,
+        target: &Target,
+        version: VersionNumber,
+        fencing: u64,
+    ) -> Result<(), OrderFault> {
+        let id = format!("{}-{version}-{fencing}", target.id);
+        let body = serde_json::to_vec(&VersionOrder { id: &id, fencing, version });
+        let body = body.unwrap_or_default().into();
+        let res = self.small(Method::POST, target.address, "/v1/orders", body).await;
+        let answer = res.map_err(|error| OrderFault::Unclear(error.to_string().into()))?;
+        match answer.status() {
+            http::StatusCode::CONFLICT => Err(OrderFault::Overtaken),
+            it if it.is_success() => Ok(()),
+            it => Err(OrderFault::Unclear(it.as_str().into())),
+        }
+    }
+}
+
 fn check_echo(headers: &HeaderMap, attempt: &RequestId, echoes: bool) -> Result<(), ExchangeError> {
     let echo = headers.get("x-request-id").map(HeaderValue::as_bytes);
     if echoes && echo != Some(attempt.as_str().as_bytes()) {
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -8,8 +8,6 @@
 mod event_stream;
 mod headers;
 
-pub use engine_client::{
-    AnswerLabels, EngineClient, EngineStatus, ExchangeError, OrderError, VersionOrder,
-};
+pub use engine_client::{AnswerLabels, EngineClient, EngineStatus, ExchangeError};
 pub use event_stream::{EventReader, StreamEvent};
 pub use headers::{caller_headers, target_headers};
