--- a/crates/xtask/src/fleet.rs
+++ b/crates/xtask/src/fleet.rs
@@ -28,6 +28,8 @@
 pub(crate) struct FleetShape {
     pub(crate) daemons: usize,
     pub(crate) engines: usize,
+    /// Requests one engine runs at once.
+    pub(crate) slots: usize,
     pub(crate) release: bool,
     /// Further settings, as `path=value`.
     pub(crate) settings: Vec<String>,
@@ -72,7 +74,9 @@
         fleet.spawn(&stand_ins, &["platform", "--listen", &platform.to_string()])?;
         for _ in 0..shape.engines {
             let address = free_address()?;
-            fleet.spawn(&stand_ins, &["engine", "--listen", &address.to_string()])?;
+            let (listen, slots) = (address.to_string(), shape.slots.to_string());
+            let args = ["engine", "--listen", &listen, "--slots", &slots];
+            fleet.spawn(&stand_ins, &args)?;
             fleet.engines.push(address);
         }
         let service = fleet.service.to_string();
@@ -84,7 +88,7 @@
         for address in fleet.callers.clone() {
             fleet.wait_for(address, "/healthz").await?;
         }
-        fleet.fill_catalog().await?;
+        fleet.fill_catalog(shape.slots).await?;
         Ok(fleet)
     }
 
@@ -201,9 +205,11 @@
         Err(format!("nothing serves on {address}").into())
     }
 
-    async fn fill_catalog(&self) -> Result<(), ChoreError> {
+    async fn fill_catalog(&self, slots: usize) -> Result<(), ChoreError> {
         let mut operations = vec![
-            json!({ "put_pool": { "id": "desk", "kind": "engine", "version": 1 } }),
+            json!({ "put_pool": {
+                "id": "desk", "kind": "engine", "version": 1, "concurrency": slots,
+            } }),
             json!({ "put_pool": { "id": "ordering", "kind": "service" } }),
             json!({ "put_version": { "pool": "desk", "number": 1, "weights": "desk-1" } }),
         ];
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod fleet;
+mod measure;
 mod mutant_table;
 mod mutants;
 mod test_run;
@@ -21,6 +22,7 @@
 #[argh(subcommand)]
 enum Chore {
     Demo(DemoArgs),
+    Measure(MeasureArgs),
     Mutants(MutantsArgs),
     Test(TestArgs),
 }
@@ -30,6 +32,19 @@
 #[argh(subcommand, name = "demo")]
 struct DemoArgs {}
 
+/// Measure one thing: slopes, overhead, placement, fairness, rate, retry or trial. Prints a table
+/// and keeps it under docs/measurements.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "measure")]
+struct MeasureArgs {
+    /// what to measure
+    #[argh(positional)]
+    what: String,
+    /// seeds to run; the table gives the middle and the spread of the first column
+    #[argh(option, default = "3")]
+    seeds: u64,
+}
+
 /// Show that each promise's test fails without its mechanism.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "mutants")]
@@ -49,6 +64,7 @@
     let args: XtaskArgs = argh::from_env();
     let res = match args.chore {
         Chore::Demo(_) => demo::run().await,
+        Chore::Measure(it) => measure::run(&it.what, it.seeds).await,
         Chore::Mutants(it) => mutants::run(&it.only),
         Chore::Test(_) => test_run::run(),
     };
--- /dev/null
+++ b/crates/xtask/src/measure/slopes.rs
@@ -0,0 +1,258 @@
+//! What each role costs, at several sizes: processor time of one step, bytes of one message,
+//! memory of its state. docs/CAPACITY.md is worked out from these.
+
+use std::fs;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use catalog::{CatalogState, ChangeSet, Operation};
+use ids::{CustomerId, Incarnation, InstanceId, KeyDigest, Millionths, Revision};
+use indexmap::IndexMap;
+use peers::{PeerRequest, PeerResponse};
+use policy::bucket::PartBucket;
+use policy::chain::{self, ChainHash, ChainScope};
+use policy::fair_queue::FairQueue;
+use policy::parts::{ListedMember, PartTable, PlanView, RatePart};
+use policy::placement::{PlacementCosts, PlacementTable, ReplicaView};
+use policy::quarantine::{Fingerprint, Strike};
+use policy::rendezvous;
+use policy::spend_guard::PeerWord;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::fleet::ChoreError;
+use crate::measure::report::FigureTable;
+
+/// How long each step is repeated.
+const TIME: Duration = Duration::from_millis(150);
+
+pub(crate) fn run() -> Result<(), ChoreError> {
+    let mut table = FigureTable::new("slopes", &["microseconds", "bytes", "memory_kb"]);
+    placement(&mut table);
+    prompts(&mut table);
+    catalogs(&mut table)?;
+    rates(&mut table);
+    queues(&mut table);
+    messages(&mut table)?;
+    table.finish()
+}
+
+/// Microseconds of one run of `step`.
+fn micros(mut step: impl FnMut()) -> f64 {
+    step();
+    let began = Instant::now();
+    let mut count = 0_u64;
+    while began.elapsed() < TIME {
+        step();
+        count += 1;
+    }
+    began.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+/// The process's resident memory, in kilobytes.
+fn resident_kb() -> f64 {
+    let text = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+    let number = line.and_then(|it| it.split_whitespace().next()?.parse().ok());
+    number.unwrap_or(0.0)
+}
+
+fn placement(table: &mut FigureTable) {
+    for replicas in [10, 100, 207, 1_000, 6_400] {
+        let mut placement = PlacementTable::new(PlacementCosts::default());
+        let views: Vec<ReplicaView> = (0..replicas).map(view).collect();
+        let chain: Vec<ChainHash> = (0..6).map(ChainHash).collect();
+        let mut number = 0;
+        let time = micros(|| {
+            number += 1;
+            let now = Duration::from_millis(number);
+            black_box(placement.choose(now, &chain, 25_000, &views, number));
+        });
+        table.push(format!("place, {replicas} replicas"), vec![time, 0.0, 0.0]);
+    }
+    let before = resident_kb();
+    let mut placement = PlacementTable::new(PlacementCosts::default());
+    let seen = view(1);
+    for number in 0..60_000_u64 {
+        let chain = [ChainHash(number.wrapping_mul(0x9e37_79b9_7f4a_7c15))];
+        let now = Duration::from_millis(number / 10);
+        placement.choose(now, &chain, 4_000, &[seen], number);
+        placement.learn(now, &chain, 0, &seen, true);
+    }
+    let grown = resident_kb() - before;
+    table.push("beliefs about 60000 nodes", vec![0.0, 0.0, grown]);
+    black_box(&placement);
+}
+
+fn view(number: usize) -> ReplicaView {
+    ReplicaView {
+        member: rendezvous::member_hash(&format!("replica-{number}")),
+        incarnation: Incarnation(1),
+        slots: 16,
+        outstanding: (number % 7) as u32,
+        reported: (number % 11) as u32,
+        reported_at: Duration::from_millis(number as u64),
+    }
+}
+
+fn prompts(table: &mut FigureTable) {
+    let pool = "desk".parse().expect("a valid id");
+    let scope = ChainScope { customer: None, pool: &pool, version: ids::VersionNumber(1) };
+    for kilobytes in [16, 64, 256] {
+        let prompt = vec![7_u8; kilobytes << 10];
+        let time = micros(|| {
+            black_box(chain::prefix_chain(scope, &prompt, 16_000));
+        });
+        table.push(format!("hash a prompt of {kilobytes} KB"), vec![time, 0.0, 0.0]);
+    }
+}
+
+/// A catalog with this many customers and targets, and 31 models.
+fn filled(customers: usize, targets: usize) -> CatalogState {
+    let mut operations: Vec<Operation> = Vec::new();
+    let mut put = |value| {
+        operations.push(serde_json::from_value(value).expect("a valid operation"));
+    };
+    for number in 0..31 {
+        put(json!({ "put_pool": { "id": format!("m{number}"), "kind": "engine", "version": 1 } }));
+    }
+    for number in 0..customers {
+        let id = format!("customer-{number}");
+        put(json!({ "put_customer": { "id": id, "rate": 1_000, "burst": 10_000 } }));
+        let digest = KeyDigest::of_secret(&id);
+        put(json!({ "put_key": { "id": format!("k{number}"), "customer": id, "digest": digest } }));
+    }
+    for number in 0..targets {
+        put(json!({ "put_target": {
+            "id": format!("replica-{number}"), "pool": format!("m{}", number % 31),
+            "address": "10.1.2.3:8000", "failure_domain": "north", "echoes_request_id": true,
+        } }));
+    }
+    let state = CatalogState::default().changed(&ChangeSet { operations }, Revision(1));
+    state.expect("a valid catalog")
+}
+
+fn catalogs(table: &mut FigureTable) -> Result<(), ChoreError> {
+    for (customers, targets) in [(5, 22), (50, 1_000), (200, 6_400)] {
+        let before = resident_kb();
+        let state = filled(customers, targets);
+        let copies = vec![state.clone(), state.clone()];
+        let grown = (resident_kb() - before) / 3.0;
+        black_box(&copies);
+        let change = ChangeSet {
+            operations: vec![serde_json::from_value(
+                json!({ "put_customer": { "id": "customer-1", "rate": 7, "burst": 9 } }),
+            )?],
+        };
+        let time = micros(|| {
+            black_box(state.changed(&change, Revision(2)).is_ok());
+        });
+        let text = serde_json::to_vec(&state)?;
+        let name = format!("{customers} customers, {targets} targets");
+        let figures = vec![time, text.len() as f64, grown.max(0.0)];
+        table.push(format!("change a catalog of {name}"), figures);
+        let parse = micros(|| {
+            black_box(serde_json::from_slice::<CatalogState>(&text).is_ok());
+        });
+        table.push(format!("read a catalog of {name}"), vec![parse, text.len() as f64, 0.0]);
+        let bytes = serde_json::to_vec(&change)?.len() as f64;
+        table.push(format!("one change, {customers} customers"), vec![0.0, bytes, 0.0]);
+    }
+    Ok(())
+}
+
+fn rates(table: &mut FigureTable) {
+    for (customers, instances) in [(5, 8), (50, 100), (200, 370)] {
+        let ids: Vec<CustomerId> =
+            (0..customers).map(|it| format!("customer-{it}").parse().expect("an id")).collect();
+        let members: Vec<ListedMember> = (0..instances)
+            .map(|it| ListedMember {
+                id: format!("entry-{it}").parse().expect("an id"),
+                incarnation: Incarnation(1),
+                leaving: false,
+            })
+            .collect();
+        let parts = ids.iter().enumerate().map(|(number, it)| {
+            let part = |offset: usize| RatePart {
+                holder: members[(number + offset) % instances].id.clone(),
+                incarnation: Incarnation(1),
+                share: Millionths(500_000),
+            };
+            (it.clone(), vec![part(0), part(1)])
+        });
+        let row = PartTable { parts: parts.collect() };
+        let unlisted: IndexMap<InstanceId, Duration> = IndexMap::new();
+        let view = PlanView {
+            own: &members[0].id,
+            incarnation: Incarnation(1),
+            members: &members,
+            unlisted: &unlisted,
+            customers: &ids,
+            majority_listed: true,
+        };
+        let time = micros(|| {
+            black_box(row.plan(view));
+        });
+        let bytes = serde_json::to_vec(&row).unwrap_or_default().len() as f64;
+        let name = format!("plan parts, {customers} customers, {instances} instances");
+        table.push(name, vec![time, bytes, 0.0]);
+    }
+    let mut bucket = PartBucket::full(Duration::ZERO, 1e9, 1e9);
+    let mut number = 0;
+    let time = micros(|| {
+        number += 1;
+        black_box(bucket.take(Duration::from_micros(number), 10.0, 10.0));
+    });
+    table.push("take tokens from a part", vec![time, 0.0, 0.0]);
+}
+
+fn queues(table: &mut FigureTable) {
+    for customers in [5, 50, 200] {
+        let mut queue: FairQueue<u64, u64> = FairQueue::default();
+        for number in 0..1_000 {
+            queue.push(number % customers, 1, number % 3 == 0, 1_000.0, number);
+        }
+        let mut number = 0;
+        let time = micros(|| {
+            number += 1;
+            queue.push(number % customers, 1, number % 3 == 0, 1_000.0, number);
+            black_box(queue.pop());
+        });
+        table.push(format!("queue in and out, {customers} customers"), vec![time, 0.0, 0.0]);
+    }
+}
+
+fn messages(table: &mut FigureTable) -> Result<(), ChoreError> {
+    let customer: CustomerId = "customer-123".parse()?;
+    let take = PeerRequest::Take { customer, tokens: 3_000, least: 3_000, ticket: u64::MAX };
+    let taken = PeerResponse::Taken { tokens: 3_000, retry_after_ms: None };
+    let ping = PeerRequest::Ping { catalog: Revision(4_000_000), parts: Some(Revision(5_000_000)) };
+    let pong =
+        PeerResponse::Pong { word: PeerWord::OutageToo, catalog: Revision(4_000_000), parts: None };
+    let strike = Strike { fingerprint: Fingerprint(u64::MAX), member: u64::MAX };
+    let strikes = PeerRequest::Strikes(vec![strike]);
+    let change = json!({ "put_customer": { "id": "customer-123", "rate": 7, "burst": 9 } });
+    let change = json!({ "operations": [change] }).to_string();
+    let changed =
+        PeerRequest::CatalogChanged { revision: Revision(4_000_000), change: change.into() };
+    push_message(table, "message: take", &take)?;
+    push_message(table, "message: taken", &taken)?;
+    push_message(table, "message: ping", &ping)?;
+    push_message(table, "message: pong", &pong)?;
+    push_message(table, "message: strike", &strikes)?;
+    push_message(table, "message: catalog changed", &changed)
+}
+
+fn push_message(
+    table: &mut FigureTable,
+    name: &str,
+    message: &impl Serialize,
+) -> Result<(), ChoreError> {
+    let config = bincode::config::standard();
+    let bytes = bincode::serde::encode_to_vec(message, config)?;
+    let time = micros(|| {
+        black_box(bincode::serde::encode_to_vec(message, config).is_ok());
+    });
+    table.push(name, vec![time, bytes.len() as f64, 0.0]);
+    Ok(())
+}
