Take each node's homes from the homes of the node before

A trace of choices showed prompts without a belief going to the home of their first piece as often as to that of their deepest, so that families lay on two or three replicas and pushed each other out. Change: the homes of a node are chosen among those of the node before it, as many as its fleet-wide heat needs at 60% of a replica's slots; beliefs stay.

--- a/crates/daemon/src/background.rs
+++ b/crates/daemon/src/background.rs
@@ -159,7 +159,11 @@
                 .filter(|it| it.state == MemberState::Leaving)
                 .map(|it| it.id.as_str())
                 .collect();
-            router.desks().iter().for_each(|it| it.mark_leaving(&leaving));
+            let daemons = members.iter().filter(|it| it.state == MemberState::Live).count();
+            for desk in router.desks() {
+                desk.mark_leaving(&leaving);
+                desk.set_daemons(daemons);
+            }
             router.members.replace(members);
             true
         }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -290,6 +290,11 @@
         }
     }
 
+    /// Tells how many daemons place requests.
+    pub(crate) fn set_daemons(&self, count: usize) {
+        self.lock().placement.set_daemons(count);
+    }
+
     /// Takes over which targets the platform's list says are leaving.
     pub(crate) fn mark_leaving(&self, leaving: &[&str]) {
         let mut state = self.lock();
@@ -557,7 +562,7 @@
         let spread = rand::random();
         let Choice { index, .. } =
             self.placement.choose(now, chain, request.tokens, &views, spread)?;
-        let was_home = self.placement.is_home(chain, &views, index);
+        let was_home = self.placement.is_home(now, chain, &views, index);
         let replica = &self.replicas[open[index]];
         Some(Placed {
             target: replica.target.id.clone(),
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -257,7 +257,6 @@
             piece_tokens: traffic.piece_tokens,
             prefill_s: traffic.prefill_us / 1e6,
             slot_s: traffic.slot_ms.duration().as_secs_f64(),
-            ..PlacementCosts::default()
         }
     }
 }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -1,7 +1,8 @@
 //! Which replica gets a model request.
 //!
-//! The base is a pure function: rendezvous of the prompt's chain over the replicas, so daemons
-//! agree without talking and a restarted one places well with no state. Two things refine it,
+//! The base is a pure function: rendezvous of the prompt's chain over the replicas, each node's
+//! homes among the homes of the node before, so daemons agree without talking and a restarted
+//! one places well with no state. Two things refine it,
 //! both riding on answers a daemon gets anyway: beliefs (which prefix a replica held, and when)
 //! and load. Expected recompute and expected wait are weighed in one unit, seconds.
 
@@ -21,7 +22,7 @@
 /// Half-life of a node's heat.
 const HEAT_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Half-life of load reported with an answer.
-const LOAD_HALF_LIFE: Duration = Duration::from_secs(2);
+const LOAD_HALF_LIFE: Duration = Duration::from_secs(8);
 /// First guess of how long a prefix stays cached.
 const FIRST_LIFETIME_S: f64 = 20.0;
 /// Bounds of the learned lifetime.
@@ -31,6 +32,9 @@
 /// Weight of one observation in the learned share of hits.
 const HOME_HIT_STEP: f64 = 0.02;
 
+/// How full the homes of a node are to be before another joins.
+const HOME_FILL: f64 = 0.6;
+
 /// Costs and sizes that placement weighs.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct PlacementCosts {
@@ -40,21 +44,11 @@
     pub prefill_s: f64,
     /// Seconds a typical request occupies one of a replica's slots.
     pub slot_s: f64,
-    /// Requests a second that one home of a node is to carry before another joins.
-    pub home_rate: f64,
-    /// Most homes of one node.
-    pub max_homes: usize,
 }
 
 impl Default for PlacementCosts {
     fn default() -> PlacementCosts {
-        PlacementCosts {
-            piece_tokens: 4_000,
-            prefill_s: 0.000_1,
-            slot_s: 1.0,
-            home_rate: 4.0,
-            max_homes: 6,
-        }
+        PlacementCosts { piece_tokens: 4_000, prefill_s: 0.000_1, slot_s: 1.0 }
     }
 }
 
@@ -119,6 +113,7 @@
 #[derive(Debug)]
 pub struct PlacementTable {
     costs: PlacementCosts,
+    daemons: f64,
     nodes: IndexMap<ChainHash, NodeRecord>,
     lifetime_s: f64,
     home_hit: f64,
@@ -129,21 +124,33 @@
     pub fn new(costs: PlacementCosts) -> PlacementTable {
         PlacementTable {
             costs,
+            daemons: 1.0,
             nodes: IndexMap::new(),
             lifetime_s: FIRST_LIFETIME_S,
             home_hit: FIRST_HOME_HIT,
         }
     }
 
+    /// Tells how many daemons place requests: each sees its part of a prefix's heat.
+    pub fn set_daemons(&mut self, count: usize) {
+        self.daemons = count.max(1) as f64;
+    }
+
     /// Tokens in one piece.
     pub fn piece_tokens(&self) -> u64 {
         self.costs.piece_tokens
     }
 
-    /// Whether a replica is the first home of some node of the chain.
-    pub fn is_home(&self, chain: &[ChainHash], replicas: &[ReplicaView], index: usize) -> bool {
-        let members: Vec<u64> = replicas.iter().map(|it| it.member).collect();
-        chain.iter().any(|it| rendezvous::homes(it.0, &members, 1).first() == Some(&index))
+    /// Whether a replica is a home of the chain.
+    pub fn is_home(
+        &self,
+        now: Duration,
+        chain: &[ChainHash],
+        replicas: &[ReplicaView],
+        index: usize,
+    ) -> bool {
+        let homes = self.home_sets(now, chain, replicas);
+        homes.iter().any(|it| it.0 == index && it.1 == chain.len())
     }
 
     /// Chain nodes on record.
@@ -174,7 +181,8 @@
                 let nodes = self.expected_nodes(now, chain, &replicas[index], home_nodes);
                 let cached = nodes * self.costs.piece_tokens as f64;
                 let recompute_s = (tokens as f64 - cached).max(0.0) * self.costs.prefill_s;
-                let cost_s = recompute_s + replicas[index].wait_s(now, self.costs.slot_s);
+                let wait_s = replicas[index].wait_s(now, self.costs.slot_s);
+                let cost_s = recompute_s + wait_s;
                 Choice { index, expected_nodes: nodes.round() as usize, cost_s }
             })
             .min_by(|left, right| left.cost_s.total_cmp(&right.cost_s))
@@ -244,6 +252,12 @@
         }
     }
 
+    /// Nodes of the chain up to the deepest seen before; all of them if none was.
+    fn deepest(&self, chain: &[ChainHash]) -> usize {
+        let known = chain.iter().rposition(|it| self.nodes.contains_key(it));
+        known.map_or(chain.len(), |it| it + 1)
+    }
+
     fn candidates(
         &self,
         now: Duration,
@@ -252,14 +266,9 @@
         spread: u64,
     ) -> Vec<(usize, usize)> {
         let members: Vec<u64> = replicas.iter().map(|it| it.member).collect();
-        let mut found: Vec<(usize, usize)> = Vec::new();
-        let known = chain.iter().rposition(|it| self.nodes.contains_key(it));
-        let deepest = known.unwrap_or(chain.len().saturating_sub(1));
-        for (depth, node) in chain.iter().enumerate().take(deepest + 1).rev() {
-            let width = if depth == deepest { self.width(now, *node) } else { 1 };
-            for index in rendezvous::homes(node.0, &members, width) {
-                push_candidate(&mut found, index, depth + 1);
-            }
+        let deepest = self.deepest(chain);
+        let mut found = self.home_sets(now, &chain[..deepest], replicas);
+        for node in &chain[..deepest] {
             for holder in self.nodes.get(node).map_or(&[][..], |it| &it.holders) {
                 if let Some(index) = members.iter().position(|it| *it == holder.member) {
                     push_candidate(&mut found, index, 0);
@@ -275,14 +284,45 @@
         found
     }
 
-    fn width(&self, now: Duration, node: ChainHash) -> usize {
+    /// The homes of a chain, and how many of its nodes each is a home of. Each node's homes are
+    /// taken from the homes of the node before it, so that nested prefixes lie together and a
+    /// shared beginning is kept on no more replicas than its heat needs.
+    fn home_sets(
+        &self,
+        now: Duration,
+        chain: &[ChainHash],
+        replicas: &[ReplicaView],
+    ) -> Vec<(usize, usize)> {
+        let mut set: Vec<usize> = (0..replicas.len()).collect();
+        let mut found = Vec::new();
+        for (depth, node) in chain.iter().enumerate() {
+            let width = self.width(now, *node, replicas);
+            if width >= set.len() {
+                continue;
+            }
+            let members: Vec<u64> = set.iter().map(|it| replicas[*it].member).collect();
+            let top = rendezvous::homes(node.0, &members, width);
+            let next: Vec<usize> = top.into_iter().map(|it| set[it]).collect();
+            if depth > 0 {
+                found.extend(set.iter().filter(|it| !next.contains(it)).map(|it| (*it, depth)));
+            }
+            set = next;
+        }
+        if !chain.is_empty() && set.len() < replicas.len() {
+            found.extend(set.into_iter().map(|it| (it, chain.len())));
+        }
+        found
+    }
+
+    fn width(&self, now: Duration, node: ChainHash, replicas: &[ReplicaView]) -> usize {
         let heat = self
             .nodes
             .get(&node)
             .map_or(0.0, |it| it.heat * decay(now.saturating_sub(it.heat_at), HEAT_HALF_LIFE));
         let rate = heat * std::f64::consts::LN_2 / HEAT_HALF_LIFE.as_secs_f64();
-        let homes = (rate / self.costs.home_rate).ceil() as usize;
-        homes.clamp(1, self.costs.max_homes)
+        let slots = replicas.first().map_or(1, |it| it.slots.max(1));
+        let carried = HOME_FILL * f64::from(slots) / self.costs.slot_s;
+        (rate * self.daemons / carried).ceil().max(1.0) as usize
     }
 
     fn warm(&mut self, now: Duration, chain: &[ChainHash]) {
--- a/crates/xtask/src/measure/fairness.rs
+++ b/crates/xtask/src/measure/fairness.rs
@@ -16,8 +16,8 @@
 const SLOTS: usize = 144;
 const SLOT_S: f64 = 1.1;
 const LENGTH_S: f64 = 200.0;
-/// Each customer's rate in requests a second; all together 80% of the slots.
-const RATE: f64 = 0.8 * SLOTS as f64 / SLOT_S / CUSTOMERS as f64;
+/// Each customer's rate in requests a second; all together 95% of the slots.
+const RATE: f64 = 0.95 * SLOTS as f64 / SLOT_S / CUSTOMERS as f64;
 const BURST: f64 = RATE * 2.0;
 /// How much of each customer's traffic may wait.
 const DEFERRABLE_SHARE: f64 = 0.3;
@@ -87,7 +87,7 @@
             ends.pop();
         } else {
             let greedy = customer == 0;
-            let pace = RATE * 0.95 * if greedy { greed } else { 1.0 };
+            let pace = RATE * 0.99 * if greedy { greed } else { 1.0 };
             next[customer] += -random.random::<f64>().ln() / pace;
             asked[customer] += 1.0;
             let may_wait = random.random::<f64>() < DEFERRABLE_SHARE;
--- a/crates/xtask/src/measure/placement.rs
+++ b/crates/xtask/src/measure/placement.rs
@@ -125,7 +125,7 @@
         }
         if now > RESTART_AT && !restarted {
             restarted = true;
-            world.tables[0] = PlacementTable::new(costs());
+            world.tables[0] = new_table(world.tables.len());
         }
         let (chain, tokens) = world.prompt(now > SHIFT_AT);
         let daemon = world.random.random_range(0..world.tables.len());
@@ -148,10 +148,15 @@
         piece_tokens: PIECE_TOKENS,
         prefill_s: PREFILL_S,
         slot_s: DECODE_S,
-        ..PlacementCosts::default()
     }
 }
 
+fn new_table(daemons: usize) -> PlacementTable {
+    let mut table = PlacementTable::new(costs());
+    table.set_daemons(daemons);
+    table
+}
+
 impl World {
     fn new(router: Router, seed: u64) -> World {
         let daemons = match router {
@@ -166,7 +171,7 @@
                 .map(|it| rendezvous::member_hash(&format!("desk-{it}")))
                 .collect(),
             lives: vec![1; REPLICAS],
-            tables: (0..daemons).map(|_| PlacementTable::new(costs())).collect(),
+            tables: (0..daemons).map(|_| new_table(daemons)).collect(),
             views: vec![vec![(0, 0, 0.0); REPLICAS]; daemons],
             answers: BinaryHeap::new(),
         }
@@ -251,7 +256,7 @@
             let views: Vec<ReplicaView> =
                 self.members.iter().map(|it| view((0, 0, 0.0), *it, 1)).collect();
             let table = &mut self.tables[daemon];
-            let was_home = table.is_home(&chain, &views, replica);
+            let was_home = table.is_home(time(at), &chain, &views, replica);
             table.learn(time(at), &chain, cached, &seen, was_home);
         }
     }
