--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -1,16 +1,22 @@
 //! The callers' side: one handler for every method and path.
+//!
+//! It stands on hyper-util and not on dropshot, which would hold back each piece of a stream
+//! (docs/design/overhead.md).
 
 use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
 use catalog::{CatalogState, Customer, Route};
-use dropshot::{ApiDescription, Body, HttpError, Path, RawRequest, RequestContext};
+use dropshot::Body;
+use http::header::CONNECTION;
 use http::request::Parts;
-use http::{HeaderValue, Method, Response};
+use http::{HeaderValue, Method, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use ids::{ErrorKind, KeyDigest, Refusal, RequestId};
-use web::server::AnyPath;
+use web::plain::{self, PlainServer};
+use web::server::StartError;
 
 use crate::caller_key::{self, CallerKeyText};
 use crate::model_body::ModelApi;
@@ -28,38 +34,47 @@
     pub(crate) began: Instant,
 }
 
-/// The API of the callers' side.
-pub(crate) fn api() -> ApiDescription<Arc<Router>> {
-    let mut api = ApiDescription::new();
-    web::register_any!(api, handle);
-    api
+/// Starts the callers' side.
+pub(crate) fn start(router: &Arc<Router>) -> Result<PlainServer<Router>, StartError> {
+    plain::start_unread(router.settings.instance.callers, router.clone(), handle)
 }
 
-async fn handle(
-    rqctx: RequestContext<Arc<Router>>,
-    _path: Path<AnyPath>,
-    raw: RawRequest,
-) -> Result<Response<Body>, HttpError> {
-    let router = rqctx.context();
-    let (parts, body) = raw.into_inner().into_parts();
-    // The server labels every answer with this id.
-    let id: RequestId = rqctx.request_id.parse().unwrap_or_else(|_| router.attempt_id());
+async fn handle(router: Arc<Router>, request: Request<Incoming>) -> Response<Body> {
+    let id = router.attempt_id();
+    let leaving = router.is_leaving();
+    // A task of its own: a claimed call records its outcome even when its caller is gone.
+    let work = tokio::spawn(answer(router, id.clone(), request));
+    let mut answer = work.await.unwrap_or_else(|_| {
+        let refusal = Refusal::maybe_run(ErrorKind::Internal);
+        refusal_answer(&refusal, &id)
+    });
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        answer.headers_mut().insert("x-request-id", value);
+    }
+    if leaving {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+async fn answer(router: Arc<Router>, id: RequestId, request: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
     if parts.uri.path() == "/healthz" {
-        return Ok(health(router));
+        return health(&router);
     }
     let keyed = parts.headers.contains_key("idempotency-key");
-    let res = match receive(router, parts, body).await {
-        Ok(received) => received.answer(router, &id).await,
+    let res = match receive(&router, parts, body).await {
+        Ok(received) => received.answer(&router, &id).await,
         // The claim of the key was not read yet.
         Err(refusal) => Err(if keyed { refusal.claim_unread() } else { refusal }),
     };
-    Ok(res.unwrap_or_else(|refusal| {
+    res.unwrap_or_else(|refusal| {
         router.metrics.refuse(&refusal);
         tracing::info!(
             request = %id, kind = %refusal.kind, run = refusal.run.code(), "front: refused"
         );
         refusal_answer(&refusal, &id)
-    }))
+    })
 }
 
 /// A request that was read, with what it leads to.
@@ -92,7 +107,11 @@
 }
 
 /// Checks a request and reads its body.
-async fn receive(router: &Arc<Router>, mut parts: Parts, body: Body) -> Result<Received, Refusal> {
+async fn receive(
+    router: &Arc<Router>,
+    mut parts: Parts,
+    body: Incoming,
+) -> Result<Received, Refusal> {
     let began = Instant::now();
     if router.is_leaving() {
         return Err(Refusal::not_run(ErrorKind::Leaving).retry_after(1));
@@ -103,6 +122,7 @@
     let catalog = catalog.ok_or(Refusal::not_run(ErrorKind::ConfigMissing).retry_after(1))?;
     let CallerKeyText(key) = caller_key::caller_key(&parts.headers)?;
     check_no_key_in_uri(&parts, key)?;
+    check_no_climbing(&parts)?;
     let digest = key.map(KeyDigest::of_secret);
     if digest.as_ref().is_some_and(|it| router.is_blocked(it)) {
         return Err(Refusal::not_run(ErrorKind::KeyRefused));
@@ -166,7 +186,17 @@
     Ok(())
 }
 
-async fn read_body(router: &Router, body: Body) -> Result<Bytes, Refusal> {
+/// A path that climbs out of its route's prefix would reach what another route guards.
+fn check_no_climbing(parts: &Parts) -> Result<(), Refusal> {
+    let plain = percent_encoding::percent_decode_str(parts.uri.path()).decode_utf8_lossy();
+    if plain.split(['/', '\\']).any(|it| it == ".." || it == ".") {
+        let refusal = Refusal::not_run(ErrorKind::BadRequest);
+        return Err(refusal.detail("the path holds a '.' or '..' segment"));
+    }
+    Ok(())
+}
+
+async fn read_body(router: &Router, body: Incoming) -> Result<Bytes, Refusal> {
     let limit = router.settings.limits.body_bytes;
     let time = router.settings.timeouts.caller_body_ms.duration();
     let whole = Limited::new(body, limit).collect();
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -42,7 +42,6 @@
     // The addresses come first: holding them proves that no earlier life of this place runs.
     let instance = &settings.instance;
     let listener = TcpListener::bind(instance.peers_listen.unwrap_or(instance.peers)).await?;
-    let body_limit = settings.limits.body_bytes + 1;
     let (callers, operators) = (settings.instance.callers, settings.instance.admin);
     let incarnation = new_life(&settings).await;
     let router = Arc::new(Router::new(settings, incarnation));
@@ -51,7 +50,7 @@
     let roles = Arc::new(PeerRoles { router: router.clone() });
     tokio::spawn(peers::serve(listener, secret, incarnation, roles, stopped.clone()));
     background::start(&router, &stopped);
-    let caller_server = web::server::start(callers, front::api(), router.clone(), body_limit)?;
+    let caller_server = front::start(&router)?;
     let admin_server =
         web::server::start(operators, admin::api(), router.clone(), MAX_ADMIN_BYTES)?;
     tracing::info!(
@@ -63,7 +62,7 @@
         _ = interrupt.recv() => {}
     }
     leave(&router).await;
-    let _ = caller_server.close().await;
+    drop(caller_server);
     let _ = admin_server.close().await;
     drop(stop);
     tracing::info!("daemon: {} has left", router.own);
--- a/crates/daemon/tests/whose_request.rs
+++ b/crates/daemon/tests/whose_request.rs
@@ -82,8 +82,8 @@
         ("/private", None, 401, "key_missing"),
         ("/private", Some(&other[..]), 403, "route_forbidden"),
         ("/private", Some(&fleet.key[..]), 200, ""),
-        // The server refuses a path that climbs before any route is looked for.
-        ("/private/../orders", Some(&other[..]), 400, ""),
+        ("/hours/../private", None, 400, "bad_request"),
+        ("/hours/%2e%2e/private", None, 400, "bad_request"),
     ];
     for (path, key, status, kind) in cases {
         let token = key.map(|it| format!("Bearer {it}"));
--- a/crates/web/src/plain.rs
+++ b/crates/web/src/plain.rs
@@ -1,14 +1,18 @@
-//! A bare HTTP server, for programs that must control every header: dropshot puts an
-//! `x-request-id` of its own on each answer.
+//! A bare HTTP server on hyper-util, for streams and for programs that must control every header.
+//!
+//! dropshot leaves Nagle's algorithm on, which holds each small piece of a stream back until the
+//! one before is acknowledged, some 40 ms; and it puts an `x-request-id` of its own on answers.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use dropshot::Body;
 use http::request::Parts;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper_util::rt;
@@ -18,6 +22,10 @@
 
 use crate::server::StartError;
 
+/// How long a caller may take to send its headers.
+const HEADER_TIME: Duration = Duration::from_secs(10);
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -57,6 +65,31 @@
     C: Send + Sync + 'static,
     F: Fn(Arc<C>, Parts, Bytes) -> Fut + Copy + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    start_unread(address, context, move |context, request: Request<Incoming>| async move {
+        let (parts, body) = request.into_parts();
+        match Limited::new(body, max_body_bytes).collect().await {
+            Ok(body) => handler(context, parts, body.to_bytes()).await,
+            Err(_) => {
+                let mut answer = Response::new(Body::empty());
+                *answer.status_mut() = StatusCode::BAD_REQUEST;
+                answer
+            }
+        }
+    })
+}
+
+/// Starts a server whose handler reads each request's body itself. A handler is dropped when its
+/// caller's connection closes.
+pub fn start_unread<C, F, Fut>(
+    address: SocketAddr,
+    context: Arc<C>,
+    handler: F,
+) -> Result<PlainServer<C>, StartError>
+where
+    C: Send + Sync + 'static,
+    F: Fn(Arc<C>, Request<Incoming>) -> Fut + Copy + Send + Sync + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener =
         listen(address).map_err(|error| StartError { address, cause: error.to_string().into() })?;
@@ -70,8 +103,12 @@
                 res = listener.accept() => res,
                 _ = ending.changed() => return,
             };
-            let Ok((stream, _)) = accepted else { continue };
-            let connection = serve_connection(stream, shared.clone(), max_body_bytes, handler);
+            let Ok((stream, _)) = accepted else {
+                // Out of file descriptors, most likely: some must close first.
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let connection = serve_connection(stream, shared.clone(), handler);
             let mut ending = stopped.clone();
             tokio::spawn(async move {
                 tokio::select! {
@@ -92,27 +129,20 @@
     socket.listen(BACKLOG)
 }
 
-async fn serve_connection<C, F, Fut>(
-    stream: TcpStream,
-    context: Arc<C>,
-    max_body_bytes: usize,
-    handler: F,
-) where
+async fn serve_connection<C, F, Fut>(stream: TcpStream, context: Arc<C>, handler: F)
+where
     C: Send + Sync + 'static,
-    F: Fn(Arc<C>, Parts, Bytes) -> Fut + Copy + Send + Sync + 'static,
+    F: Fn(Arc<C>, Request<Incoming>) -> Fut + Copy + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
     let service = hyper::service::service_fn(move |request: Request<Incoming>| {
-        let context = context.clone();
-        async move {
-            let (parts, body) = request.into_parts();
-            let whole = Limited::new(body, max_body_bytes).collect().await;
-            let body = whole.map_err(|error| std::io::Error::other(error.to_string()))?.to_bytes();
-            Ok::<_, std::io::Error>(handler(context, parts, body).await)
-        }
+        let answer = handler(context.clone(), request);
+        async move { Ok::<_, Infallible>(answer.await) }
     });
-    let builder = auto::Builder::new(rt::TokioExecutor::new());
+    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
+    builder.http1().timer(rt::TokioTimer::new()).header_read_timeout(HEADER_TIME);
+    builder.http2().timer(rt::TokioTimer::new());
     // A connection that broke tells nobody here anything new.
     let _ = builder.serve_connection(rt::TokioIo::new(stream), service).await;
 }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -5,17 +5,8 @@
 use dropshot::{
     ApiDescription, Body, ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder, ServerContext,
 };
-use http::{Method, Response, StatusCode};
-use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
-
-/// The path segments of a request that one handler serves whatever its path.
-#[derive(Debug, Deserialize, JsonSchema)]
-pub struct AnyPath {
-    /// The segments.
-    #[allow(dead_code, reason = "declares the wildcard to the router")]
-    pub path: Vec<String>,
-}
+use http::{Response, StatusCode};
+use serde::Serialize;
 
 /// Why a server did not start.
 #[derive(Debug, thiserror::Error)]
@@ -27,37 +18,6 @@
     pub cause: Box<str>,
 }
 
-/// The methods that [`register_any`](crate::register_any) registers.
-pub const ANY_METHODS: [Method; 7] = [
-    Method::GET,
-    Method::HEAD,
-    Method::POST,
-    Method::PUT,
-    Method::PATCH,
-    Method::DELETE,
-    Method::OPTIONS,
-];
-
-/// Registers a handler for every method on every path. A macro, because the trait of handlers is
-/// private to dropshot.
-#[macro_export]
-macro_rules! register_any {
-    ($api:expr, $handler:path) => {
-        for method in $crate::server::ANY_METHODS {
-            let endpoint = dropshot::ApiEndpoint::new(
-                format!("any_{method}"),
-                $handler,
-                method,
-                "application/octet-stream",
-                "/{path:.*}",
-                dropshot::ApiEndpointVersions::All,
-            );
-            $api.register(endpoint.visible(false))
-                .expect("methods differ, so endpoints cannot clash");
-        }
-    };
-}
-
 /// Starts a server.
 pub fn start<Context: ServerContext>(
     address: SocketAddr,
--- a/crates/xtask/src/measure/placement.rs
+++ b/crates/xtask/src/measure/placement.rs
@@ -144,11 +144,7 @@
 }
 
 fn costs() -> PlacementCosts {
-    PlacementCosts {
-        piece_tokens: PIECE_TOKENS,
-        prefill_s: PREFILL_S,
-        slot_s: DECODE_S,
-    }
+    PlacementCosts { piece_tokens: PIECE_TOKENS, prefill_s: PREFILL_S, slot_s: DECODE_S }
 }
 
 fn new_table(daemons: usize) -> PlacementTable {
