Hold promises under pairs of faults; share a lone holder's part

Cause, each found by a pair of faults at once: 1. a customer made while one daemon was listed hung on that daemon for ever; table down and it killed, the customer was refused. A holder of more than one home's part gives the excess to a home that has none. Its bucket shrinks before the write, and stays small if the answer is lost. 2. a daemon that had not read the row of parts when the table went away knew nobody to ask; it asks up to three peers for the row. Ruled out: sending the row to all peers at each change (9 MB a change at 370 daemons). Conclusion: while a holder is lost and the table is away, its customers have what the other home holds, half their rate.

--- a/crates/control/src/part_holder.rs
+++ b/crates/control/src/part_holder.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use catalog::{CatalogState, Customer};
-use ids::{CustomerId, Incarnation, InstanceId, Revision};
+use ids::{CustomerId, Incarnation, InstanceId, Millionths, Revision};
 use indexmap::IndexMap;
 use policy::bucket::PartBucket;
 use policy::parts::{ListedMember, PartTable, PlanView, RatePart};
@@ -43,6 +43,9 @@
     table: PartTable,
     row: Option<Revision>,
     buckets: IndexMap<CustomerId, PartBucket>,
+    /// What is left of own parts of which some is being given away. A write whose answer is lost
+    /// may land late, so this stands until a newer row is read.
+    giving: IndexMap<CustomerId, Millionths>,
     tickets: IndexMap<u64, (CustomerId, u64)>,
     unlisted_since: IndexMap<InstanceId, Duration>,
     /// Instances listed lately, and when last.
@@ -72,6 +75,7 @@
             table: PartTable::default(),
             row: None,
             buckets: IndexMap::new(),
+            giving: IndexMap::new(),
             tickets: IndexMap::new(),
             unlisted_since: IndexMap::new(),
             known: IndexMap::new(),
@@ -103,7 +107,7 @@
         if state.stopped || !state.guard.may_spend(now) {
             return TakeResult::NotHolder;
         }
-        let Some(share) = state.table.held(&customer.id, &self.own, self.incarnation) else {
+        let Some(share) = self.share(&state, &customer.id) else {
             return TakeResult::NotHolder;
         };
         let capacity = (customer.burst.0 as f64 * share.factor()).floor();
@@ -223,6 +227,7 @@
             (state.table.plan(view), state.row)
         };
         let Some((next, fresh)) = plan else { return Ok(()) };
+        self.shrink(&next, view.catalog);
         let asked_at = self.clock.now();
         if let Commit::Done(revision) = self.store.commit(parts_transaction(&next, row)).await? {
             let mut state = self.lock();
@@ -235,6 +240,7 @@
                 state.buckets.insert(id, PartBucket::full(now, capacity, rate));
             }
             state.table = next;
+            state.giving.clear();
             state.row = Some(revision);
             state.guard.prove(asked_at);
             state.proved_at = Some(asked_at);
@@ -309,6 +315,31 @@
         Ok(())
     }
 
+    /// Before a part is given, its bucket shrinks: the new holder may begin at any moment.
+    fn shrink(&self, next: &PartTable, catalog: &CatalogState) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for (id, customer) in &catalog.customers {
+            let before = state.table.held(id, &self.own, self.incarnation);
+            let after = next.held(id, &self.own, self.incarnation);
+            let Some(after) = after.filter(|it| before.is_some_and(|old| *it < old)) else {
+                continue;
+            };
+            state.giving.insert(id.clone(), after);
+            let capacity = (customer.burst.0 as f64 * after.factor()).floor();
+            let rate = customer.rate.0 as f64 * after.factor();
+            if let Some(bucket) = state.buckets.get_mut(id) {
+                bucket.resize(now, capacity, rate);
+            }
+        }
+    }
+
+    /// The part that may be spent.
+    fn share(&self, state: &HolderState, customer: &CustomerId) -> Option<Millionths> {
+        let held = state.table.held(customer, &self.own, self.incarnation)?;
+        Some(state.giving.get(customer).map_or(held, |it| held.min(*it)))
+    }
+
     fn is_own(&self, part: &RatePart) -> bool {
         part.holder == self.own && part.incarnation == self.incarnation
     }
@@ -316,6 +347,7 @@
     fn adopt(&self, state: &mut HolderState, table: PartTable) {
         let (own, life) = (&self.own, self.incarnation);
         state.buckets.retain(|id, _| table.held(id, own, life).is_some());
+        state.giving.clear();
         state.table = table;
     }
 
--- a/crates/control/tests/rate_law.rs
+++ b/crates/control/tests/rate_law.rs
@@ -308,6 +308,58 @@
     world.check(1);
 }
 
+#[tokio::test]
+async fn a_lone_holder_shares_with_one_that_joins() {
+    let mut world = World::new(3, 1);
+    // Only the first is listed when the customer is made.
+    for index in 1..3 {
+        world.instances[index].process = Process::Dead;
+        world.instances[index].seen_at = Duration::ZERO;
+    }
+    for _ in 0..50 {
+        world.pass().await;
+    }
+    assert_eq!(world.instances[0].holder.table().parts[&customer_id()].len(), 1);
+    while world.ask(0, BURST) {}
+    for index in 1..3 {
+        world.restart(index);
+    }
+    for _ in 0..200 {
+        world.pass().await;
+        for index in 0..3 {
+            while world.ask(index, BURST) {}
+        }
+    }
+    let parts = world.instances[0].holder.table().parts[&customer_id()].clone();
+    assert_eq!(parts.len(), 2, "{parts:?}");
+    assert!(parts.iter().all(|it| it.share == Millionths(500_000)), "{parts:?}");
+    world.check(1);
+}
+
+#[tokio::test]
+async fn a_giver_whose_answer_is_lost_spends_only_what_it_keeps() {
+    let mut world = World::with_rate(3, 1, 10);
+    for index in 1..3 {
+        world.instances[index].process = Process::Dead;
+        world.instances[index].seen_at = Duration::ZERO;
+    }
+    for _ in 0..50 {
+        world.pass().await;
+    }
+    for index in 1..3 {
+        world.restart(index);
+    }
+    // The write that gives a part away has no answer yet, nor has any read after it.
+    let listed = world.listed();
+    world.instances[0].store.set(StoreFault::LoseAnswers);
+    let view = HolderView { members: Some(&listed), catalog: &world.catalog };
+    assert!(world.instances[0].holder.sync(view).await.is_err());
+    world.instances[0].store.set(StoreFault::Down);
+    let customer = world.catalog.customers[&customer_id()].clone();
+    let taken = world.instances[0].holder.take(&customer, BURST, 1, 1);
+    assert_eq!(taken, TakeResult::Taken(BURST / 2), "half of it is another's by now");
+}
+
 #[tokio::test]
 async fn a_stale_read_proves_nothing() {
     let mut world = World::new(4, 1);
--- a/crates/daemon/src/background.rs
+++ b/crates/daemon/src/background.rs
@@ -27,6 +27,8 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// The shortest time between two looks at the same engine.
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
+/// Peers asked for the row of parts.
+const PEERS_ASKED: usize = 3;
 /// The time after which a start asks again.
 const START_AGAIN: Duration = Duration::from_millis(2_500);
 /// The time between two looks whether a start is done.
@@ -198,6 +200,22 @@
     }
 }
 
+/// Asks a few peers who holds the parts of rates, for a customer of whom nothing is known.
+pub(crate) async fn ask_peers_for_parts(router: &Router) {
+    let message =
+        PeerRequest::Ping { catalog: router.catalog.revision(), parts: router.parts.row() };
+    let mut peers = router.members.peers();
+    let turn = rand::random_range(0..peers.len().max(1));
+    peers.rotate_left(turn);
+    for (_, address) in peers.into_iter().take(PEERS_ASKED) {
+        let answer = router.peers.call(address, &message).await;
+        if let Ok(PeerResponse::Pong { parts: Some((revision, row)), .. }) = answer {
+            router.parts.adopt_row(revision, &row);
+            return;
+        }
+    }
+}
+
 async fn ask_peers_for_catalog(router: &Router) {
     for (_, address) in router.members.peers() {
         if ask_for_catalog(router, address).await {
--- a/crates/daemon/src/rate_desk.rs
+++ b/crates/daemon/src/rate_desk.rs
@@ -7,6 +7,7 @@
 use ids::{CustomerId, ErrorKind, InstanceId, Refusal};
 use peers::{PeerError, PeerRequest, PeerResponse};
 
+use crate::background;
 use crate::router::Router;
 
 /// The shortest pause before tokens are asked for again.
@@ -77,12 +78,14 @@
     customer: &Customer,
     tokens: u64,
 ) -> Result<RateTicket, (Option<Duration>, bool)> {
-    let mut holders: Vec<InstanceId> =
-        router.parts.holders(&customer.id).into_iter().map(|(id, _)| id).collect();
+    let mut holders = router.parts.holders(&customer.id);
     if holders.is_empty() {
         // A new customer: its first home has just made its parts, or is about to.
         router.poll_soon.notify_one();
+        background::ask_peers_for_parts(router).await;
+        holders = router.parts.holders(&customer.id);
     }
+    let mut holders: Vec<InstanceId> = holders.into_iter().map(|(id, _)| id).collect();
     let turn = rand::random_range(0..holders.len().max(1));
     holders.rotate_left(turn);
     if let Some(at) = holders.iter().position(|it| *it == router.own) {
--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -1,8 +1,8 @@
 //! Who holds which part of each customer's rate and burst.
 //!
 //! One table row maps each customer to its parts; their sum never exceeds the whole, kept by
-//! compare-and-swap. An instance only ever changes the row to take parts for itself or, when
-//! it leaves, to give its own away. A part is taken from another only on proof that its holder
+//! compare-and-swap. An instance only ever changes the row to take parts for itself or to give
+//! its own away: when it leaves, or when it holds more than one home's part. A part is taken from another only on proof that its holder
 //! stopped: a successor on the same place, or the platform not listing it for some time.
 
 use std::time::Duration;
@@ -95,7 +95,10 @@
         let mut fresh = Vec::new();
         for customer in view.customers {
             match next.parts.get_mut(customer) {
-                Some(parts) => take_over(customer, parts, view),
+                Some(parts) => {
+                    take_over(customer, parts, view);
+                    spread(customer, parts, view);
+                }
                 None if first_home(customer, view).as_ref() == Some(view.own) => {
                     next.parts.insert(customer.clone(), new_parts(customer, view));
                     fresh.push(customer.clone());
@@ -146,6 +149,27 @@
     merge(parts);
 }
 
+/// Gives what this instance holds beyond one home's part to a home that holds none, so that a
+/// customer does not hang on one instance for ever.
+fn spread(customer: &CustomerId, parts: &mut Vec<RatePart>, view: PlanView<'_>) {
+    let due = Millionths::ONE.0 / RATE_HOMES as u64;
+    let held: Vec<InstanceId> = parts.iter().map(|it| it.holder.clone()).collect();
+    if held.len() >= RATE_HOMES {
+        return;
+    }
+    let homes = live_homes(customer, view, RATE_HOMES + 1);
+    let Some(heir) = homes.into_iter().find(|it| !held.contains(&it.id)) else { return };
+    let own = |it: &&mut RatePart| it.holder == *view.own && it.incarnation == view.incarnation;
+    let Some(part) = parts.iter_mut().find(own).filter(|it| it.share.0 > due) else { return };
+    let given = part.share.0 - due;
+    part.share = Millionths(due);
+    parts.push(RatePart {
+        holder: heir.id.clone(),
+        incarnation: heir.incarnation,
+        share: Millionths(given),
+    });
+}
+
 fn merge(parts: &mut Vec<RatePart>) {
     let mut merged: Vec<RatePart> = Vec::with_capacity(parts.len());
     for part in parts.drain(..) {
--- /dev/null
+++ b/crates/policy/tests/decisions.rs
@@ -0,0 +1,198 @@
+//! Decisions on plain data.
+
+use std::time::Duration;
+
+use ids::{CustomerId, Incarnation, PoolId, VersionNumber};
+use policy::chain::{ChainScope, prefix_chain};
+use policy::fair_queue::FairQueue;
+use policy::health::{HealthState, ReplicaHealth};
+use policy::placement::{PlacementCosts, PlacementTable, ReplicaView};
+use policy::quarantine::{Fingerprint, QuarantineTable, Standing, Strike};
+use policy::rendezvous;
+use policy::retry::RetryBudget;
+use policy::stream_order::{PieceVerdict, StreamOrder};
+use rstest::rstest;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn chains_of_other_scopes_never_meet() {
+    let (a, b): (CustomerId, CustomerId) = ("a".parse().unwrap(), "b".parse().unwrap());
+    let (x, y): (PoolId, PoolId) = ("x".parse().unwrap(), "y".parse().unwrap());
+    let scopes =
+        [(Some(&a), &x, 1), (Some(&b), &x, 1), (None, &x, 1), (Some(&a), &y, 1), (Some(&a), &x, 2)];
+    let chains = scopes.map(|(customer, pool, version)| {
+        let scope = ChainScope { customer, pool, version: VersionNumber(version) };
+        prefix_chain(scope, b"the same prompt for all", 4)
+    });
+    for (index, left) in chains.iter().enumerate() {
+        for right in &chains[index + 1..] {
+            assert!(left.iter().all(|it| !right.contains(it)));
+        }
+    }
+}
+
+#[rstest]
+#[case("abcdefgh", "abcdefgh", 2)]
+#[case("abcdefgh", "abcdXXXX", 1)]
+#[case("abcdefgh", "XXXXefgh", 0)]
+#[case("abcdefghij", "abcdefghiX", 2)]
+fn chains_share_what_prompts_begin_with(
+    #[case] left: &str,
+    #[case] right: &str,
+    #[case] shared: usize,
+) {
+    let pool: PoolId = "x".parse().unwrap();
+    let scope = ChainScope { customer: None, pool: &pool, version: VersionNumber(1) };
+    let left = prefix_chain(scope, left.as_bytes(), 4);
+    let right = prefix_chain(scope, right.as_bytes(), 4);
+    assert_eq!(left.iter().zip(&right).take_while(|it| it.0 == it.1).count(), shared);
+}
+
+#[test]
+fn rendezvous_moves_only_what_a_lost_member_held() {
+    let members: Vec<u64> =
+        (0..18).map(|it| rendezvous::member_hash(&format!("desk-{it}"))).collect();
+    let fewer = &members[..17];
+    let mut counts = [0; 18];
+    for key in 0..18_000_u64 {
+        let key = key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let before = rendezvous::homes(key, &members, 1)[0];
+        let after = rendezvous::homes(key, fewer, 1)[0];
+        counts[before] += 1;
+        assert!(before == 17 || before == after);
+    }
+    assert!(counts.iter().all(|it| (800..1_200).contains(it)), "uneven: {counts:?}");
+}
+
+fn view(name: &str, outstanding: u32) -> ReplicaView {
+    ReplicaView {
+        member: rendezvous::member_hash(name),
+        incarnation: Incarnation(1),
+        slots: 8,
+        outstanding,
+        reported: 0,
+        reported_at: Duration::ZERO,
+    }
+}
+
+#[test]
+fn two_daemons_without_state_choose_the_same_replica() {
+    let views: Vec<ReplicaView> = (0..18).map(|it| view(&format!("desk-{it}"), 0)).collect();
+    let pool: PoolId = "x".parse().unwrap();
+    let scope = ChainScope { customer: None, pool: &pool, version: VersionNumber(1) };
+    for number in 0..50 {
+        let chain = prefix_chain(scope, format!("{number:04}abcd").as_bytes(), 4);
+        let choose = |spread| {
+            let mut table = PlacementTable::new(PlacementCosts::default());
+            table.choose(SECOND, &chain, 10_000, &views, spread).unwrap().index
+        };
+        assert_eq!(choose(number * 7), choose(number * 13 + 1));
+    }
+}
+
+#[test]
+fn a_belief_ends_with_the_life_it_is_about() {
+    let pool: PoolId = "x".parse().unwrap();
+    let scope = ChainScope { customer: None, pool: &pool, version: VersionNumber(1) };
+    let chain = prefix_chain(scope, b"abcdefgh", 4);
+    let mut table = PlacementTable::new(PlacementCosts::default());
+    let replica = view("desk-1", 0);
+    table.choose(SECOND, &chain, 8_000, &[replica], 0);
+    table.learn(SECOND, &chain, 0, &replica, true);
+    let known = table.choose(2 * SECOND, &chain, 8_000, &[replica], 0).unwrap();
+    assert_eq!(known.expected_nodes, 2);
+    let reborn = ReplicaView { incarnation: Incarnation(2), ..replica };
+    table.forget_before(replica.member, Incarnation(2));
+    let unknown = table.choose(2 * SECOND, &chain, 8_000, &[reborn], 0).unwrap();
+    assert!(unknown.expected_nodes < 2 && unknown.cost_s > known.cost_s);
+}
+
+#[rstest]
+#[case::in_order(&[1, 2, 3], &[PieceVerdict::Deliver; 3])]
+#[case::twice(&[1, 1, 2], &[PieceVerdict::Deliver, PieceVerdict::Drop, PieceVerdict::Deliver])]
+#[case::missing(&[1, 3], &[PieceVerdict::Deliver, PieceVerdict::Gap])]
+#[case::from_nothing(&[0, 2], &[PieceVerdict::Gap; 2])]
+fn pieces_are_judged(#[case] numbers: &[u64], #[case] expected: &[PieceVerdict]) {
+    let mut order = StreamOrder::default();
+    let verdicts: Vec<PieceVerdict> =
+        numbers.iter().map(|it| order.accept(*it, &it.to_le_bytes())).collect();
+    assert_eq!(verdicts, expected);
+}
+
+#[test]
+fn a_replay_that_differs_is_told() {
+    let mut order = StreamOrder::default();
+    order.accept(1, b"one");
+    assert_eq!(order.accept(1, b"other"), PieceVerdict::Differs);
+}
+
+#[test]
+fn strikes_from_two_replicas_quarantine_and_a_good_run_clears_one() {
+    let mut table = QuarantineTable::default();
+    let fingerprint = Fingerprint(7);
+    let strike = |member| Strike { fingerprint, member };
+    assert_eq!(table.standing(SECOND, fingerprint), Standing::Clean);
+    assert!(table.strike(SECOND, strike(1)));
+    assert!(!table.strike(SECOND, strike(1)), "the same replica counts once");
+    assert_eq!(table.standing(SECOND, fingerprint), Standing::Apart);
+    table.clear(fingerprint);
+    assert_eq!(table.standing(SECOND, fingerprint), Standing::Clean);
+    table.strike(SECOND, strike(1));
+    table.strike(SECOND, strike(2));
+    assert_eq!(table.standing(SECOND, fingerprint), Standing::Quarantined);
+    table.clear(fingerprint);
+    assert_eq!(table.standing(SECOND, fingerprint), Standing::Quarantined);
+    assert_eq!(table.standing(3_700 * SECOND, fingerprint), Standing::Clean, "it is forgotten");
+}
+
+#[test]
+fn a_failing_replica_is_paused_longer_each_time_and_a_crash_loop_is_seen() {
+    let mut health = ReplicaHealth::default();
+    health.fail(SECOND, false);
+    assert_eq!(health.state(SECOND), HealthState::Good, "one failure is nothing");
+    health.fail(SECOND, true);
+    assert_eq!(health.state(SECOND), HealthState::Paused);
+    assert_eq!(health.state(2 * SECOND), HealthState::Good);
+    health.fail(2 * SECOND, true);
+    assert_eq!(health.state(2 * SECOND + SECOND / 2), HealthState::Paused);
+    for life in 1..=4 {
+        health.see_life(3 * SECOND, Incarnation(life));
+    }
+    assert_eq!(health.state(3 * SECOND), HealthState::CrashLoop);
+    assert_eq!(health.state(100 * SECOND), HealthState::Good);
+}
+
+#[test]
+fn retries_cost_at_most_a_tenth_after_the_reserve() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        retries += u32::from(budget.spend());
+    }
+    assert!(retries <= 1_010, "{retries}");
+}
+
+#[test]
+fn each_customer_gets_its_weight_and_waiting_traffic_its_turns() {
+    let mut queue: FairQueue<&str, bool> = FairQueue::default();
+    for _ in 0..400 {
+        queue.push("greedy", 1, false, 500.0, false);
+        queue.push("greedy", 1, false, 500.0, false);
+        queue.push("modest", 1, false, 500.0, false);
+        queue.push("heavy", 2, false, 500.0, false);
+        queue.push("modest", 1, true, 500.0, true);
+    }
+    let mut counts = std::collections::BTreeMap::new();
+    let mut deferred = 0;
+    for _ in 0..400 {
+        let (id, deferrable) = queue.pop().unwrap();
+        deferred += u32::from(deferrable);
+        *counts.entry((id, deferrable)).or_insert(0) += 1;
+    }
+    assert_eq!(deferred, 50, "one turn in eight");
+    let (greedy, modest): (i32, i32) = (counts[&("greedy", false)], counts[&("modest", false)]);
+    assert!((greedy - modest).abs() <= 4, "{counts:?}");
+    assert!((counts[&("heavy", false)] - 2 * modest).abs() <= 6, "{counts:?}");
+}
--- /dev/null
+++ b/crates/settings/tests/errors.rs
@@ -0,0 +1,120 @@
+//! Settings are merged and checked as a whole; errors name file, line and field.
+
+use rstest::rstest;
+use settings::{Layer, Millis};
+
+const BASE: &str = r#"// the base
+{
+  "platform": { "poll_ms": 1000 },
+  "limits": { "body_bytes": 2048 } // short
+}"#;
+
+const SITE: &str = r#"{
+  "instance": {
+    "id": "entry-1",
+    "failure_domain": "north",
+    "callers": "127.0.0.1:8080",
+    "admin": "127.0.0.1:7001",
+    "peers": "127.0.0.1:7000"
+  },
+  "platform": {
+    "list": "127.0.0.1:9100",
+    "table": "127.0.0.1:9101",
+    "objects": "127.0.0.1:9102",
+    "weights": "127.0.0.1:9103"
+  },
+  "secrets": {
+    "peer": "sixteen-characters",
+    "admin": "sixteen-characters",
+    "target": "sixteen-characters"
+  }
+}"#;
+
+fn layer(origin: &str, text: &str) -> Layer {
+    Layer { origin: origin.into(), text: text.into() }
+}
+
+fn load(overlay: &str) -> Result<settings::Settings, String> {
+    let layers = [layer("base.json", BASE), layer("site.json", SITE), layer("over.json", overlay)];
+    settings::load(&layers).map_err(|error| error.to_string())
+}
+
+#[test]
+fn later_layers_lie_over_earlier_ones() {
+    let settings = load(r#"{ "platform": { "table": "10.0.0.1:1" } }"#).unwrap();
+    assert_eq!(settings.platform.table, "10.0.0.1:1".parse().unwrap());
+    assert_eq!(settings.platform.poll_ms, Millis(1_000));
+    assert_eq!(settings.limits.body_bytes, 2_048);
+    assert_eq!(settings.limits.queue_length, 1_000, "what no layer says has its default");
+}
+
+#[rstest]
+#[case::unknown_field(
+    "{\n  \"limits\": {\n    \"body_byte\": 1\n  }\n}",
+    "over.json:3: field limits.body_byte: unknown field `body_byte`"
+)]
+#[case::wrong_kind(
+    "{\n\n  \"limits\": { \"body_bytes\": \"big\" }\n}",
+    "over.json:3: field limits.body_bytes: invalid type: string \"big\", expected usize"
+)]
+#[case::out_of_bounds(
+    "{ \"limits\":\n { \"body_bytes\": 3 } }",
+    "over.json:2: field limits.body_bytes: found 3; allowed: 1024 to 268435456 bytes"
+)]
+#[case::slow_poll(
+    "{ \"platform\": { \"poll_ms\": 9000 } }",
+    "over.json:1: field platform.poll_ms: found 9000; allowed: at most 2500: changes are due within 5 s"
+)]
+#[case::no_address(
+    "{ \"platform\": { \"table\": \"here\" } }",
+    "over.json:1: field platform.table: invalid socket address syntax"
+)]
+#[case::bad_id(
+    "{\n \"instance\": {\n \"id\": \"a b\" } }",
+    "over.json:3: field instance.id: an id holds letters, digits, '-', '_' and '.', found ' '"
+)]
+#[case::short_secret(
+    "{ \"secrets\": { \"admin\": \"short\" } }",
+    "over.json:1: field secrets.admin: found 5 characters; allowed: at least 16 characters"
+)]
+#[case::no_object("[1]", "over.json:1: found no object; allowed: one JSON object")]
+fn an_error_names_file_line_and_field(#[case] overlay: &str, #[case] expected: &str) {
+    let error = load(overlay).unwrap_err();
+    assert!(error.starts_with(expected), "{error}");
+}
+
+#[test]
+fn a_syntax_error_names_its_line() {
+    let error = load("{\n  \"limits\": {\n    \"body_bytes\" 3\n  }\n}").unwrap_err();
+    assert!(error.starts_with("over.json:3: "), "{error}");
+}
+
+#[test]
+fn a_missing_field_is_named() {
+    let error = settings::load(&[layer("base.json", BASE)]).unwrap_err().to_string();
+    assert_eq!(error, "base.json:3: field platform: missing field `list`");
+}
+
+#[rstest]
+#[case("limits.body_bytes=4096", true)]
+#[case("instance.id=entry-9", true)]
+#[case("limits", false)]
+fn single_values_are_layers(#[case] text: &str, #[case] valid: bool) {
+    let single = Layer::single(text);
+    assert_eq!(single.is_ok(), valid);
+    if let Ok(single) = single {
+        let layers = [layer("base.json", BASE), layer("site.json", SITE), single];
+        assert!(settings::load(&layers).is_ok());
+    }
+}
+
+#[test]
+fn the_examples_of_both_deployments_are_valid() {
+    let folder = std::path::PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for site in ["cooperative", "wholesalers"] {
+        let names = ["base.json".into(), format!("{site}.json"), format!("{site}-instance.json")];
+        let layers: Vec<Layer> =
+            names.iter().map(|it| Layer::read(&folder.join(it)).unwrap()).collect();
+        settings::load(&layers).unwrap_or_else(|error| panic!("{error}"));
+    }
+}
