Take a part that went away and came back for another part

An instance held a part, was cut off until another took it and spent it, and was given it back before it ever read the row in between. Ruled out: giving parts as such (the same happens when a part is taken twice in turn), the proof (it was valid for the newest row). Change: each transfer of a part has a number; a bucket is kept only for the same transfer.

--- a/crates/control/src/part_holder.rs
+++ b/crates/control/src/part_holder.rs
@@ -231,17 +231,17 @@
         let asked_at = self.clock.now();
         if let Commit::Done(revision) = self.store.commit(parts_transaction(&next, row)).await? {
             let mut state = self.lock();
+            self.adopt(&mut state, next.clone());
+            state.row = Some(revision);
             let now = self.clock.now();
             for id in fresh {
                 let Some(customer) = view.catalog.customers.get(&id) else { continue };
-                let Some(share) = next.held(&id, &self.own, self.incarnation) else { continue };
+                let held = next.held(&id, &self.own, self.incarnation);
+                let Some(share) = held.map(|it| it.share) else { continue };
                 let capacity = (customer.burst.0 as f64 * share.factor()).floor();
                 let rate = customer.rate.0 as f64 * share.factor();
                 state.buckets.insert(id, PartBucket::full(now, capacity, rate));
             }
-            state.table = next;
-            state.giving.clear();
-            state.row = Some(revision);
             state.guard.prove(asked_at);
             state.proved_at = Some(asked_at);
         }
@@ -320,8 +320,9 @@
         let now = self.clock.now();
         let mut state = self.lock();
         for (id, customer) in &catalog.customers {
-            let before = state.table.held(id, &self.own, self.incarnation);
-            let after = next.held(id, &self.own, self.incarnation);
+            let share =
+                |it: &PartTable| it.held(id, &self.own, self.incarnation).map(|part| part.share);
+            let (before, after) = (share(&state.table), share(next));
             let Some(after) = after.filter(|it| before.is_some_and(|old| *it < old)) else {
                 continue;
             };
@@ -336,7 +337,7 @@
 
     /// The part that may be spent.
     fn share(&self, state: &HolderState, customer: &CustomerId) -> Option<Millionths> {
-        let held = state.table.held(customer, &self.own, self.incarnation)?;
+        let held = state.table.held(customer, &self.own, self.incarnation)?.share;
         Some(state.giving.get(customer).map_or(held, |it| held.min(*it)))
     }
 
@@ -346,7 +347,13 @@
 
     fn adopt(&self, state: &mut HolderState, table: PartTable) {
         let (own, life) = (&self.own, self.incarnation);
-        state.buckets.retain(|id, _| table.held(id, own, life).is_some());
+        let before = std::mem::take(&mut state.table);
+        let transfer =
+            |it: &PartTable, id: &CustomerId| it.held(id, own, life).map(|part| part.transfer);
+        state.buckets.retain(|id, _| {
+            let held = transfer(&table, id);
+            held.is_some() && held == transfer(&before, id)
+        });
         state.giving.clear();
         state.table = table;
     }
--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -28,6 +28,10 @@
     pub incarnation: Incarnation,
     /// How much of the whole.
     pub share: Millionths,
+    /// The transfer by which the holder got it. A part that went away and came back is another
+    /// part: what others spent of it meanwhile is not known.
+    #[serde(default)]
+    pub transfer: u64,
 }
 
 /// The row: parts by customer.
@@ -35,6 +39,9 @@
 pub struct PartTable {
     /// The parts of each customer.
     pub parts: IndexMap<CustomerId, Vec<RatePart>>,
+    /// Transfers so far.
+    #[serde(default)]
+    pub transfers: u64,
 }
 
 /// An instance as the platform lists it.
@@ -73,10 +80,9 @@
         customer: &CustomerId,
         own: &InstanceId,
         life: Incarnation,
-    ) -> Option<Millionths> {
+    ) -> Option<&RatePart> {
         let parts = self.parts.get(customer)?;
-        let part = parts.iter().find(|it| it.holder == *own && it.incarnation == life)?;
-        Some(part.share)
+        parts.iter().find(|it| it.holder == *own && it.incarnation == life)
     }
 
     /// The sum of a customer's parts.
@@ -96,8 +102,8 @@
         for customer in view.customers {
             match next.parts.get_mut(customer) {
                 Some(parts) => {
-                    take_over(customer, parts, view);
-                    spread(customer, parts, view);
+                    take_over(customer, parts, view, &mut next.transfers);
+                    spread(customer, parts, view, &mut next.transfers);
                 }
                 None if first_home(customer, view).as_ref() == Some(view.own) => {
                     next.parts.insert(customer.clone(), new_parts(customer, view));
@@ -123,6 +129,8 @@
             for part in parts.iter_mut().filter(|it| it.holder == *view.own) {
                 part.holder = heir.id.clone();
                 part.incarnation = heir.incarnation;
+                next.transfers += 1;
+                part.transfer = next.transfers;
             }
             merge(parts);
         }
@@ -130,7 +138,12 @@
     }
 }
 
-fn take_over(customer: &CustomerId, parts: &mut Vec<RatePart>, view: PlanView<'_>) {
+fn take_over(
+    customer: &CustomerId,
+    parts: &mut Vec<RatePart>,
+    view: PlanView<'_>,
+    transfers: &mut u64,
+) {
     let homes = live_homes(customer, view, RATE_HOMES + 1);
     let held: Vec<InstanceId> = parts.iter().map(|it| it.holder.clone()).collect();
     for part in parts.iter_mut() {
@@ -144,6 +157,8 @@
         if gone && view.majority_listed && heir.is_some_and(|it| it.id == *view.own) {
             part.holder = view.own.clone();
             part.incarnation = view.incarnation;
+            *transfers += 1;
+            part.transfer = *transfers;
         }
     }
     merge(parts);
@@ -151,7 +166,12 @@
 
 /// Gives what this instance holds beyond one home's part to a home that holds none, so that a
 /// customer does not hang on one instance for ever.
-fn spread(customer: &CustomerId, parts: &mut Vec<RatePart>, view: PlanView<'_>) {
+fn spread(
+    customer: &CustomerId,
+    parts: &mut Vec<RatePart>,
+    view: PlanView<'_>,
+    transfers: &mut u64,
+) {
     let due = Millionths::ONE.0 / RATE_HOMES as u64;
     let held: Vec<InstanceId> = parts.iter().map(|it| it.holder.clone()).collect();
     if held.len() >= RATE_HOMES {
@@ -163,10 +183,12 @@
     let Some(part) = parts.iter_mut().find(own).filter(|it| it.share.0 > due) else { return };
     let given = part.share.0 - due;
     part.share = Millionths(due);
+    *transfers += 1;
     parts.push(RatePart {
         holder: heir.id.clone(),
         incarnation: heir.incarnation,
         share: Millionths(given),
+        transfer: *transfers,
     });
 }
 
@@ -193,6 +215,7 @@
             holder: it.id.clone(),
             incarnation: it.incarnation,
             share: Millionths(Millionths::ONE.0 / count),
+            transfer: 0,
         })
         .collect()
 }
--- a/crates/xtask/src/measure/slopes.rs
+++ b/crates/xtask/src/measure/slopes.rs
@@ -177,10 +177,11 @@
                 holder: members[(number + offset) % instances].id.clone(),
                 incarnation: Incarnation(1),
                 share: Millionths(500_000),
+                transfer: 1_000_000,
             };
             (it.clone(), vec![part(0), part(1)])
         });
-        let row = PartTable { parts: parts.collect() };
+        let row = PartTable { parts: parts.collect(), transfers: 1_000_000 };
         let unlisted: IndexMap<InstanceId, Duration> = IndexMap::new();
         let view = PlanView {
             own: &members[0].id,
