--- a/crates/daemon/src/background.rs
+++ b/crates/daemon/src/background.rs
@@ -23,8 +23,12 @@
 const OUTAGE_LOOK: Duration = Duration::from_millis(1_000);
 /// The shortest time between two readings of the platform.
 const LEAST_POLL: Duration = Duration::from_millis(100);
-/// The time between two looks at one more engine; bounds what looks cost, however many there are.
+/// The time between two looks at one more engine, in a small fleet.
 const LOOK: Duration = Duration::from_millis(50);
+/// The time between two looks in a large one: looks may cost 1.2 KB a second, not more.
+const LOOK_SPARING: Duration = Duration::from_millis(500);
+/// Engines from which on a fleet is large; answers to requests tell most of what looks would.
+const LARGE_FLEET: usize = 48;
 /// The shortest time between two looks at the same engine.
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
 /// Peers asked for the row of parts.
@@ -314,7 +318,10 @@
 async fn look_at_engines(router: Arc<Router>) {
     loop {
         let round = tokio::time::Instant::now() + LOOK_AGAIN;
-        for desk in router.desks().into_iter().filter(|it| it.is_engine()) {
+        let desks: Vec<_> = router.desks().into_iter().filter(|it| it.is_engine()).collect();
+        let engines: usize = desks.iter().map(|it| it.targets().len()).sum();
+        let pause = if engines < LARGE_FLEET { LOOK } else { LOOK_SPARING };
+        for desk in desks {
             for (target, address) in desk.targets() {
                 let (router, desk) = (router.clone(), desk.clone());
                 tokio::spawn(async move {
@@ -322,7 +329,7 @@
                         desk.look(&target, status);
                     }
                 });
-                tokio::time::sleep(LOOK).await;
+                tokio::time::sleep(pause).await;
             }
         }
         tokio::time::sleep_until(round).await;
--- a/crates/xtask/src/measure/overhead.rs
+++ b/crates/xtask/src/measure/overhead.rs
@@ -19,6 +19,8 @@
 const OPEN_STREAMS: usize = 1_000;
 /// Senders at once when the daemon is loaded.
 const SENDERS: usize = 32;
+/// How long the daemon is watched idle.
+const IDLE_TIME: Duration = Duration::from_secs(10);
 /// Clock ticks in a second, as the kernel counts a process's time.
 const TICKS_PER_S: f64 = 100.0;
 const CHAT: &str = "/v1/chat/completions";
@@ -50,6 +52,9 @@
     }
     let per_core = requests_per_core(&fleet, &key).await?;
     table.push("requests a second on one core", vec![per_core]);
+    let idle = idle_share(&fleet).await?;
+    table.push("idle, percent of one core", vec![100.0 * idle]);
+    table.push("idle, MB resident", vec![resident_kb(fleet.daemon_pids[0])? / 1_024.0]);
     let memory = stream_memory(&fleet, &key).await?;
     table.push("KB an open stream costs", vec![memory]);
     table.finish()
@@ -110,6 +115,14 @@
     Ok((REQUESTS / SENDERS * 2 * SENDERS) as f64 / used)
 }
 
+/// The share of one core that an idle daemon uses.
+async fn idle_share(fleet: &Fleet) -> Result<f64, ChoreError> {
+    let before = processor_s(fleet.daemon_pids[0])?;
+    tokio::time::sleep(IDLE_TIME).await;
+    let used = processor_s(fleet.daemon_pids[0])? - before;
+    Ok(used / IDLE_TIME.as_secs_f64())
+}
+
 /// Memory that a thousand open streams cost the daemon, for each.
 async fn stream_memory(fleet: &Fleet, key: &str) -> Result<f64, ChoreError> {
     let before = resident_kb(fleet.daemon_pids[0])?;
