--- a/crates/policy/src/parts.rs
+++ b/crates/policy/src/parts.rs
@@ -14,7 +14,7 @@
 use crate::rendezvous;
 
 /// Homes of one customer's rate.
-pub const RATE_HOMES: usize = 2;
+pub const RATE_HOMES: usize = 3;
 /// How long the platform must not have listed a holder before its parts may be taken. Longer
 /// than any holder spends without a proof that it still holds them.
 pub const UNLISTED_WAIT: Duration = Duration::from_secs(15);
