Leave slow replicas out; split four long files

Ruled out: pausing a slow replica like a failing one (its work ends, and a pool that is slow all over would stop). Change: a slow replica gets one request in twenty as a probe. The engine's answers, replicas, what is placed, exchanges with engines and the world of the rate tests are modules of their own; no behaviour changes by the split.

--- a/crates/daemon/src/model_stream.rs
+++ b/crates/daemon/src/model_stream.rs
@@ -15,8 +15,9 @@
 use targets::{AnswerLabels, ExchangeError, StreamEvent};
 use tokio::sync::mpsc;
 
-use crate::model_call::{Begun, BegunStream, ModelRequest};
-use crate::pool::Placed;
+use crate::model_call::ModelRequest;
+use crate::model_exchange::{Begun, BegunStream};
+use crate::place::Placed;
 use crate::rate_desk::RateTicket;
 use crate::refusal::refusal_json;
 
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -9,69 +9,22 @@
 use indexmap::IndexMap;
 use policy::chain::ChainHash;
 use policy::fair_queue::FairQueue;
-use policy::health::{HealthState, ReplicaHealth};
 use policy::placement::{Choice, PlacementCosts, PlacementTable, ReplicaView};
-use policy::rendezvous;
 use policy::retry::RetryBudget;
 use policy::version_trial::{TrialFault, TrialSample, VersionTrial};
 use ports::Clock;
 use targets::AnswerLabels;
 use tokio::sync::oneshot;
 
+use crate::place::{PlaceRequest, Placed};
+use crate::replica::{Replica, ReplicaStatus};
+
+/// Answers between two looks at the replicas' speeds.
+const SPEED_LOOK: u64 = 32;
+/// Share of requests that may go to a slow replica, to see whether it is still slow.
+const SLOW_PROBES: f64 = 0.05;
 /// Share of traffic that a version on trial gets.
 const TRIAL_SHARE: f64 = 0.05;
-/// Load beyond its slots that a replica is given, so that its queue does not run dry.
-const SLOT_SLACK: f64 = 1.25;
-
-/// What placement needs to know of a request.
-#[derive(Debug, Clone)]
-pub(crate) struct PlaceRequest {
-    pub(crate) customer: Option<CustomerId>,
-    pub(crate) weight: u32,
-    pub(crate) deferrable: bool,
-    /// Tokens it will cost, for fairness.
-    pub(crate) cost: f64,
-    /// Prompt tokens.
-    pub(crate) tokens: u64,
-    /// The chain of the prompt under the version given.
-    pub(crate) chains: IndexMap<VersionNumber, Vec<ChainHash>>,
-    /// No other request of this daemon runs beside it.
-    pub(crate) apart: bool,
-    /// It runs on this version or not at all.
-    pub(crate) only_version: Option<VersionNumber>,
-    /// It runs on this replica or not at all: its turn apart was given there.
-    pub(crate) only_target: Option<TargetId>,
-    /// Replicas it failed on before.
-    pub(crate) avoid: Vec<TargetId>,
-}
-
-/// A replica chosen for one attempt.
-#[derive(Debug, Clone)]
-pub(crate) struct Placed {
-    pub(crate) target: TargetId,
-    pub(crate) address: SocketAddr,
-    pub(crate) incarnation: Option<Incarnation>,
-    pub(crate) echoes: bool,
-    pub(crate) version: VersionNumber,
-    pub(crate) was_home: bool,
-}
-
-#[derive(Debug)]
-struct Replica {
-    target: Target,
-    member: u64,
-    health: ReplicaHealth,
-    version: Option<VersionNumber>,
-    outstanding: u32,
-    reported: u32,
-    reported_at: Duration,
-    apart: bool,
-    /// It said itself that it leaves.
-    leaving: bool,
-    /// The platform's list says that it leaves.
-    listed_leaving: bool,
-}
-
 #[derive(Debug)]
 struct Waiting<C: Clock> {
     request: PlaceRequest,
@@ -87,6 +40,9 @@
     placement: PlacementTable,
     budget: RetryBudget,
     trial: VersionTrial,
+    /// The middle of the replicas' first-token times, for a thousand computed tokens.
+    middle_s: f64,
+    answers: u64,
     /// The move whose new version gets nothing more, by own evidence or a peer's.
     condemned: Option<MoveId>,
 }
@@ -115,27 +71,6 @@
     }
 }
 
-/// One line of a pool's state for operators.
-#[derive(Debug, Clone, serde::Serialize, serde::Deserialize, schemars::JsonSchema)]
-pub struct ReplicaStatus {
-    /// The replica.
-    pub target: Box<str>,
-    /// Its pool.
-    pub pool: Box<str>,
-    /// Where it listens.
-    pub address: Box<str>,
-    /// `good`, `paused`, `crash_loop` or `leaving`.
-    pub health: Box<str>,
-    /// Its life, if known.
-    pub incarnation: Option<u64>,
-    /// The version it runs, if known.
-    pub version: Option<u64>,
-    /// This daemon's requests on it.
-    pub outstanding: u32,
-    /// Requests it reported last.
-    pub reported: u32,
-}
-
 impl<C: Clock> PoolDesk<C> {
     pub(crate) fn new(
         pool: Pool,
@@ -151,6 +86,8 @@
             placement: PlacementTable::new(costs),
             budget: RetryBudget::default(),
             trial: VersionTrial::default(),
+            middle_s: 0.0,
+            answers: 0,
             condemned: None,
         };
         PoolDesk { id: pool.id, clock, queue_limit, state: Mutex::new(state) }
@@ -256,6 +193,7 @@
         let speed = first_token.map(|it| it.as_secs_f64() * 1_000.0 / computed as f64);
         replica.health.succeed(speed);
         let view = replica.view(slots);
+        state.watch_speed();
         let version = labels.version.unwrap_or(placed.version);
         if let (Some(chain), Some(cached)) = (request.chains.get(&version), labels.cached_tokens) {
             let nodes = (cached / piece_tokens.max(1)) as usize;
@@ -412,67 +350,30 @@
     }
 }
 
-impl Replica {
-    fn new(target: Target) -> Replica {
-        let member = rendezvous::member_hash(target.id.as_str());
-        Replica {
-            target,
-            member,
-            health: ReplicaHealth::default(),
-            version: None,
-            outstanding: 0,
-            reported: 0,
-            reported_at: Duration::ZERO,
-            apart: false,
-            leaving: false,
-            listed_leaving: false,
-        }
-    }
-
-    fn leaves(&self) -> bool {
-        self.leaving || self.listed_leaving || self.target.leaving
-    }
-
-    fn view(&self, slots: u32) -> ReplicaView {
-        ReplicaView {
-            member: self.member,
-            incarnation: self.health.life().unwrap_or_default(),
-            slots,
-            outstanding: self.outstanding,
-            reported: self.reported,
-            reported_at: self.reported_at,
+impl<C: Clock> PoolState<C> {
+    /// Every few answers, the middle of the replicas' speeds.
+    fn watch_speed(&mut self) {
+        self.answers += 1;
+        if !self.answers.is_multiple_of(SPEED_LOOK) {
+            return;
         }
+        let mut speeds: Vec<f64> =
+            self.replicas.values().filter_map(|it| it.health.speed_s()).collect();
+        speeds.sort_by(f64::total_cmp);
+        self.middle_s = speeds.get(speeds.len() / 2).copied().unwrap_or(0.0);
     }
 
-    fn may_work(&self, now: Duration) -> bool {
-        !self.leaves() && !self.apart && self.health.state(now) == HealthState::Good
-    }
-
-    fn has_room(&self, now: Duration, slots: u32) -> bool {
-        self.may_work(now) && self.view(slots).load(now) < f64::from(slots) * SLOT_SLACK
-    }
-
-    fn status(&self, now: Duration) -> ReplicaStatus {
-        let health = match self.health.state(now) {
-            _ if self.leaves() => "leaving",
-            HealthState::Good => "good",
-            HealthState::Paused => "paused",
-            HealthState::CrashLoop => "crash_loop",
+    /// Leaves out replicas that are slow against the middle, but for a few probes.
+    fn leave_out_slow(&self, open: &mut Vec<usize>) {
+        let slow = |index: &usize| {
+            self.middle_s > 0.0 && self.replicas[*index].health.is_slow(self.middle_s)
         };
-        ReplicaStatus {
-            target: self.target.id.as_str().into(),
-            pool: self.target.pool.as_str().into(),
-            address: self.target.address.to_string().into(),
-            health: health.into(),
-            incarnation: self.health.life().map(|it| it.0),
-            version: self.version.map(|it| it.0),
-            outstanding: self.outstanding,
-            reported: self.reported,
+        let probe = rand::random::<f64>() < SLOW_PROBES;
+        if !probe && open.iter().any(|it| !slow(it)) {
+            open.retain(|it| !slow(it));
         }
     }
-}
 
-impl<C: Clock> PoolState<C> {
     fn any_good(&self, now: Duration) -> bool {
         self.replicas.values().any(|it| it.may_work(now))
     }
@@ -548,6 +449,7 @@
         if open.iter().any(|index| !avoided(&self.replicas[*index])) {
             open.retain(|index| !avoided(&self.replicas[*index]));
         }
+        self.leave_out_slow(&mut open);
         let runs = |index: &usize| self.replicas[*index].version.is_none_or(|it| it == version);
         if open.iter().any(runs) || request.only_version.is_some() {
             open.retain(runs);
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -18,7 +18,8 @@
 use web::client::Connection;
 
 use crate::front::CallerRequest;
-use crate::pool::{PlaceRequest, PlacedSlot};
+use crate::place::PlaceRequest;
+use crate::pool::PlacedSlot;
 use crate::rate_desk;
 use crate::router::{Desk, Router};
 
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -3,7 +3,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::pool::ReplicaStatus;
+use crate::replica::ReplicaStatus;
 use crate::router::Router;
 
 /// One instance as the platform lists it.
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -5,6 +5,7 @@
 //! this crate; tests, the demo and measurements do.
 
 pub mod engine;
+mod engine_answer;
 mod engine_cache;
 mod engine_run;
 mod faulty_body;
