Fold what stood twice

Cause: the list of duplicates of this work: a client of the platform made in two places, the first homes among live instances worked out in two, warm-up loops and orders sent in a task in the tests. Ruled out: rows that are alike in shape only (struct heads, constants of different measurements). Change: one function for each.

--- a/crates/control/tests/rate_law.rs
+++ b/crates/control/tests/rate_law.rs
@@ -79,9 +79,7 @@
 #[tokio::test]
 async fn a_lost_holders_part_is_taken_once_and_not_spent_by_it_again(#[case] fate: Process) {
     let mut world = World::new(4, 1);
-    for _ in 0..50 {
-        world.pass().await;
-    }
+    world.settle().await;
     let lost = world.holder_index();
     assert!(world.ask(lost, BURST), "the part began full");
     world.instances[lost].process = fate;
@@ -111,9 +109,7 @@
         world.instances[index].process = Process::Dead;
         world.instances[index].seen_at = Duration::ZERO;
     }
-    for _ in 0..50 {
-        world.pass().await;
-    }
+    world.settle().await;
     assert_eq!(world.instances[0].holder.table().parts[&customer_id()].len(), 1);
     while world.ask(0, BURST) {}
     for index in 1..3 {
@@ -139,9 +135,7 @@
         world.instances[index].process = Process::Dead;
         world.instances[index].seen_at = Duration::ZERO;
     }
-    for _ in 0..50 {
-        world.pass().await;
-    }
+    world.settle().await;
     for index in 1..3 {
         world.restart(index);
     }
@@ -160,9 +154,7 @@
 #[tokio::test]
 async fn a_stale_read_proves_nothing() {
     let mut world = World::new(4, 1);
-    for _ in 0..50 {
-        world.pass().await;
-    }
+    world.settle().await;
     let lost = world.holder_index();
     world.instances[lost].process = Process::Frozen;
     for _ in 0..300 {
@@ -180,9 +172,7 @@
 #[tokio::test]
 async fn holders_go_on_through_a_long_outage_of_the_table() {
     let mut world = World::new(4, 1);
-    for _ in 0..50 {
-        world.pass().await;
-    }
+    world.settle().await;
     world.platform_down = true;
     world.instances.iter().for_each(|it| it.store.set(StoreFault::Down));
     let mut served = 0;
@@ -198,9 +188,7 @@
 #[tokio::test]
 async fn a_holder_cut_off_from_everything_stops_before_its_part_is_taken() {
     let mut world = World::new(4, 1);
-    for _ in 0..50 {
-        world.pass().await;
-    }
+    world.settle().await;
     let lost = world.holder_index();
     (world.instances[lost].cut, world.instances[lost].deaf) = (true, true);
     world.instances[lost].store.set(StoreFault::Down);
@@ -217,9 +205,7 @@
 #[tokio::test]
 async fn a_right_that_lapsed_is_not_revived_by_peers_in_an_outage() {
     let mut world = World::new(4, 1);
-    for _ in 0..50 {
-        world.pass().await;
-    }
+    world.settle().await;
     let lost = world.holder_index();
     (world.instances[lost].cut, world.instances[lost].deaf) = (true, true);
     world.instances[lost].store.set(StoreFault::Down);
@@ -249,9 +235,7 @@
 async fn a_customer_seen_late_by_one_instance_gets_no_second_burst() {
     // So slow a rate that a second burst is far beyond it.
     let mut world = World::with_rate(2, 1, 10);
-    for _ in 0..50 {
-        world.pass().await;
-    }
+    world.settle().await;
     for index in 0..2 {
         while world.ask(index, BURST) {}
     }
@@ -275,9 +259,7 @@
 #[tokio::test]
 async fn two_that_take_the_same_part_at_once_do_not_both_get_it() {
     let mut world = World::new(6, 1);
-    for _ in 0..50 {
-        world.pass().await;
-    }
+    world.settle().await;
     let lost = world.holder_index();
     world.instances[lost].process = Process::Dead;
     for _ in 0..170 {
--- a/crates/control/tests/rate_world/mod.rs
+++ b/crates/control/tests/rate_world/mod.rs
@@ -131,6 +131,13 @@
         }
     }
 
+    /// Lets instances find each other and make the customer's parts.
+    pub async fn settle(&mut self) {
+        for _ in 0..50 {
+            self.pass().await;
+        }
+    }
+
     pub fn ask_peers(&self, index: usize) {
         let it = &self.instances[index];
         let asked_at = self.clock.now();
--- a/crates/daemon/src/apart.rs
+++ b/crates/daemon/src/apart.rs
@@ -6,7 +6,6 @@
 use ids::{ErrorKind, PoolId, Refusal, TargetId};
 use peers::{PeerRequest, PeerResponse};
 use policy::quarantine::{Fingerprint, Standing};
-use policy::rendezvous;
 
 use crate::router::{Desk, Router};
 
@@ -90,13 +89,9 @@
 
 /// Where the daemon listens that gives the turns of a pool; `None` if it is this one.
 fn giver(router: &Router, pool: &PoolId) -> Option<std::net::SocketAddr> {
-    let listed = router.members.listed();
-    let live: Vec<_> = listed.into_iter().filter(|it| !it.leaving).collect();
-    let hashes: Vec<u64> = live.iter().map(|it| rendezvous::member_hash(it.id.as_str())).collect();
-    let key = rendezvous::member_hash(pool.as_str());
-    let first = *rendezvous::homes(key, &hashes, 1).first()?;
-    if live[first].id == router.own {
+    let first = router.members.first_homes(pool.as_str(), 1).pop()?;
+    if first == router.own {
         return None;
     }
-    router.members.address(&live[first].id).map(|it| it.0)
+    router.members.address(&first).map(|it| it.0)
 }
--- a/crates/daemon/src/member_view.rs
+++ b/crates/daemon/src/member_view.rs
@@ -5,6 +5,7 @@
 
 use ids::{Incarnation, InstanceId};
 use policy::parts::ListedMember;
+use policy::rendezvous;
 use ports::{Member, MemberState};
 
 /// The last list, kept through outages.
@@ -46,6 +47,17 @@
         peers.map(|it| (it.id.clone(), it.peer_address)).collect()
     }
 
+    /// The first `count` live instances by rendezvous on a name; the same on every daemon.
+    pub(crate) fn first_homes(&self, name: &str, count: usize) -> Vec<InstanceId> {
+        let members = self.lock();
+        let live: Vec<&Member> =
+            members.iter().filter(|it| it.state == MemberState::Live).collect();
+        let hashes: Vec<u64> =
+            live.iter().map(|it| rendezvous::member_hash(it.id.as_str())).collect();
+        let homes = rendezvous::homes(rendezvous::member_hash(name), &hashes, count);
+        homes.into_iter().map(|it| live[it].id.clone()).collect()
+    }
+
     pub(crate) fn address(&self, id: &InstanceId) -> Option<(SocketAddr, Incarnation)> {
         let members = self.lock();
         members.iter().find(|it| it.id == *id).map(|it| (it.peer_address, it.incarnation))
--- a/crates/daemon/src/moves.rs
+++ b/crates/daemon/src/moves.rs
@@ -6,7 +6,6 @@
 use catalog::{CatalogState, MoveStage, VersionMove};
 use control::MoveChange;
 use peers::PeerRequest;
-use policy::rendezvous;
 use policy::version_trial::TrialFault;
 use ports::Weights;
 
@@ -63,11 +62,8 @@
 }
 
 fn may_drive(router: &Router) -> bool {
-    let listed = router.members.listed();
-    let live: Vec<_> = listed.iter().filter(|it| !it.leaving).collect();
-    let hashes: Vec<u64> = live.iter().map(|it| rendezvous::member_hash(it.id.as_str())).collect();
-    let first = rendezvous::homes(rendezvous::member_hash("moves"), &hashes, CANDIDATES);
-    live.is_empty() || first.iter().any(|it| live[*it].id == router.own)
+    let first = router.members.first_homes("moves", CANDIDATES);
+    first.is_empty() || first.contains(&router.own)
 }
 
 /// A fault of a new version shows here: peers stop using it at once, and the move is taken back.
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -25,6 +25,8 @@
 const SLOW_PROBES: f64 = 0.05;
 /// Share of traffic that a version on trial gets.
 const TRIAL_SHARE: f64 = 0.05;
+
+/// A request that waits for room.
 #[derive(Debug)]
 struct Waiting<C: Clock> {
     request: PlaceRequest,
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -55,6 +55,18 @@
     leaving: AtomicBool,
 }
 
+/// A client of the platform's services.
+pub(crate) fn platform_client(settings: &Settings, deadline: Duration) -> HttpPlatform {
+    let services = &settings.platform;
+    let address = platform::PlatformAddress {
+        list: services.list,
+        table: services.table,
+        objects: services.objects,
+        weights: services.weights,
+    };
+    HttpPlatform::new(address, deadline)
+}
+
 /// Counts a request as open until it is dropped.
 #[derive(Debug)]
 pub(crate) struct OpenRequest {
@@ -72,13 +84,8 @@
     pub(crate) fn new(settings: Settings, incarnation: Incarnation) -> Router {
         let own = settings.instance.id.clone();
         let clock = SystemClock;
-        let address = platform::PlatformAddress {
-            list: settings.platform.list,
-            table: settings.platform.table,
-            objects: settings.platform.objects,
-            weights: settings.platform.weights,
-        };
-        let platform = HttpPlatform::new(address, settings.platform.deadline_ms.duration());
+        let deadline = settings.platform.deadline_ms.duration();
+        let platform = platform_client(&settings, deadline);
         let peers = PeerNetwork::new(
             own.clone(),
             incarnation,
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -12,7 +12,7 @@
 use web::server::StartError;
 
 use crate::peer_roles::PeerRoles;
-use crate::router::Router;
+use crate::router::{Router, platform_client};
 use crate::{admin, background, front};
 
 /// Longest body of an operator's request, in bytes.
@@ -95,13 +95,7 @@
 async fn new_life(settings: &Settings) -> Incarnation {
     let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let own = Incarnation(time.as_micros() as u64);
-    let address = platform::PlatformAddress {
-        list: settings.platform.list,
-        table: settings.platform.table,
-        objects: settings.platform.objects,
-        weights: settings.platform.weights,
-    };
-    let platform = platform::HttpPlatform::new(address, LIFE_WAIT);
+    let platform = platform_client(settings, LIFE_WAIT);
     let members = platform.members().await.unwrap_or_default();
     let earlier = members.into_iter().find(|it| it.id == settings.instance.id);
     earlier.map_or(own, |it| Incarnation(own.0.max(it.incarnation.0 + 1)))
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -140,19 +140,7 @@
     let mut fleet = fleet(2).await;
     fleet.service.context().set_faults(faults);
     let body = json!({ "order": "kill" });
-    let token = format!("Bearer {}", fleet.key);
-    let address = fleet.daemons[0].callers;
-    let caller = fleet.caller.clone();
-    let text = body.to_string();
-    let sent = tokio::spawn(async move {
-        let request = http::Request::post(format!("http://{address}/orders"))
-            .header("authorization", token)
-            .header("idempotency-key", "k1")
-            .body(bytes::Bytes::from(text).into())
-            .unwrap();
-        let fresh = web::client::Connection::Fresh;
-        caller.call(request, fresh, Duration::from_secs(10), 1 << 20).await
-    });
+    let sent = fleet.spawn_order(0, "k1", &body);
     tokio::time::sleep(Duration::from_millis(300)).await;
     let busy = order(&fleet, 1, "k1", &body).await.unwrap();
     assert_eq!((busy.kind(), busy.run()), ("claim_busy".into(), "maybe_run".into()));
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -12,13 +12,14 @@
 
 use bytes::Bytes;
 use dropshot::HttpServer;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use rustix::process::{Pid, Signal};
 use serde_json::{Value, json};
 use stand_ins::engine::{self, EngineServer, EngineShape};
 use stand_ins::platform::{self, PlatformFault, PlatformPart, PlatformStandIn};
 use stand_ins::relay::Relay;
 use stand_ins::service::{self, ServiceServer};
+use tokio::task::JoinHandle;
 use web::client::{CallError, Connection, HttpCaller};
 
 pub const ADMIN_TOKEN: &str = "test-operator-token";
@@ -316,6 +317,25 @@
         self.send(Method::POST, address, path, &all, Bytes::from(body.to_string())).await
     }
 
+    /// Sends an order in a task of its own, for tests that kill its daemon meanwhile.
+    pub fn spawn_order(
+        &self,
+        index: usize,
+        key: &str,
+        body: &Value,
+    ) -> JoinHandle<Result<Response<Bytes>, CallError>> {
+        let request = Request::post(format!("http://{}/orders", self.daemons[index].callers))
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("idempotency-key", key)
+            .body(Bytes::from(body.to_string()).into())
+            .expect("a valid request");
+        let caller = self.caller.clone();
+        tokio::spawn(async move {
+            let time = Duration::from_secs(10);
+            caller.call(request, Connection::Fresh, time, 1 << 20).await
+        })
+    }
+
     pub async fn send(
         &self,
         method: Method,
--- a/crates/daemon/tests/two_at_once.rs
+++ b/crates/daemon/tests/two_at_once.rs
@@ -25,20 +25,7 @@
     let faults = ServiceFaults { delay_before_ms: 600, ..ServiceFaults::default() };
     fleet.service.context().set_faults(faults);
     let body = json!({ "order": "pair" });
-    let first = {
-        let address = fleet.daemons[0].callers;
-        let token = format!("Bearer {}", fleet.key);
-        let (caller, text) = (fleet.caller.clone(), body.to_string());
-        tokio::spawn(async move {
-            let request = http::Request::post(format!("http://{address}/orders"))
-                .header("authorization", token)
-                .header("idempotency-key", "k1")
-                .body(bytes::Bytes::from(text).into())
-                .unwrap();
-            let fresh = web::client::Connection::Fresh;
-            caller.call(request, fresh, Duration::from_secs(10), 1 << 20).await
-        })
-    };
+    let first = fleet.spawn_order(0, "k1", &body);
     tokio::time::sleep(Duration::from_millis(300)).await;
     fleet.platform_fault(PlatformPart::Table, PlatformFault::Down);
     fleet.daemons[0].kill();
