Give the daemon's commands one set of options; end quietly when a reader goes

Ruled out: a shared options struct (argh flattens none). Change: the command is one argument, the options stand once; output ends quietly on a closed pipe; slots are a module of their own. Conclusion: the command lines of README and install page work as before.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -18,7 +18,7 @@
     RoutePut, TargetCommand, ToolArgs, ToolCommand, VersionCommand,
 };
 use crate::document_file;
-use crate::output::{print_done, print_json, print_list};
+use crate::output::{print_done, print_json, print_line, print_list};
 
 /// The time between two looks at a move.
 const WATCH_PERIOD: Duration = Duration::from_millis(500);
@@ -264,7 +264,7 @@
             print_json(&record(&change));
         } else {
             for it in &change.operations {
-                println!("{}", serde_json::to_string(it).unwrap_or_default());
+                print_line(&serde_json::to_string(it).unwrap_or_default());
             }
         }
         Ok(if change.operations.is_empty() { 0 } else { DIFFERENT })
@@ -291,7 +291,7 @@
             return Ok(0);
         }
         for name in ["instance", "ready", "catalog_revision", "may_spend", "open_requests"] {
-            println!("{name}: {}", status[name]);
+            print_line(&format!("{name}: {}", status[name]));
         }
         self.instances().await?;
         self.targets().await
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,5 +1,8 @@
 //! Tables for people, JSON for scripts.
 
+use std::io::{self, Write};
+use std::process;
+
 use serde_json::Value;
 
 /// Prints a list of records as a table with these columns, or as JSON.
@@ -16,7 +19,7 @@
     for row in rows {
         let cells: Vec<String> =
             row.iter().zip(&widths).map(|(text, width)| format!("{text:<width$}")).collect();
-        println!("{}", cells.join("  ").trim_end());
+        print_line(cells.join("  ").trim_end());
     }
 }
 
@@ -25,13 +28,20 @@
     if json {
         print_json(answer);
     } else {
-        println!("{sentence}");
+        print_line(sentence);
     }
 }
 
 /// Prints JSON.
 pub(crate) fn print_json(value: &Value) {
-    println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
+    print_line(&serde_json::to_string_pretty(value).unwrap_or_default());
+}
+
+/// Prints one line. A reader that has gone, as `head` does, ends the tool quietly.
+pub(crate) fn print_line(text: &str) {
+    if writeln!(io::stdout(), "{text}").is_err() {
+        process::exit(0);
+    }
 }
 
 fn cell(value: &Value) -> String {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod router;
 mod serve;
 mod service_call;
+mod slot;
 mod status;
 
 pub use serve::{ServeError, serve};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,32 +1,21 @@
 //! `kingcupshiftd`: the daemon.
 
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::process;
 
-use argh::FromArgs;
+use argh::{FromArgValue, FromArgs};
 use settings::{Layer, LogFormat, Settings, SettingsError};
 use web::logs::LogForm;
 
-/// The kingcupshift router. Settings are a base file, overlays laid over it in order, and single
-/// values; `check` shows what is wrong with them, `effective` what comes of them.
+/// The kingcupshift router. Commands: `serve` callers until told to stop, `check` the settings and
+/// say what is wrong, or print the `effective` settings, secrets left out. Settings are a base
+/// file, overlays laid over it in order, and single values.
 #[derive(FromArgs)]
 struct DaemonArgs {
-    #[argh(subcommand)]
+    /// serve, check or effective
+    #[argh(positional)]
     command: DaemonCommand,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum DaemonCommand {
-    Serve(ServeArgs),
-    Check(CheckArgs),
-    Effective(EffectiveArgs),
-}
-
-/// Serve callers until told to stop.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "serve")]
-struct ServeArgs {
     /// the base settings file
     #[argh(option)]
     base: PathBuf,
@@ -38,48 +27,23 @@
     set: Vec<String>,
 }
 
-/// Check the settings and say what is wrong.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "check")]
-struct CheckArgs {
-    /// the base settings file
-    #[argh(option)]
-    base: PathBuf,
-    /// an overlay; may be given more than once, the last wins
-    #[argh(option)]
-    overlay: Vec<PathBuf>,
-    /// one value, such as instance.id=a1; may be given more than once
-    #[argh(option)]
-    set: Vec<String>,
-}
-
-/// Print the settings in force, secrets left out.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "effective")]
-struct EffectiveArgs {
-    /// the base settings file
-    #[argh(option)]
-    base: PathBuf,
-    /// an overlay; may be given more than once, the last wins
-    #[argh(option)]
-    overlay: Vec<PathBuf>,
-    /// one value, such as instance.id=a1; may be given more than once
-    #[argh(option)]
-    set: Vec<String>,
+#[derive(FromArgValue)]
+enum DaemonCommand {
+    Serve,
+    Check,
+    Effective,
 }
 
 fn main() {
     let args: DaemonArgs = argh::from_env();
-    let res = match args.command {
-        DaemonCommand::Serve(it) => load(&it.base, &it.overlay, &it.set).map(run),
-        DaemonCommand::Check(it) => {
-            load(&it.base, &it.overlay, &it.set).map(|_| println!("the settings are valid"))
-        }
-        DaemonCommand::Effective(it) => load(&it.base, &it.overlay, &it.set).map(print_effective),
-    };
-    if let Err(error) = res {
+    let settings = load(&args.base, &args.overlay, &args.set).unwrap_or_else(|error| {
         eprintln!("kingcupshiftd: {error}");
         process::exit(2);
+    });
+    match args.command {
+        DaemonCommand::Serve => run(settings),
+        DaemonCommand::Check => println!("the settings are valid"),
+        DaemonCommand::Effective => print_effective(settings),
     }
 }
 
@@ -118,5 +82,7 @@
             *secret = "(hidden)".into();
         }
     }
-    println!("{}", serde_json::to_string_pretty(&value).unwrap_or_default());
+    let text = serde_json::to_string_pretty(&value).unwrap_or_default();
+    // A reader that has gone, as `head` does, is no fault.
+    let _ = writeln!(io::stdout(), "{text}");
 }
--- a/crates/daemon/src/model_exchange.rs
+++ b/crates/daemon/src/model_exchange.rs
@@ -11,7 +11,7 @@
 
 use crate::model_call::ModelRequest;
 use crate::place::Placed;
-use crate::pool::PlacedSlot;
+use crate::slot::PlacedSlot;
 
 /// An attempt whose answer has begun.
 #[derive(Debug)]
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -18,6 +18,7 @@
 
 use crate::place::{PlaceRequest, Placed};
 use crate::replica::{Replica, ReplicaStatus};
+use crate::slot::PlacedSlot;
 
 /// Answers between two looks at the replicas' speeds.
 const SPEED_LOOK: u64 = 32;
@@ -58,21 +59,6 @@
     state: Mutex<PoolState<C>>,
 }
 
-/// A slot on a replica, freed when dropped.
-#[derive(Debug)]
-pub(crate) struct PlacedSlot<C: Clock> {
-    pub(crate) placed: Placed,
-    desk: Arc<PoolDesk<C>>,
-    apart: bool,
-}
-
-impl<C: Clock> Drop for PlacedSlot<C> {
-    fn drop(&mut self) {
-        self.desk.release(&self.placed.target, self.apart);
-        self.desk.pump();
-    }
-}
-
 impl<C: Clock> PoolDesk<C> {
     pub(crate) fn new(
         pool: Pool,
@@ -158,7 +144,7 @@
             let next = self.lock().next(now);
             let Some((waiting, placed)) = next else { return };
             let apart = waiting.request.apart;
-            let slot = PlacedSlot { placed, desk: self.clone(), apart };
+            let slot = PlacedSlot::new(placed, self.clone(), apart);
             // A receiver that gave up drops the slot, which frees it and pumps again.
             let _ = waiting.answer.send(slot);
         }
@@ -339,7 +325,8 @@
         state.replicas.values().map(|it| it.status(now)).collect()
     }
 
-    fn release(&self, target: &TargetId, apart: bool) {
+    /// Frees a slot.
+    pub(crate) fn release(&self, target: &TargetId, apart: bool) {
         let mut state = self.lock();
         if let Some(replica) = state.replicas.get_mut(target) {
             replica.outstanding = replica.outstanding.saturating_sub(1);
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -19,9 +19,9 @@
 
 use crate::front::CallerRequest;
 use crate::place::PlaceRequest;
-use crate::pool::PlacedSlot;
 use crate::rate_desk;
 use crate::router::{Desk, Router};
+use crate::slot::PlacedSlot;
 
 /// Most targets tried for one call.
 const MAX_ATTEMPTS: usize = 4;
