--- a/crates/control/src/claim_store.rs
+++ b/crates/control/src/claim_store.rs
@@ -10,8 +10,14 @@
 use ports::{Commit, StoreError, Table, Transaction};
 use sha2::{Digest, Sha256};
 
+/// Rows of claims start with this.
+const CLAIM_PREFIX: &str = "claim/";
 /// Rounds of claiming, reading and judging before a claim is given up.
 const CLAIM_ROUNDS: u32 = 4;
+/// How long a claim is kept. A resend under its key after that would run again.
+pub const CLAIM_LIFE: Duration = Duration::from_secs(7 * 24 * 3_600);
+/// Rows looked at in one step of a sweep.
+const SWEEP_ROWS: usize = 200;
 /// Tries to record an outcome before it is left to the background.
 const RECORD_TRIES: u32 = 40;
 /// The pause between them.
@@ -40,7 +46,7 @@
 pub fn claim_key(customer: Option<&CustomerId>, route: &RouteId, key: &str) -> String {
     let digest = Sha256::digest(key.as_bytes());
     let digest: String = digest.iter().take(16).map(|it| format!("{it:02x}")).collect();
-    format!("claim/{}/{route}/{digest}", customer.map_or("-", |it| it.as_str()))
+    format!("{CLAIM_PREFIX}{}/{route}/{digest}", customer.map_or("-", |it| it.as_str()))
 }
 
 /// One daemon's claims.
@@ -67,20 +73,51 @@
         if self.lock().contains(attempt) { OwnerWord::InFlight } else { OwnerWord::NeverSent }
     }
 
-    /// Claims `key` for `attempt`. `ask` asks the owner of a claim that stands in the way.
+    /// Removes claims older than their life, from some rows after `after` on, in one transaction.
+    /// Returns where to go on; empty at the end.
+    pub async fn sweep(&self, now_s: u64, after: &str) -> Result<Box<str>, StoreError> {
+        let rows = self.table.scan(CLAIM_PREFIX, after, SWEEP_ROWS).await?;
+        let next: Box<str> = match rows.last() {
+            Some(it) if rows.len() == SWEEP_ROWS => it.key.clone(),
+            _ => "".into(),
+        };
+        let old = rows.iter().filter(|row| {
+            let made_s = decode(&row.value).map_or(now_s, |it| it.made_s);
+            now_s.saturating_sub(made_s) > CLAIM_LIFE.as_secs()
+        });
+        let txn = old.fold(Transaction::default(), |txn, row| {
+            txn.require(&row.key, Some(row.revision)).delete(&row.key)
+        });
+        if !txn.changes.is_empty() {
+            // A conflict leaves all of them for the next round.
+            self.table.commit(txn).await?;
+        }
+        Ok(next)
+    }
+
+    /// Claims `key` for `attempt` at `made_s` of the wall clock. `ask` asks the owner of a claim that stands in the way.
     pub async fn begin<F, Fut>(
         &self,
         key: &str,
         fingerprint: &str,
         attempt: &str,
+        made_s: u64,
         ask: F,
     ) -> ClaimStart
     where
         F: Fn(ClaimRow) -> Fut,
         Fut: Future<Output = OwnerWord>,
     {
+        let row = ClaimRow {
+            fingerprint: fingerprint.into(),
+            attempt: attempt.into(),
+            owner: self.own.clone(),
+            incarnation: self.incarnation,
+            stage: ClaimStage::Claimed,
+            made_s,
+        };
         self.lock().insert(attempt.into());
-        let start = self.settle(key, fingerprint, attempt, ask).await;
+        let start = self.settle(key, row, ask).await;
         if !matches!(start, ClaimStart::Own(_)) {
             // Never sent: whoever finds the row of this attempt, should a lost write still
             // land, learns so by asking.
@@ -132,24 +169,12 @@
         tracing::error!("claims: outcome of attempt {} was never recorded", handle.row.attempt);
     }
 
-    async fn settle<F, Fut>(
-        &self,
-        key: &str,
-        fingerprint: &str,
-        attempt: &str,
-        ask: F,
-    ) -> ClaimStart
+    async fn settle<F, Fut>(&self, key: &str, row: ClaimRow, ask: F) -> ClaimStart
     where
         F: Fn(ClaimRow) -> Fut,
         Fut: Future<Output = OwnerWord>,
     {
-        let row = ClaimRow {
-            fingerprint: fingerprint.into(),
-            attempt: attempt.into(),
-            owner: self.own.clone(),
-            incarnation: self.incarnation,
-            stage: ClaimStage::Claimed,
-        };
+        let (attempt, fingerprint) = (row.attempt.clone(), row.fingerprint.clone());
         let mut over = None;
         for _ in 0..CLAIM_ROUNDS {
             let txn = Transaction::default().require(key, over).put(key, encode(&row));
@@ -171,14 +196,14 @@
             let Some(other) = decode(&found.value) else {
                 return ClaimStart::Refuse(Refusal::not_run(ErrorKind::Internal));
             };
-            let mut verdict = claim::judge_claim(&other, attempt, fingerprint, None);
+            let mut verdict = claim::judge_claim(&other, &attempt, &fingerprint, None);
             if verdict == ClaimVerdict::AskOwner {
                 let word = if other.owner == self.own {
                     self.word(&other.attempt, other.incarnation)
                 } else {
                     ask(other.clone()).await
                 };
-                verdict = claim::judge_claim(&other, attempt, fingerprint, Some(word));
+                verdict = claim::judge_claim(&other, &attempt, &fingerprint, Some(word));
             }
             match verdict {
                 ClaimVerdict::Own => {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,7 +11,7 @@
 mod part_holder;
 
 pub use catalog_store::{CatalogHead, CatalogStore, SubmitError, change_key};
-pub use claim_store::{ClaimHandle, ClaimStart, ClaimStore, claim_key};
+pub use claim_store::{CLAIM_LIFE, ClaimHandle, ClaimStart, ClaimStore, claim_key};
 pub use lease::{HeldLease, LEASE_TIME, Lease, RENEW_EVERY};
 pub use move_driver::{MoveChange, MoveDriver, ORDER_LIFE, stage_change};
 pub use part_holder::{HolderView, PartHolder, TakeResult};
--- a/crates/daemon/src/background.rs
+++ b/crates/daemon/src/background.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::moves;
-use crate::router::Router;
+use crate::router::{Router, wall_s};
 
 /// The time between two looks for room in the pools.
 const PUMP: Duration = Duration::from_millis(20);
@@ -31,6 +31,8 @@
 const LARGE_FLEET: usize = 48;
 /// The shortest time between two looks at the same engine.
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
+/// The time between two steps of the sweep of claims.
+const SWEEP: Duration = Duration::from_secs(5);
 /// Peers asked for the row of parts.
 const PEERS_ASKED: usize = 3;
 /// The time after which a start asks again.
@@ -47,6 +49,7 @@
     spawn(router, stop, ask_in_outage);
     spawn(router, stop, look_at_engines);
     spawn(router, stop, moves::drive);
+    spawn(router, stop, sweep_claims);
 }
 
 fn spawn<F, Fut>(router: &Arc<Router>, stop: &watch::Receiver<()>, task: F)
@@ -314,6 +317,20 @@
     }
 }
 
+/// The daemon that drives moves removes claims that have outlived their keys.
+async fn sweep_claims(router: Arc<Router>) {
+    let mut after: Box<str> = "".into();
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        if router.moves.drives() {
+            match router.claims.sweep(wall_s(), &after).await {
+                Ok(next) => after = next,
+                Err(error) => tracing::debug!("claims: not swept: {error}"),
+            }
+        }
+    }
+}
+
 /// Looks at engines in turn: their lives, versions and loads.
 async fn look_at_engines(router: Arc<Router>) {
     loop {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use catalog::CatalogState;
 use control::{CatalogStore, ClaimStore, MoveDriver, PartHolder};
@@ -55,6 +55,11 @@
     leaving: AtomicBool,
 }
 
+/// Seconds of the wall clock, for what is told by days.
+pub(crate) fn wall_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
+
 /// A client of the platform's services.
 pub(crate) fn platform_client(settings: &Settings, deadline: Duration) -> HttpPlatform {
     let services = &settings.platform;
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -20,7 +20,7 @@
 use crate::front::CallerRequest;
 use crate::place::PlaceRequest;
 use crate::rate_desk;
-use crate::router::{Desk, Router};
+use crate::router::{Desk, Router, wall_s};
 use crate::slot::PlacedSlot;
 
 /// Most targets tried for one call.
@@ -89,7 +89,7 @@
         let fingerprint = self.fingerprint();
         let attempt = router.attempt_id();
         let ask = |row| ask_owner(router, row);
-        let start = router.claims.begin(&row, &fingerprint, attempt.as_str(), ask).await;
+        let start = router.claims.begin(&row, &fingerprint, attempt.as_str(), wall_s(), ask).await;
         let result = match &start {
             ClaimStart::Own(_) => "own",
             ClaimStart::Replay(_) => "replayed",
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -44,6 +44,9 @@
     pub incarnation: Incarnation,
     /// How far it is.
     pub stage: ClaimStage,
+    /// When it was claimed, in seconds of the owner's wall clock; good enough to tell days.
+    #[serde(default)]
+    pub made_s: u64,
 }
 
 /// What the owner of a claim says about an attempt, asked by another instance.
