Forget tickets by generations

Cause: with 100,000 tickets remembered, each further taking moved them all by one place to forget the oldest; a busy home would have spent its time on that. Found by reading, not measured at that size. Ruled out: forgetting at random (a young ticket's refund would be lost). Change: two generations of 50,000; the older is dropped whole. Conclusion: a ticket is remembered for at least 50,000 takings, as a refund needs.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod lease;
 mod move_driver;
 mod part_holder;
+mod ticket_book;
 
 pub use catalog_store::{CatalogHead, CatalogStore, SubmitError, change_key};
 pub use claim_store::{CLAIM_LIFE, ClaimHandle, ClaimStart, ClaimStore, claim_key};
--- a/crates/control/src/part_holder.rs
+++ b/crates/control/src/part_holder.rs
@@ -11,14 +11,14 @@
 use policy::spend_guard::{FRESH_WORD, PeerWord, SpendGuard};
 use ports::{Clock, Commit, StoreError, Table, Transaction};
 
+use crate::ticket_book::TicketBook;
+
 /// The row that maps customers to parts; at full size it is some 30 KB.
 const PARTS_KEY: &str = "rate/parts";
 /// A small row written with it, by whose revision a reader knows whether it has changed.
 const HEAD_KEY: &str = "rate/head";
 /// How long an instance counts as known after it was last listed.
 const KNOWN_FOR: Duration = Duration::from_secs(60);
-/// Tickets remembered for refunds.
-const MAX_TICKETS: usize = 100_000;
 
 /// How a taking ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,7 +48,7 @@
     /// What is left of own parts of which some is being given away. A write whose answer is lost
     /// may land late, so this stands until a newer row is read.
     giving: IndexMap<CustomerId, Millionths>,
-    tickets: IndexMap<u64, (CustomerId, u64)>,
+    tickets: TicketBook,
     unlisted_since: IndexMap<InstanceId, Duration>,
     /// Instances listed lately, and when last.
     known: IndexMap<InstanceId, Duration>,
@@ -78,7 +78,7 @@
             row: None,
             buckets: IndexMap::new(),
             giving: IndexMap::new(),
-            tickets: IndexMap::new(),
+            tickets: TicketBook::default(),
             unlisted_since: IndexMap::new(),
             known: IndexMap::new(),
             guard: SpendGuard::default(),
@@ -114,7 +114,7 @@
         };
         let capacity = (customer.burst.0 as f64 * share.factor()).floor();
         let rate = customer.rate.0 as f64 * share.factor();
-        if state.tickets.contains_key(&ticket) {
+        if state.tickets.contains(ticket) {
             return TakeResult::Short(None);
         }
         let bucket = state
@@ -126,10 +126,7 @@
         if taken == 0 {
             return TakeResult::Short(bucket.wait_for(now, least as f64));
         }
-        if state.tickets.len() == MAX_TICKETS {
-            state.tickets.shift_remove_index(0);
-        }
-        state.tickets.insert(ticket, (customer.id.clone(), taken));
+        state.tickets.insert(ticket, customer.id.clone(), taken);
         TakeResult::Taken(taken)
     }
 
@@ -137,7 +134,7 @@
     pub fn refund(&self, ticket: u64, tokens: u64) {
         let now = self.clock.now();
         let mut state = self.lock();
-        let Some((customer, taken)) = state.tickets.get_mut(&ticket) else { return };
+        let Some((customer, taken)) = state.tickets.get_mut(ticket) else { return };
         let back = tokens.min(*taken);
         *taken = 0;
         let customer = customer.clone();
