--- a/crates/daemon/src/peer_roles.rs
+++ b/crates/daemon/src/peer_roles.rs
@@ -30,7 +30,7 @@
             PeerRequest::Take { customer, tokens, least, ticket } => {
                 self.take(&customer, tokens, least, ticket)
             }
-            PeerRequest::Refund { ticket, tokens, .. } => {
+            PeerRequest::Refund { ticket, tokens } => {
                 router.parts.refund(ticket, tokens);
                 PeerResponse::Done
             }
--- a/crates/daemon/src/rate_desk.rs
+++ b/crates/daemon/src/rate_desk.rs
@@ -4,7 +4,7 @@
 
 use catalog::Customer;
 use control::TakeResult;
-use ids::{CustomerId, ErrorKind, InstanceId, Refusal};
+use ids::{ErrorKind, InstanceId, Refusal};
 use peers::{PeerError, PeerRequest, PeerResponse};
 
 use crate::background;
@@ -16,7 +16,6 @@
 /// Tokens taken for one request.
 #[derive(Debug)]
 pub(crate) struct RateTicket {
-    customer: CustomerId,
     takings: Vec<Taking>,
 }
 
@@ -67,7 +66,7 @@
         let spent = used.min(taking.tokens);
         used -= spent;
         if spent < taking.tokens {
-            refund(router, &ticket.customer, &taking, taking.tokens - spent).await;
+            refund(router, &taking, taking.tokens - spent).await;
         }
     }
 }
@@ -93,7 +92,7 @@
     }
     let mut retry: Option<Duration> = None;
     let mut answered = false;
-    let mut ticket = RateTicket { customer: customer.id.clone(), takings: Vec::new() };
+    let mut ticket = RateTicket { takings: Vec::new() };
     let mut missing = tokens;
     // The second round pieces together what no single part holds.
     for (round, least) in [tokens, 1].into_iter().enumerate() {
@@ -127,7 +126,7 @@
     let result = if answered { "short" } else { "absent" };
     router.metrics.rate_asks.with_label_values(&[result]).inc();
     for taking in &ticket.takings {
-        refund(router, &customer.id, taking, taking.tokens).await;
+        refund(router, taking, taking.tokens).await;
     }
     Err((retry, answered))
 }
@@ -163,13 +162,13 @@
     }
 }
 
-async fn refund(router: &Router, customer: &CustomerId, taking: &Taking, tokens: u64) {
+async fn refund(router: &Router, taking: &Taking, tokens: u64) {
     if taking.holder == router.own {
         router.parts.refund(taking.ticket, tokens);
         return;
     }
     let Some((address, _)) = router.members.address(&taking.holder) else { return };
-    let request = PeerRequest::Refund { customer: customer.clone(), ticket: taking.ticket, tokens };
+    let request = PeerRequest::Refund { ticket: taking.ticket, tokens };
     // A lost refund loses tokens and never makes any.
     let _ = router.peers.call(address, &request).await;
 }
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -46,8 +46,6 @@
     },
     /// Gives back tokens that were taken and not used.
     Refund {
-        /// The customer.
-        customer: CustomerId,
         /// What was taken.
         ticket: u64,
         /// Tokens not used.
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -49,15 +49,6 @@
         self.len() == 0
     }
 
-    /// Entries of one customer waiting.
-    pub fn customer_len(&self, id: &Id) -> usize {
-        [&self.counter, &self.deferrable]
-            .iter()
-            .filter_map(|lane| lane.customers.get(id))
-            .map(|it| it.items.len())
-            .sum()
-    }
-
     /// Adds an entry of this cost.
     pub fn push(&mut self, id: Id, weight: u32, deferrable: bool, cost: f64, item: Item) {
         let lane = if deferrable { &mut self.deferrable } else { &mut self.counter };
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -219,13 +219,6 @@
         }
     }
 
-    /// Forgets that a replica holds `node`: it evicted it.
-    pub fn forget_node(&mut self, node: ChainHash, member: u64) {
-        if let Some(record) = self.nodes.get_mut(&node) {
-            record.holders.retain(|it| it.member != member);
-        }
-    }
-
     /// The hottest nodes with their heat, for a peer that has just started.
     pub fn hottest(&self, now: Duration, count: usize) -> Vec<(ChainHash, f64)> {
         let mut all: Vec<(ChainHash, f64)> = self
