--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,9 @@
 use std::process;
 
 use argh::{FromArgValue, FromArgs};
+use platform::{PlatformDialect, PlatformSettings, PlatformStore};
 use settings::{Layer, LogFormat, Settings, SettingsError};
+use tokio::runtime;
 use web::logs::LogForm;
 
 /// The kingcupshift router. Commands: `serve` callers until told to stop, `check` the settings and
@@ -16,9 +18,9 @@
     /// serve, check or effective
     #[argh(positional)]
     command: DaemonCommand,
-    /// the base settings file
+    /// the base settings file; left out on a platform that lays out the settings itself
     #[argh(option)]
-    base: PathBuf,
+    base: Option<PathBuf>,
     /// an overlay of this site or instance; may be given more than once, the last wins
     #[argh(option)]
     overlay: Vec<PathBuf>,
@@ -36,7 +38,10 @@
 
 fn main() {
     let args: DaemonArgs = argh::from_env();
-    let settings = load(&args.base, &args.overlay, &args.set).unwrap_or_else(|error| {
+    let Some(base) = &args.base else {
+        return on_platform(&args.command);
+    };
+    let settings = load(base, &args.overlay, &args.set).unwrap_or_else(|error| {
         eprintln!("kingcupshiftd: {error}");
         process::exit(2);
     });
@@ -75,6 +80,40 @@
     }
 }
 
+/// Runs with the settings that the platform lays out for the process.
+fn on_platform(command: &DaemonCommand) {
+    let Some(path) = platform::settings_path() else {
+        eprintln!("kingcupshiftd: --base is missing, and no platform lays out settings");
+        process::exit(2);
+    };
+    let settings = platform::load_settings(&path).unwrap_or_else(|error| {
+        eprintln!("kingcupshiftd: {error}");
+        process::exit(2);
+    });
+    match command {
+        DaemonCommand::Serve => serve_on_platform(settings),
+        DaemonCommand::Check => println!("the settings are valid"),
+        DaemonCommand::Effective => println!("{settings:#?}"),
+    }
+}
+
+fn serve_on_platform(settings: PlatformSettings) {
+    web::logs::start(LogForm::Json, "info");
+    let workers = settings.gateway.workers;
+    let runtime = if workers > 1 {
+        runtime::Builder::new_multi_thread().worker_threads(workers).enable_all().build()
+    } else {
+        runtime::Builder::new_current_thread().enable_all().build()
+    };
+    let store = PlatformStore::new(settings.store);
+    let served = runtime
+        .and_then(|it| it.block_on(gateway::serve(settings.gateway, PlatformDialect, store)));
+    if let Err(error) = served {
+        tracing::error!("daemon: {error}");
+        process::exit(1);
+    }
+}
+
 fn print_effective(settings: Settings) {
     let mut value = serde_json::to_value(&settings).unwrap_or_default();
     if let Some(secrets) = value["secrets"].as_object_mut() {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -9,7 +9,7 @@
 use ids::{Incarnation, InstanceId, KeyDigest, PoolId, RequestId};
 use indexmap::{IndexMap, IndexSet};
 use peers::{PeerNetwork, PeerRequest};
-use platform::HttpPlatform;
+use table_service::HttpPlatform;
 use policy::apart::ApartTable;
 use policy::placement::PlacementCosts;
 use policy::quarantine::{QuarantineTable, Strike};
@@ -63,7 +63,7 @@
 /// A client of the platform's services.
 pub(crate) fn platform_client(settings: &Settings, deadline: Duration) -> HttpPlatform {
     let services = &settings.platform;
-    let address = platform::PlatformAddress {
+    let address = table_service::PlatformAddress {
         list: services.list,
         table: services.table,
         objects: services.objects,
--- /dev/null
+++ b/crates/gateway/src/belief.rs
@@ -0,0 +1,193 @@
+//! What this daemon believes of the configuration, the orders and the replicas, and how old
+//! that is. It never goes back to an older revision.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{PoolId, Revision};
+use indexmap::IndexMap;
+use xxhash_rust::xxh3;
+
+use crate::config::{ControlState, RolloutOrder, SiteConfig, TargetEntry};
+use crate::directory::Snapshot;
+
+/// The replicas listed at one moment.
+#[derive(Debug, Clone)]
+pub struct TargetListing {
+    /// The store's revision.
+    pub revision: Revision,
+    /// This daemon's clock at that moment or before it.
+    pub read_at: Duration,
+    /// The replicas.
+    pub entries: Arc<[TargetEntry]>,
+    /// Tells equal listings from others.
+    pub mark: u64,
+}
+
+/// Beliefs with their ages.
+#[derive(Debug, Default)]
+pub struct BeliefTable {
+    config: Option<Arc<SiteConfig>>,
+    weights: IndexMap<Box<str>, (u64, Duration)>,
+    rollouts: IndexMap<PoolId, (RolloutOrder, Duration)>,
+    listing: Option<TargetListing>,
+    control_revision: Revision,
+    control_at: Option<Duration>,
+    control_mark: u64,
+}
+
+/// What a newer belief changed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct BeliefChange {
+    /// The configuration is another.
+    pub config: bool,
+    /// A model has newer weights.
+    pub weights: bool,
+    /// A rollout was ordered.
+    pub rollouts: bool,
+    /// The listed replicas differ.
+    pub listing: bool,
+}
+
+impl BeliefChange {
+    /// Whether anything changed.
+    pub fn any(self) -> bool {
+        self.config || self.weights || self.rollouts || self.listing
+    }
+}
+
+impl BeliefTable {
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Arc<SiteConfig>> {
+        self.config.as_ref()
+    }
+
+    /// The newest version of a model's weights, and when this daemon first heard of it.
+    pub fn wanted_weights(&self, model: &str) -> Option<(u64, Duration)> {
+        self.weights.get(model).copied()
+    }
+
+    /// Rollouts ordered, and when this daemon first heard of them.
+    pub fn rollouts(&self) -> impl Iterator<Item = &(RolloutOrder, Duration)> {
+        self.rollouts.values()
+    }
+
+    /// The replicas listed.
+    pub fn listing(&self) -> Option<&TargetListing> {
+        self.listing.as_ref()
+    }
+
+    /// When the orders were last known to be the newest.
+    pub fn control_at(&self) -> Option<Duration> {
+        self.control_at
+    }
+
+    /// The store's revision of the orders.
+    pub fn control_revision(&self) -> Revision {
+        self.control_revision
+    }
+
+    /// All orders, for a peer.
+    pub fn control(&self) -> ControlState {
+        ControlState {
+            config: self.config.as_deref().cloned(),
+            weights: self.weights.iter().map(|(model, it)| (model.clone(), it.0)).collect(),
+            rollouts: self.rollouts.iter().map(|(id, it)| (id.clone(), it.0.clone())).collect(),
+        }
+    }
+
+    /// Takes what operators ordered as of `read_at`.
+    pub fn adopt_control(
+        &mut self,
+        now: Duration,
+        read_at: Duration,
+        snapshot: Snapshot<ControlState>,
+    ) -> BeliefChange {
+        let mut change = BeliefChange::default();
+        self.confirm_control(snapshot.revision, read_at);
+        let state = snapshot.value;
+        if let Some(config) = state.config {
+            let newer = self.config.as_ref().is_none_or(|it| it.revision < config.revision);
+            if newer {
+                change.config = true;
+                self.config = Some(Arc::new(config));
+            }
+        }
+        for (model, version) in state.weights {
+            let known = self.weights.entry(model).or_insert((0, now));
+            if known.0 < version {
+                *known = (version, now);
+                change.weights = true;
+            }
+        }
+        for (pool, order) in state.rollouts {
+            let known = self.rollouts.get(&pool);
+            if known.is_none_or(|it| it.0.revision < order.revision) {
+                self.rollouts.insert(pool, (order, now));
+                change.rollouts = true;
+            }
+        }
+        if change.any() {
+            self.control_mark = self.new_control_mark();
+        }
+        change
+    }
+
+    /// Tells equal orders from others.
+    pub fn control_mark(&self) -> u64 {
+        self.control_mark
+    }
+
+    fn new_control_mark(&self) -> u64 {
+        let config = self.config.as_ref().map(|it| it.revision);
+        let weights: Vec<_> = self.weights.iter().map(|(model, it)| (model, it.0)).collect();
+        let rollouts: Vec<_> = self.rollouts.values().map(|it| it.0.revision).collect();
+        digest_of(&(config, weights, rollouts))
+    }
+
+    /// The orders of a revision were the newest at `read_at`.
+    pub fn confirm_control(&mut self, revision: Revision, read_at: Duration) {
+        if revision >= self.control_revision {
+            self.control_revision = revision;
+            self.control_at = self.control_at.max(Some(read_at));
+        }
+    }
+
+    /// The listing known was still the newest at `read_at`, in a later revision of the store.
+    pub fn confirm_listing(&mut self, revision: Revision, read_at: Duration) {
+        if let Some(it) = &mut self.listing {
+            it.revision = it.revision.max(revision);
+            it.read_at = it.read_at.max(read_at);
+        }
+    }
+
+    /// Takes a listing read at `read_at`, if it is newer.
+    pub fn adopt_listing(
+        &mut self,
+        read_at: Duration,
+        revision: Revision,
+        entries: Vec<TargetEntry>,
+    ) -> BeliefChange {
+        let known = self.listing.as_ref();
+        if known.is_some_and(|it| it.revision > revision) {
+            return BeliefChange::default();
+        }
+        let same = known.is_some_and(|it| *it.entries == *entries);
+        let read_at = known.map_or(read_at, |it| it.read_at.max(read_at));
+        let entries = match (same, known) {
+            (true, Some(it)) => it.entries.clone(),
+            _ => entries.into(),
+        };
+        let mark = match (same, known) {
+            (true, Some(it)) => it.mark,
+            _ => digest_of(&*entries),
+        };
+        self.listing = Some(TargetListing { revision, read_at, entries, mark });
+        BeliefChange { listing: !same, ..BeliefChange::default() }
+    }
+}
+
+fn digest_of<T: serde::Serialize + ?Sized>(value: &T) -> u64 {
+    let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard());
+    xxh3::xxh3_64(&bytes.unwrap_or_default())
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,487 @@
+//! One request of a caller, from its headers to its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+use ids::{CustomerId, ErrorKind, KeyDigest, PoolId, RunState, TargetId};
+use policy::prefix_table::PromptPrefix;
+use policy::quarantine::{Fingerprint, Standing};
+use policy::rendezvous;
+use policy::retry::RetryReason;
+use xxhash_rust::xxh3;
+
+use crate::config::{CustomerRule, RouteKind, RouteRule, SiteConfig};
+use crate::dialect::{AnswerHead, CallHead, Dialect, Dispatch, EngineDispatch, HeadError};
+use crate::directory::Directory;
+use crate::exchange::{CallerResponse, ConnectionUse, ExchangeFault, OpenAnswer};
+use crate::fleet::{PlacedTarget, PromptNeed};
+use crate::gateway::{Gateway, OpenRequest, lock};
+use crate::quota_desk;
+use crate::refusal::CallRefusal;
+use crate::stream;
+use crate::whole;
+
+/// Sendings of one request that no replica took, before it is refused.
+const MAX_UNSENT: u32 = 6;
+/// How long a request waits for a replica when none can take it, as a share of its objective.
+const WAIT_SHARE: f64 = 0.5;
+/// Time kept for the way of a last answer to the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+/// What a request on older weights is taken to lose, as a share of its objective.
+const OLD_WEIGHTS_SHARE: f64 = 0.2;
+
+/// A request under way.
+pub(crate) struct Call<D: Dialect, S: Directory> {
+    pub(crate) gateway: Arc<Gateway<D, S>>,
+    pub(crate) head: CallHead,
+    pub(crate) route: RouteRule,
+    pub(crate) config: Arc<SiteConfig>,
+    pub(crate) began: Duration,
+    /// When the caller must have its answer, on the daemon's clock.
+    pub(crate) until: Duration,
+    /// What is known of whether it ran.
+    pub(crate) run: RunState,
+    /// Replicas it was sent to and that may have run it.
+    pub(crate) attempts: u32,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    customer: Option<CustomerId>,
+    urgency: u8,
+    pool: PoolId,
+    need: Option<PromptNeed>,
+    fingerprint: Fingerprint,
+    avoid: Vec<TargetId>,
+    unsent: u32,
+    arrived: bool,
+    _open: OpenRequest<D, S>,
+}
+
+/// A request's place on a replica; gives the place back when dropped.
+pub(crate) struct Place<D: Dialect, S: Directory> {
+    gateway: Arc<Gateway<D, S>>,
+    pub(crate) target: PlacedTarget,
+    prompt_read: bool,
+}
+
+/// A caller's request as it was read.
+pub(crate) struct CallerRequest {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) head: CallHead,
+    pub(crate) body: Bytes,
+    pub(crate) began: Duration,
+}
+
+/// Serves a request.
+pub(crate) async fn handle<D: Dialect, S: Directory>(
+    gateway: &Arc<Gateway<D, S>>,
+    config: Arc<SiteConfig>,
+    route: RouteRule,
+    customer: Option<CustomerId>,
+    request: CallerRequest,
+) -> Result<CallerResponse, CallRefusal> {
+    let rule = customer.as_ref().and_then(|it| config.customers.get(it));
+    let began = request.began;
+    let wait = request.head.deadline.map_or(route.timeout, |it| it.min(route.timeout));
+    let fingerprint = fingerprint(customer.as_ref(), &request);
+    if lock(&gateway.quarantine).standing(gateway.now(), fingerprint) == Standing::Quarantined {
+        return Err(CallRefusal::not_run(ErrorKind::CrashSuspect));
+    }
+    if let (Some(id), Some(rule)) = (&customer, rule) {
+        let tokens = request.head.tokens.map_or(rule.default_cost.0, |it| it.0.0 + it.1.0);
+        quota_desk::take(gateway, id, rule, tokens).await?;
+    }
+    let pool = choose_pool(&route).ok_or(CallRefusal::not_run(ErrorKind::NoTarget))?;
+    gateway.earn_retry(&pool);
+    let need = prompt_need(&config, &pool, customer.as_ref(), rule, &request.head);
+    let call = Call {
+        gateway: gateway.clone(),
+        urgency: rule.and_then(|it| it.priority).unwrap_or(route.priority),
+        head: request.head,
+        route,
+        config,
+        began,
+        until: began + wait.saturating_sub(ANSWER_MARGIN),
+        run: RunState::NotRun,
+        attempts: 0,
+        method: request.method,
+        uri: request.uri,
+        headers: request.headers,
+        body: request.body,
+        customer,
+        pool,
+        need,
+        fingerprint,
+        avoid: Vec::new(),
+        unsent: 0,
+        arrived: false,
+        _open: gateway.open_request(),
+    };
+    call.answer().await
+}
+
+impl<D: Dialect, S: Directory> Call<D, S> {
+    async fn answer(mut self) -> Result<CallerResponse, CallRefusal> {
+        loop {
+            let place = self.place().await?;
+            let answer = match self.exchange(&place, self.head.after_event).await {
+                Ok(answer) => answer,
+                Err(fault) => {
+                    self.after_fault(&place, &fault)?;
+                    continue;
+                }
+            };
+            if self.is_stream() && answer.status.is_success() {
+                return Ok(stream::answer(self, place, answer));
+            }
+            match whole::collect(&self, answer).await {
+                Ok(whole) if self.is_worth_another(whole.status) => {
+                    tracing::info!(
+                        request = %self.head.attempt, target = %place.target.id,
+                        status = whole.status.as_u16(), "call: failed on the replica, sent again"
+                    );
+                    self.gateway.metrics.retry(RetryReason::TargetError.code());
+                    self.avoid.push(place.target.id.clone());
+                }
+                Ok(whole) => {
+                    lock(&self.gateway.fleet).succeed(&place.target);
+                    self.log_answer(&place, whole.status);
+                    return Ok(whole.into_response());
+                }
+                Err(fault) => self.after_fault(&place, &fault)?,
+            }
+        }
+    }
+
+    fn is_stream(&self) -> bool {
+        matches!(self.route.kind, RouteKind::Stream { .. })
+    }
+
+    /// Whether a failure of the replica's own is tried on another one.
+    fn is_worth_another(&self, status: StatusCode) -> bool {
+        status.is_server_error() && self.may_repeat() && self.gateway.spend_retry(&self.pool)
+    }
+
+    /// Whether the request may run once more.
+    pub(crate) fn may_repeat(&self) -> bool {
+        self.route.kind.repeats() && self.attempts < self.route.max_attempts
+    }
+
+    /// Takes a place on a replica, waiting for one shortly if need be.
+    pub(crate) async fn place(&mut self) -> Result<Place<D, S>, CallRefusal> {
+        let patience = self.gateway.now() + self.route.objective.mul_f64(WAIT_SHARE);
+        loop {
+            let freed = self.gateway.freed.notified();
+            if let Some(place) = self.try_place() {
+                return Ok(place);
+            }
+            // A replica that this request was sent to before is better than none.
+            if !self.avoid.is_empty() && self.unsent < MAX_UNSENT {
+                self.avoid.clear();
+                continue;
+            }
+            let now = self.gateway.now();
+            let alive = lock(&self.gateway.fleet).any_alive(&self.pool);
+            let left = patience.min(self.until).saturating_sub(now);
+            if !alive || left.is_zero() {
+                let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
+                return Err(self.refused(refusal.retry_after(self.route.objective / 2)));
+            }
+            let pause = left.min(Duration::from_millis(60));
+            // Pauses of replicas end without notice.
+            let _ = tokio::time::timeout(pause, freed).await;
+        }
+    }
+
+    fn try_place(&self) -> Option<Place<D, S>> {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let pace = *lock(&gateway.pace);
+        let mut fleet = lock(&gateway.fleet);
+        let engine = self.config.pools.get(&self.pool).and_then(|it| it.engine.as_ref());
+        let target = match (&self.need, engine) {
+            (Some(need), Some(engine)) => {
+                let old_s = self.route.objective.as_secs_f64() * OLD_WEIGHTS_SHARE;
+                let avoid = &self.avoid;
+                let pool = &self.pool;
+                fleet.place_prompt(now, pool, None, avoid, need, engine, pace, old_s)?.0
+            }
+            _ => fleet.place_plain(now, &self.pool, None, &self.avoid)?,
+        };
+        drop(fleet);
+        Some(Place { gateway: gateway.clone(), target, prompt_read: false })
+    }
+
+    /// Sends the request to a replica, after the event given if it is a stream that goes on.
+    pub(crate) async fn exchange(
+        &mut self,
+        place: &Place<D, S>,
+        after_event: Option<u64>,
+    ) -> Result<OpenAnswer, CallFault> {
+        let left = self.until.saturating_sub(self.gateway.now());
+        let request = self.target_request(place, after_event, left);
+        let target = &place.target;
+        // A kept connection may have gone silent; what may not be repeated does not risk it.
+        let which = match self.route.kind {
+            RouteKind::NonIdempotent => ConnectionUse::New,
+            _ => ConnectionUse::Kept,
+        };
+        let connections = &self.gateway.connections;
+        let sent = connections.send(target.address, target.id.as_str(), request, which, left).await;
+        let answer = sent.map_err(CallFault::Exchange)?;
+        self.arrived = true;
+        let head = self.gateway.dialect.read_answer(&answer.headers);
+        if head.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(CallFault::NotRun(answer.status, head));
+        }
+        if head.attempt.as_deref() != Some(self.head.attempt.as_str()) {
+            return Err(CallFault::Crossed);
+        }
+        if answer.status.is_success() && !head.sealed {
+            return Err(CallFault::Unsealed);
+        }
+        self.attempts += 1;
+        self.run = RunState::Ran;
+        Ok(answer)
+    }
+
+    fn target_request(
+        &self,
+        place: &Place<D, S>,
+        after_event: Option<u64>,
+        left: Duration,
+    ) -> Request<Full<Bytes>> {
+        let target = &place.target;
+        let engine = self.need.as_ref().map(|need| EngineDispatch {
+            version: target.weights,
+            salt: need.salt(target.weights),
+            urgency: self.urgency.min(9),
+            fetch_from: target.fetch_from,
+        });
+        let dispatch = Dispatch {
+            target: target.id.clone(),
+            time_left: left,
+            customer: self.customer.clone(),
+            after_event,
+            engine,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.gateway.dialect.pass_on(&self.headers, &dispatch);
+        request
+    }
+
+    /// Records a sending without an answer; an error if the request is not to be sent again.
+    pub(crate) fn after_fault(
+        &mut self,
+        place: &Place<D, S>,
+        fault: &CallFault,
+    ) -> Result<(), CallRefusal> {
+        let (reason, kind) = self.judge(place, fault);
+        self.avoid.push(place.target.id.clone());
+        tracing::info!(
+            request = %self.head.attempt, target = %place.target.id, reason = reason.code(),
+            "call: no answer: {fault}"
+        );
+        let refusal = CallRefusal { run: self.run, ..CallRefusal::not_run(kind) };
+        let refusal = refusal.retry_after(self.route.objective / 2);
+        let ended = self.gateway.now() >= self.until;
+        let again = match fault {
+            CallFault::Exchange(ExchangeFault::NotSent(_)) => {
+                self.unsent += 1;
+                self.unsent < MAX_UNSENT
+            }
+            CallFault::NotRun(..) => {
+                self.unsent += 1;
+                self.unsent < MAX_UNSENT && self.gateway.spend_retry(&self.pool)
+            }
+            _ => self.may_repeat() && self.gateway.spend_retry(&self.pool),
+        };
+        if ended || !again {
+            return Err(self.refused(refusal));
+        }
+        self.gateway.metrics.retry(reason.code());
+        Ok(())
+    }
+
+    fn judge(&mut self, place: &Place<D, S>, fault: &CallFault) -> (RetryReason, ErrorKind) {
+        let now = self.gateway.now();
+        let mut fleet = lock(&self.gateway.fleet);
+        match fault {
+            CallFault::Exchange(ExchangeFault::NotSent(_)) => {
+                fleet.fail(now, &place.target, true);
+                (RetryReason::ConnectFailed, ErrorKind::NoTarget)
+            }
+            CallFault::NotRun(status, head) => {
+                let other = head.target.as_deref().is_some_and(|it| it != place.target.id.as_str());
+                if *status == StatusCode::MISDIRECTED_REQUEST && other {
+                    fleet.mark_leaving(&place.target);
+                } else if let (StatusCode::MISDIRECTED_REQUEST, Some(version)) =
+                    (*status, head.version)
+                {
+                    fleet.see_weights(&place.target, version);
+                } else {
+                    fleet.mark_full(now, &place.target);
+                }
+                (RetryReason::TargetBusy, ErrorKind::QueueFull)
+            }
+            CallFault::Exchange(ExchangeFault::Timeout) => {
+                self.attempts += 1;
+                self.run = RunState::MaybeRun;
+                fleet.fail(now, &place.target, false);
+                (RetryReason::FirstByteTimeout, ErrorKind::TargetTimeout)
+            }
+            CallFault::Exchange(ExchangeFault::Broken(_)) => {
+                self.attempts += 1;
+                self.run = RunState::MaybeRun;
+                fleet.fail(now, &place.target, false);
+                (RetryReason::BrokeEarly, ErrorKind::TargetFailed)
+            }
+            CallFault::Crossed | CallFault::Unsealed => {
+                self.attempts += 1;
+                self.run = RunState::MaybeRun;
+                (RetryReason::CrossedAnswer, ErrorKind::TargetFailed)
+            }
+        }
+    }
+
+    /// A refusal that says what is known of the request's run.
+    pub(crate) fn refused(&self, refusal: CallRefusal) -> CallRefusal {
+        let kind = match (self.run, refusal.kind) {
+            (RunState::NotRun, kind) => kind,
+            // What may have run must not be answered as if it had not.
+            (_, ErrorKind::NoTarget | ErrorKind::QueueFull) => ErrorKind::TargetFailed,
+            (_, kind) => kind,
+        };
+        CallRefusal { kind, run: self.run, ..refusal }
+    }
+
+    /// The first token came: what the replica read and now holds is known.
+    pub(crate) fn prompt_read(&self, place: &mut Place<D, S>, after: Duration) {
+        place.prompt_read = true;
+        let target = &place.target;
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let mut fleet = lock(&gateway.fleet);
+        fleet.prompt_read(target);
+        fleet.succeed(target);
+        let Some(need) = &self.need else { return };
+        let salted = need.salted(target.weights);
+        fleet.prefixes.learn(now, &salted, target.member, target.born);
+        if target.running_before == 0 && target.fetch_from.is_none() {
+            let unread = need.prompt_tokens.saturating_sub(target.cached_tokens);
+            lock(&gateway.pace).learn(unread, after.as_secs_f64());
+        }
+    }
+
+    pub(crate) fn log_answer(&self, place: &Place<D, S>, status: StatusCode) {
+        let after = self.gateway.now().saturating_sub(self.began);
+        self.gateway.metrics.answer(status.as_u16(), after);
+        tracing::info!(
+            request = %self.head.attempt, route = %self.route.id, target = %place.target.id,
+            status = status.as_u16(), ms = after.as_millis() as u64, "call: answered"
+        );
+    }
+}
+
+/// Why a sending brought no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CallFault {
+    /// What happened on the connection.
+    #[error(transparent)]
+    Exchange(#[from] ExchangeFault),
+    /// The replica said that it did not run the request.
+    #[error("not run, status {0}")]
+    NotRun(StatusCode, AnswerHead),
+    /// The answer belongs to another request.
+    #[error("the answer belongs to another request")]
+    Crossed,
+    /// A success without the replica's seal.
+    #[error("the answer bears no seal")]
+    Unsealed,
+}
+
+impl<D: Dialect, S: Directory> Drop for Place<D, S> {
+    fn drop(&mut self) {
+        lock(&self.gateway.fleet).release(&self.target, self.prompt_read);
+        self.gateway.freed.notify_one();
+    }
+}
+
+/// The customer of a request's key, if the route asks for one.
+pub(crate) fn customer_of(
+    config: &SiteConfig,
+    route: &RouteRule,
+    head: &CallHead,
+) -> Result<Option<CustomerId>, CallRefusal> {
+    if config.customers.is_empty() {
+        return Ok(None);
+    }
+    let known = head.key.as_deref().and_then(|it| config.keys.get(&KeyDigest::of_secret(it)));
+    match (known, route.public) {
+        (Some(customer), _) => Ok(Some(customer.clone())),
+        (None, true) => Ok(None),
+        (None, false) if head.key.is_none() => Err(CallRefusal::not_run(ErrorKind::KeyMissing)),
+        (None, false) => Err(CallRefusal::not_run(ErrorKind::KeyRefused)),
+    }
+}
+
+/// What a request without a usable description is told.
+pub(crate) fn head_refusal(error: HeadError) -> CallRefusal {
+    tracing::info!("call: refused: {error}");
+    CallRefusal::not_run(ErrorKind::BadRequest)
+}
+
+fn choose_pool(route: &RouteRule) -> Option<PoolId> {
+    let total: u32 = route.pools.iter().map(|it| it.1).sum();
+    let mut drawn = rand::random_range(0..total.max(1));
+    for (pool, weight) in &route.pools {
+        if drawn < *weight {
+            return Some(pool.clone());
+        }
+        drawn -= weight;
+    }
+    route.pools.first().map(|it| it.0.clone())
+}
+
+fn prompt_need(
+    config: &SiteConfig,
+    pool: &PoolId,
+    customer: Option<&CustomerId>,
+    rule: Option<&CustomerRule>,
+    head: &CallHead,
+) -> Option<PromptNeed> {
+    let engine = config.pools.get(pool)?.engine.as_ref()?;
+    let model = head.model.clone().or_else(|| engine.models.first().cloned())?;
+    let mut digest = 0;
+    let mut tokens = 0;
+    let parts = head.parts.iter().map(|part| {
+        digest = xxh3::xxh3_64_with_seed(part.id.as_bytes(), digest);
+        tokens += u64::from(part.tokens);
+        PromptPrefix { digest, tokens }
+    });
+    let parts: Vec<PromptPrefix> = parts.collect();
+    let (prompt, output) = head.tokens.map_or((tokens, 0), |it| (it.0.0, it.1.0));
+    let wall = customer.filter(|_| rule.is_some_and(|it| it.isolated));
+    Some(PromptNeed {
+        model,
+        shared: parts.len().saturating_sub(1),
+        parts,
+        prompt_tokens: prompt,
+        output_tokens: output,
+        wall: wall.map(|it| it.as_str().into()),
+    })
+}
+
+fn fingerprint(customer: Option<&CustomerId>, request: &CallerRequest) -> Fingerprint {
+    let seed = rendezvous::member_hash(customer.map_or("", |it| it.as_str()));
+    let seed = xxh3::xxh3_64_with_seed(request.uri.path().as_bytes(), seed);
+    Fingerprint(xxh3::xxh3_64_with_seed(&request.body, seed))
+}
--- /dev/null
+++ b/crates/gateway/src/digest.rs
@@ -0,0 +1,124 @@
+//! Messages between daemons: datagrams in `bincode`. Each stands for itself; a lost one is
+//! made good by the next.
+
+use std::time::Duration;
+
+use ids::{CustomerId, Incarnation, InstanceId, Revision};
+use policy::quarantine::Strike;
+use serde::{Deserialize, Serialize};
+
+use crate::config::{ControlState, TargetEntry};
+use crate::directory::MemberEntry;
+use crate::fleet::LoadCount;
+
+/// This daemon's requests on one replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// The hash of the replica's id.
+    pub member: u64,
+    running: u32,
+    unread_tokens: u32,
+    memory_tokens: u32,
+}
+
+impl TargetLoad {
+    /// The load on a replica.
+    pub fn new(member: u64, load: LoadCount) -> TargetLoad {
+        let clip = |it: u64| u32::try_from(it).unwrap_or(u32::MAX);
+        TargetLoad {
+            member,
+            running: load.running,
+            unread_tokens: clip(load.unread_tokens),
+            memory_tokens: clip(load.memory_tokens),
+        }
+    }
+
+    /// The load itself.
+    pub fn load(&self) -> LoadCount {
+        LoadCount {
+            running: self.running,
+            unread_tokens: u64::from(self.unread_tokens),
+            memory_tokens: u64::from(self.memory_tokens),
+        }
+    }
+}
+
+/// What is known of a replica's weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightNews {
+    /// The hash of the replica's id.
+    pub member: u64,
+    /// Its start.
+    pub born: u64,
+    /// The version it has.
+    pub loaded: u64,
+    /// The newest version it was ordered to load.
+    pub ordered: u64,
+}
+
+/// What a daemon tells its peers again and again.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The sender.
+    pub from: MemberEntry,
+    /// It takes no more callers.
+    pub leaving: bool,
+    /// Its configuration.
+    pub config: Revision,
+    /// Its orders: the store's revision, how long ago that was the newest, and their digest.
+    pub control: Option<(Revision, Duration, u64)>,
+    /// Its listing: the store's revision, how long ago that was the newest, and its digest.
+    pub listing: Option<(Revision, Duration, u64)>,
+    /// Its requests on replicas.
+    pub loads: Vec<TargetLoad>,
+    /// What it knows of weights.
+    pub weights: Vec<WeightNews>,
+    /// Replicas that it knows to be leaving, by the hashes of their ids.
+    pub leaving_targets: Vec<u64>,
+    /// The daemons it knows.
+    pub members: Vec<MemberEntry>,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// The sender's state.
+    Digest(Box<Digest>),
+    /// The orders of operators, at this revision of the store and this old.
+    Control(Revision, Duration, Box<ControlState>),
+    /// The replicas listed, at this revision of the store and this old.
+    Listing(Revision, Duration, Vec<TargetEntry>),
+    /// Asks the home of a customer for tokens.
+    Take {
+        /// Tells answers apart.
+        ticket: u64,
+        /// Who asks.
+        from: InstanceId,
+        /// Its life.
+        incarnation: Incarnation,
+        /// The customer.
+        customer: CustomerId,
+        /// How many.
+        tokens: u64,
+    },
+    /// The answer: granted, or how long to wait.
+    Taken {
+        /// The question's ticket.
+        ticket: u64,
+        /// `None` if granted.
+        wait: Option<Duration>,
+    },
+    /// A request crashed a replica.
+    Strike(Strike),
+}
+
+/// A message as bytes; `None` if it cannot be written.
+pub fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
+    bincode::serde::encode_to_vec(message, bincode::config::standard()).ok()
+}
+
+/// A message from bytes; `None` if they are none.
+pub fn decode(bytes: &[u8]) -> Option<PeerMessage> {
+    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+    decoded.ok().map(|it| it.0)
+}
--- /dev/null
+++ b/crates/gateway/src/directory.rs
@@ -0,0 +1,110 @@
+//! The port to the users' store: what operators order, which replicas run, what must last.
+
+use std::future::Future;
+use std::net::IpAddr;
+use std::time::Duration;
+
+use ids::{Incarnation, InstanceId, PoolId, Revision};
+use ports::{Commit, StoreError};
+use serde::{Deserialize, Serialize};
+
+use crate::config::{ControlState, TargetEntry};
+
+/// A value as the store held it at one moment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Snapshot<T> {
+    /// The store's newest revision at that moment.
+    pub revision: Revision,
+    /// The store's own steady clock.
+    pub store_now: Duration,
+    /// What it held.
+    pub value: T,
+}
+
+/// A daemon of this system.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct MemberEntry {
+    /// The daemon.
+    pub id: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Where its peers reach it.
+    pub address: IpAddr,
+}
+
+/// The lease on giving orders to replicas.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderLease {
+    /// Who holds it.
+    pub holder: MemberEntry,
+    /// Grows with every change of holder.
+    pub fencing_token: u64,
+    /// The store's clock when it was last renewed.
+    pub renewed_at: Duration,
+}
+
+/// How far a rollout is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RolloutState {
+    /// Both releases get traffic.
+    Running,
+    /// The new release has all traffic, and the old one may stop.
+    Completed,
+    /// The old release has all traffic, and the new one may stop.
+    RolledBack,
+}
+
+/// What operators are told of a rollout.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutStatus {
+    /// The pool.
+    pub pool: PoolId,
+    /// The release that was ordered.
+    pub to: Box<str>,
+    /// How far it is.
+    pub state: RolloutState,
+}
+
+/// The users' store as this system needs it. A call either says what the store held, or why not.
+pub trait Directory: Send + Sync + 'static {
+    /// What operators ordered.
+    fn read_control(
+        &self,
+    ) -> impl Future<Output = Result<Snapshot<ControlState>, StoreError>> + Send;
+
+    /// The replicas listed.
+    fn read_targets(
+        &self,
+    ) -> impl Future<Output = Result<Snapshot<Vec<TargetEntry>>, StoreError>> + Send;
+
+    /// The daemons that announced themselves.
+    fn read_members(
+        &self,
+    ) -> impl Future<Output = Result<Snapshot<Vec<MemberEntry>>, StoreError>> + Send;
+
+    /// Announces a daemon.
+    fn announce(&self, member: &MemberEntry) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// The lease on orders with its row's revision.
+    fn read_lease(
+        &self,
+    ) -> impl Future<Output = Result<Snapshot<Option<(OrderLease, Revision)>>, StoreError>> + Send;
+
+    /// Writes the lease if its row still has the revision `expected`; `None`: if there is none.
+    fn write_lease(
+        &self,
+        lease: &OrderLease,
+        expected: Option<Revision>,
+    ) -> impl Future<Output = Result<Commit, StoreError>> + Send;
+
+    /// What operators were last told of rollouts.
+    fn read_rollouts(
+        &self,
+    ) -> impl Future<Output = Result<Snapshot<Vec<RolloutStatus>>, StoreError>> + Send;
+
+    /// Tells operators how far a rollout is.
+    fn report_rollout(
+        &self,
+        status: &RolloutStatus,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,67 @@
+//! Splits the bytes of an event stream into whole events.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Longest event, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// One event as it came, with its id.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WholeEvent {
+    /// Its bytes, with the empty line that ends it.
+    pub bytes: Bytes,
+    /// Its id, if it has one.
+    pub id: Option<u64>,
+}
+
+/// An event is longer than any should be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
+/// Bytes of a stream that are no whole event yet.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Takes bytes as they came.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
+        self.buffer.extend_from_slice(bytes);
+        if self.buffer.len() > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(()) }
+    }
+
+    /// The next whole event.
+    pub fn next(&mut self) -> Option<WholeEvent> {
+        let from = self.searched.saturating_sub(3);
+        let Some(end) = event_end(&self.buffer[from..]) else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        let bytes = self.buffer.split_to(from + end).freeze();
+        self.searched = 0;
+        Some(WholeEvent { id: event_id(&bytes), bytes })
+    }
+
+    /// Whether the stream ends between two events.
+    pub fn is_clean(&self) -> bool {
+        self.buffer.chunk().iter().all(|it| it.is_ascii_whitespace())
+    }
+}
+
+fn event_end(bytes: &[u8]) -> Option<usize> {
+    let lf = bytes.windows(2).position(|it| it == b"\n\n").map(|it| it + 2);
+    let crlf = bytes.windows(4).position(|it| it == b"\r\n\r\n").map(|it| it + 4);
+    match (lf, crlf) {
+        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
+        (lf, crlf) => lf.or(crlf),
+    }
+}
+
+fn event_id(bytes: &[u8]) -> Option<u64> {
+    let mut lines = bytes.split(|it| *it == b'\n');
+    let value = lines.find_map(|it| it.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,534 @@
+//! The replicas as this daemon sees them: listed, loaded, suspected, on which weights.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ids::{FailureDomain, PoolId, TargetId};
+use indexmap::IndexMap;
+use policy::engine_choice::EngineView;
+use policy::health::{HealthState, ReplicaHealth};
+use policy::plain_choice::PlainView;
+use policy::prefix_table::{PrefixTable, PromptPrefix};
+use policy::rendezvous;
+
+use crate::config::{EngineRule, TargetEntry};
+use crate::digest::{TargetLoad, WeightNews};
+
+/// A replica that answered "full" is left out for this long.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// How long news of an order keeps requests away from a replica that has not confirmed it.
+const ORDER_TIME: Duration = Duration::from_secs(3);
+/// How long a peer's report of its load counts.
+const LOAD_AGE: Duration = Duration::from_secs(2);
+/// Added to the expected time of a replica that has just failed, in seconds.
+const SUSPECT_S: f64 = 0.5;
+
+/// Requests on a replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadCount {
+    /// How many.
+    pub running: u32,
+    /// Their prompt tokens that are still to be read.
+    pub unread_tokens: u64,
+    /// Their memory in tokens.
+    pub memory_tokens: u64,
+}
+
+/// One replica.
+#[derive(Debug)]
+pub struct Replica {
+    /// As listed.
+    pub entry: TargetEntry,
+    /// The hash of its id.
+    pub member: u64,
+    /// This daemon's requests on it.
+    pub own: LoadCount,
+    /// It is leaving: listed so, or it said so itself.
+    pub leaving: bool,
+    /// How it has answered.
+    pub health: ReplicaHealth,
+    full_until: Duration,
+    /// The version of its weights, by what is newest.
+    pub weights: u64,
+    /// The version it was last ordered to load, and when this daemon heard so.
+    pub ordered: Option<(u64, Duration)>,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct PlacedTarget {
+    /// The replica.
+    pub id: TargetId,
+    /// Its start.
+    pub born: u64,
+    /// The hash of its id.
+    pub member: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The release of its software.
+    pub release: Box<str>,
+    /// The version of its weights.
+    pub weights: u64,
+    /// Tokens of the prompt expected in its cache.
+    pub cached_tokens: u64,
+    /// A replica that may hold more of the prompt.
+    pub fetch_from: Option<SocketAddr>,
+    /// What it adds to the replica's load.
+    pub load: LoadCount,
+    /// Requests of this daemon that were on it already.
+    pub running_before: u32,
+}
+
+/// Replicas by id, loads of peers, and beliefs about caches.
+#[derive(Debug)]
+pub struct FleetTable {
+    domain: FailureDomain,
+    replicas: IndexMap<TargetId, Replica>,
+    peer_loads: IndexMap<u64, (Duration, IndexMap<u64, LoadCount>)>,
+    /// Versions of weights that peers told of replicas not listed here yet.
+    told_weights: IndexMap<(u64, u64), WeightNews>,
+    /// Which replicas hold which beginnings of prompts.
+    pub prefixes: PrefixTable,
+}
+
+/// A request for an engine, as placement sees it.
+#[derive(Debug, Clone)]
+pub struct PromptNeed {
+    /// The model.
+    pub model: Box<str>,
+    /// Its parts without the salt, as digests with running token counts.
+    pub parts: Vec<PromptPrefix>,
+    /// Shared parts: all but the last.
+    pub shared: usize,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Most output tokens.
+    pub output_tokens: u64,
+    /// The customer whose cache is kept apart, if it is.
+    pub wall: Option<Box<str>>,
+}
+
+impl FleetTable {
+    /// An empty table of a daemon in `domain`.
+    pub fn new(domain: FailureDomain) -> FleetTable {
+        FleetTable {
+            domain,
+            replicas: IndexMap::new(),
+            peer_loads: IndexMap::new(),
+            told_weights: IndexMap::new(),
+            prefixes: PrefixTable::default(),
+        }
+    }
+
+    /// Takes over a listing.
+    pub fn relist(&mut self, entries: &[TargetEntry]) {
+        self.replicas.retain(|id, _| entries.iter().any(|it| it.id == *id));
+        for entry in entries {
+            match self.replicas.get_mut(&entry.id) {
+                Some(known) if known.entry.born == entry.born => {
+                    known.leaving |= entry.leaving;
+                    known.weights = known.weights.max(newest_weights(entry));
+                    known.entry = entry.clone();
+                }
+                Some(known) => *known = Replica::new(entry.clone()),
+                None => {
+                    let mut replica = Replica::new(entry.clone());
+                    let told = self.told_weights.get(&(replica.member, entry.born));
+                    replica.weights = replica.weights.max(told.map_or(0, |it| it.loaded));
+                    self.replicas.insert(entry.id.clone(), replica);
+                }
+            }
+        }
+    }
+
+    /// All replicas.
+    pub fn replicas(&self) -> impl Iterator<Item = &Replica> {
+        self.replicas.values()
+    }
+
+    /// One replica.
+    pub fn get(&self, id: &TargetId) -> Option<&Replica> {
+        self.replicas.get(id)
+    }
+
+    /// One replica, to change it.
+    pub fn get_mut(&mut self, id: &TargetId) -> Option<&mut Replica> {
+        self.replicas.get_mut(id)
+    }
+
+    /// A peer's loads as of now.
+    pub fn hear_loads(&mut self, now: Duration, peer: u64, loads: &[TargetLoad]) {
+        let loads = loads.iter().map(|it| (it.member, it.load())).collect();
+        self.peer_loads.insert(peer, (now, loads));
+        self.peer_loads.retain(|_, it| now < it.0 + LOAD_AGE);
+    }
+
+    /// This daemon's loads, for peers.
+    pub fn own_loads(&self) -> Vec<TargetLoad> {
+        let busy = self.replicas.values().filter(|it| it.own.running > 0);
+        busy.map(|it| TargetLoad::new(it.member, it.own)).collect()
+    }
+
+    /// Replicas that peers know to be leaving.
+    pub fn hear_leaving(&mut self, members: &[u64]) {
+        for replica in self.replicas.values_mut() {
+            replica.leaving |= members.contains(&replica.member);
+        }
+    }
+
+    /// Replicas known to be leaving, for peers.
+    pub fn leaving_members(&self) -> Vec<u64> {
+        self.replicas.values().filter(|it| it.leaving).map(|it| it.member).collect()
+    }
+
+    /// What a peer, or this daemon itself, learned of weights. Returns true if it is news.
+    pub fn hear_weights(&mut self, now: Duration, news: WeightNews) -> bool {
+        let told = self.told_weights.entry((news.member, news.born)).or_insert(WeightNews {
+            loaded: 0,
+            ordered: 0,
+            ..news
+        });
+        let fresh = told.loaded < news.loaded || told.ordered < news.ordered;
+        told.loaded = told.loaded.max(news.loaded);
+        told.ordered = told.ordered.max(news.ordered);
+        let same = |it: &&mut Replica| it.member == news.member && it.entry.born == news.born;
+        let Some(replica) = self.replicas.values_mut().find(same) else { return fresh };
+        replica.weights = replica.weights.max(news.loaded);
+        if replica.ordered.is_none_or(|it| it.0 < news.ordered) && news.ordered > replica.weights {
+            replica.ordered = Some((news.ordered, now));
+        }
+        fresh
+    }
+
+    /// All that is known of weights, for peers.
+    pub fn weight_news(&self) -> Vec<WeightNews> {
+        let replicas = self.replicas.values().filter(|it| it.weights > 0);
+        let news = replicas.map(|it| WeightNews {
+            member: it.member,
+            born: it.entry.born,
+            loaded: it.weights,
+            ordered: it.ordered.map_or(0, |it| it.0),
+        });
+        news.collect()
+    }
+
+    /// Requests on a replica, of all daemons.
+    pub fn load(&self, now: Duration, replica: &Replica) -> LoadCount {
+        let mut sum = replica.own;
+        for (at, loads) in self.peer_loads.values() {
+            let load = loads.get(&replica.member).filter(|_| now < *at + LOAD_AGE);
+            let Some(load) = load else { continue };
+            sum.running += load.running;
+            sum.unread_tokens += load.unread_tokens;
+            sum.memory_tokens += load.memory_tokens;
+        }
+        sum
+    }
+
+    /// Replicas of a pool that may get a request now.
+    fn open<'a>(
+        &'a self,
+        now: Duration,
+        pool: &'a PoolId,
+        release: Option<&'a str>,
+        avoid: &'a [TargetId],
+    ) -> impl Iterator<Item = &'a Replica> {
+        self.replicas.values().filter(move |it| {
+            it.entry.pool == *pool
+                && release.is_none_or(|release| *it.entry.release == *release)
+                && it.may_work(now)
+                && !avoid.contains(&it.entry.id)
+        })
+    }
+
+    /// Whether a pool has a replica that may get requests, now or soon.
+    pub fn any_alive(&self, pool: &PoolId) -> bool {
+        self.replicas.values().any(|it| it.entry.pool == *pool && !it.leaving)
+    }
+
+    /// Places a call to a plain service and counts it.
+    pub fn place_plain(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        release: Option<&str>,
+        avoid: &[TargetId],
+    ) -> Option<PlacedTarget> {
+        let open: Vec<&Replica> = self.open(now, pool, release, avoid).collect();
+        let views: Vec<PlainView> = open
+            .iter()
+            .map(|it| PlainView {
+                slots: it.entry.slots,
+                running: self.load(now, it).running,
+                near: it.entry.domain == self.domain,
+                penalty: f64::from(u8::from(it.health.state(now) != HealthState::Good)),
+            })
+            .collect();
+        let index = policy::plain_choice::choose(&views, rand::random())?;
+        let id = open[index].entry.id.clone();
+        self.occupy(&id, LoadCount { running: 1, ..LoadCount::default() }, 0, None)
+    }
+
+    /// Places a prompt and counts it. Returns also the expected seconds to its first token.
+    pub fn place_prompt(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        release: Option<&str>,
+        avoid: &[TargetId],
+        need: &PromptNeed,
+        engine: &EngineRule,
+        pace: policy::engine_choice::EnginePace,
+        old_weights_s: f64,
+    ) -> Option<(PlacedTarget, f64)> {
+        let open: Vec<&Replica> = self.open(now, pool, release, avoid).collect();
+        let newest = open.iter().map(|it| it.weights).max()?;
+        let homes = self.homes(pool, need);
+        let views: Vec<EngineView> = open
+            .iter()
+            .map(|it| {
+                let load = self.load(now, it);
+                let salted = need.salted(it.weights);
+                let believed =
+                    self.prefixes.cached_tokens(now, &salted, it.member, it.entry.born);
+                let home = homes.first() == Some(&it.member);
+                let shared = need.shared_tokens();
+                let mut penalty_s = 0.0;
+                if it.health.state(now) != HealthState::Good {
+                    penalty_s += SUSPECT_S;
+                }
+                if it.weights < newest {
+                    penalty_s += old_weights_s;
+                }
+                EngineView {
+                    batch: engine.batch,
+                    running: load.running,
+                    unread_tokens: load.unread_tokens,
+                    memory_tokens: load.memory_tokens,
+                    memory_limit: engine.kv_tokens,
+                    // A home is where other daemons will have placed the same beginning.
+                    cached_tokens: if home { believed.max(shared / 2) } else { believed },
+                    near: it.entry.domain == self.domain,
+                    penalty_s,
+                }
+            })
+            .collect();
+        let (index, expected_s) =
+            policy::engine_choice::choose(&views, need.prompt_tokens, pace)?;
+        let chosen = open[index];
+        let (id, weights) = (chosen.entry.id.clone(), chosen.weights);
+        let salted = need.salted(weights);
+        let cached = self.prefixes.cached_tokens(now, &salted, chosen.member, chosen.entry.born);
+        let fetch_from = self.fetch_source(now, chosen, need, &salted, &homes, cached);
+        let load = LoadCount {
+            running: 1,
+            unread_tokens: need.prompt_tokens.saturating_sub(views[index].cached_tokens),
+            memory_tokens: need.prompt_tokens + need.output_tokens,
+        };
+        let placed = self.occupy(&id, load, cached, fetch_from)?;
+        Some((placed, expected_s))
+    }
+
+    /// A replica on the same weights that may hold more of the prompt than the one chosen.
+    fn fetch_source(
+        &self,
+        now: Duration,
+        chosen: &Replica,
+        need: &PromptNeed,
+        salted: &[PromptPrefix],
+        homes: &[u64],
+        cached: u64,
+    ) -> Option<SocketAddr> {
+        let shared = need.shared_tokens();
+        if cached >= shared {
+            return None;
+        }
+        let usable = |it: &&Replica| {
+            it.member != chosen.member
+                && it.entry.pool == chosen.entry.pool
+                && it.weights == chosen.weights
+                && it.may_work(now)
+                && it.health.state(now) == HealthState::Good
+        };
+        let held = |it: &Replica| {
+            self.prefixes.cached_tokens(now, salted, it.member, it.entry.born)
+        };
+        let others = self.replicas.values().filter(usable);
+        let best = others.map(|it| (held(it), it)).max_by_key(|it| it.0);
+        if let Some((tokens, replica)) = best
+            && tokens > cached
+        {
+            return Some(replica.entry.address);
+        }
+        if cached > 0 {
+            return None;
+        }
+        let mut homes = homes.iter().filter(|it| **it != chosen.member);
+        let home = homes.next()?;
+        let mut others = self.replicas.values().filter(usable);
+        others.find(|it| it.member == *home).map(|it| it.entry.address)
+    }
+
+    /// The first replicas by rendezvous for the shared beginning of a prompt.
+    fn homes(&self, pool: &PoolId, need: &PromptNeed) -> Vec<u64> {
+        let Some(key) = need.home_key() else { return Vec::new() };
+        let members: Vec<u64> = self
+            .replicas
+            .values()
+            .filter(|it| it.entry.pool == *pool && !it.leaving)
+            .map(|it| it.member)
+            .collect();
+        rendezvous::homes(key, &members, 2).into_iter().map(|it| members[it]).collect()
+    }
+
+    fn occupy(
+        &mut self,
+        id: &TargetId,
+        load: LoadCount,
+        cached_tokens: u64,
+        fetch_from: Option<SocketAddr>,
+    ) -> Option<PlacedTarget> {
+        let replica = self.replicas.get_mut(id)?;
+        let running_before = replica.own.running;
+        replica.own.running += load.running;
+        replica.own.unread_tokens += load.unread_tokens;
+        replica.own.memory_tokens += load.memory_tokens;
+        Some(PlacedTarget {
+            id: id.clone(),
+            born: replica.entry.born,
+            member: replica.member,
+            address: replica.entry.address,
+            release: replica.entry.release.clone(),
+            weights: replica.weights,
+            cached_tokens,
+            fetch_from,
+            load,
+            running_before,
+        })
+    }
+
+    /// The prompt of a request was read: its first token came.
+    pub fn prompt_read(&mut self, placed: &PlacedTarget) {
+        if let Some(it) = self.same_life(placed) {
+            it.own.unread_tokens = it.own.unread_tokens.saturating_sub(placed.load.unread_tokens);
+        }
+    }
+
+    /// A request has left a replica.
+    pub fn release(&mut self, placed: &PlacedTarget, prompt_read: bool) {
+        if !prompt_read {
+            self.prompt_read(placed);
+        }
+        if let Some(it) = self.same_life(placed) {
+            it.own.running = it.own.running.saturating_sub(placed.load.running);
+            it.own.memory_tokens = it.own.memory_tokens.saturating_sub(placed.load.memory_tokens);
+        }
+    }
+
+    /// A replica said that it is full.
+    pub fn mark_full(&mut self, now: Duration, placed: &PlacedTarget) {
+        if let Some(it) = self.same_life(placed) {
+            it.full_until = now + FULL_PAUSE;
+        }
+    }
+
+    /// A replica said that it is leaving.
+    pub fn mark_leaving(&mut self, placed: &PlacedTarget) {
+        if let Some(it) = self.same_life(placed) {
+            it.leaving = true;
+        }
+    }
+
+    /// A replica said which version its weights have.
+    pub fn see_weights(&mut self, placed: &PlacedTarget, version: u64) {
+        if let Some(it) = self.same_life(placed) {
+            it.weights = version;
+        }
+    }
+
+    /// A request on a replica failed. `hard`: it surely does not listen.
+    pub fn fail(&mut self, now: Duration, placed: &PlacedTarget, hard: bool) {
+        if let Some(it) = self.same_life(placed) {
+            it.health.fail(now, hard);
+        }
+    }
+
+    /// A replica answered well.
+    pub fn succeed(&mut self, placed: &PlacedTarget) {
+        if let Some(it) = self.same_life(placed) {
+            it.health.succeed(None);
+        }
+    }
+
+    fn same_life(&mut self, placed: &PlacedTarget) -> Option<&mut Replica> {
+        self.replicas.get_mut(&placed.id).filter(|it| it.entry.born == placed.born)
+    }
+}
+
+impl Replica {
+    fn new(entry: TargetEntry) -> Replica {
+        Replica {
+            member: rendezvous::member_hash(entry.id.as_str()),
+            own: LoadCount::default(),
+            leaving: entry.leaving,
+            health: ReplicaHealth::default(),
+            full_until: Duration::ZERO,
+            weights: newest_weights(&entry),
+            ordered: None,
+            entry,
+        }
+    }
+
+    /// Whether it may get a request now.
+    pub fn may_work(&self, now: Duration) -> bool {
+        !self.leaving
+            && now >= self.full_until
+            && self.health.state(now) != HealthState::Paused
+            && !self.is_loading(now)
+    }
+
+    /// Whether it was ordered to load weights that it does not have yet.
+    pub fn is_loading(&self, now: Duration) -> bool {
+        self.ordered.is_some_and(|it| it.0 > self.weights && now < it.1 + ORDER_TIME)
+    }
+}
+
+impl PromptNeed {
+    /// Tokens of the shared parts.
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared.checked_sub(1).map_or(0, |it| self.parts[it].tokens)
+    }
+
+    /// The salt under which the parts lie on a replica with this version of the weights.
+    pub fn salt(&self, version: u64) -> Box<str> {
+        match &self.wall {
+            Some(customer) => format!("{version}/{customer}").into(),
+            None => format!("{version}").into(),
+        }
+    }
+
+    /// The beginnings of the prompt as they lie under a version's salt.
+    pub fn salted(&self, version: u64) -> Vec<PromptPrefix> {
+        let mut seed = rendezvous::weight(version, self.home_seed());
+        if let Some(customer) = &self.wall {
+            seed ^= rendezvous::member_hash(customer);
+        }
+        let salt = |it: &PromptPrefix| PromptPrefix {
+            digest: rendezvous::weight(it.digest, seed),
+            tokens: it.tokens,
+        };
+        self.parts.iter().map(salt).collect()
+    }
+
+    fn home_seed(&self) -> u64 {
+        rendezvous::member_hash(&self.model)
+    }
+
+    fn home_key(&self) -> Option<u64> {
+        self.shared.checked_sub(1).map(|it| self.parts[it].digest)
+    }
+}
+
+fn newest_weights(entry: &TargetEntry) -> u64 {
+    entry.weights.values().copied().max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,164 @@
+//! The callers' side: connections, limits, and which request is whose.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use ids::{ErrorKind, RunState};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::call::{self, CallerRequest};
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::exchange::CallerResponse;
+use crate::gateway::Gateway;
+use crate::refusal::CallRefusal;
+
+/// Bytes read from a caller at once; also the most that headers may take before they are refused.
+const READ_BYTES: usize = 64 << 10;
+/// How long a caller's body may take.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Idle connections are kept this many times longer than the limit says, so that a caller that
+/// keeps to the limit never meets a closed one.
+const IDLE_FACTOR: u32 = 2;
+/// Idle time of connections that come before any configuration.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+
+/// Serves callers until `stop` changes; then closes connections as they become idle.
+pub(crate) async fn serve<D: Dialect, S: Directory>(
+    gateway: Arc<Gateway<D, S>>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!("front: no connection accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        tokio::spawn(serve_connection(gateway.clone(), stream, stop.clone()));
+    }
+}
+
+async fn serve_connection<D: Dialect, S: Directory>(
+    gateway: Arc<Gateway<D, S>>,
+    stream: TcpStream,
+    mut stop: watch::Receiver<bool>,
+) {
+    // Without it answers are late, not wrong.
+    let _ = stream.set_nodelay(true);
+    let idle = gateway.config().map_or(FIRST_IDLE, |it| it.limits.idle_time);
+    let handler = service::service_fn(|request| {
+        let gateway = gateway.clone();
+        async move { Ok::<_, Infallible>(answer(&gateway, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle * IDLE_FACTOR)
+        .max_buf_size(READ_BYTES)
+        .serve_connection(TokioIo::new(stream), handler);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = async { drop(stop.wait_for(|it| *it).await) } => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!("front: connection ended: {error}");
+    }
+}
+
+async fn answer<D: Dialect, S: Directory>(
+    gateway: &Arc<Gateway<D, S>>,
+    request: Request<Incoming>,
+) -> CallerResponse {
+    let mut response = match accept(gateway, request).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.into_response(),
+    };
+    if gateway.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+async fn accept<D: Dialect, S: Directory>(
+    gateway: &Arc<Gateway<D, S>>,
+    request: Request<Incoming>,
+) -> Result<CallerResponse, CallRefusal> {
+    let began = gateway.now();
+    let (parts, body) = request.into_parts();
+    let head = gateway.dialect.describe(&parts).map_err(call::head_refusal)?;
+    let attempt = head.attempt.clone();
+    let refused = |refusal: CallRefusal| {
+        gateway.metrics.refuse(refusal.kind.code());
+        let run = refusal.run.code();
+        tracing::info!(request = %attempt, kind = %refusal.kind, run, "call: refused");
+        refusal
+    };
+    let res = async {
+        check_framing(&parts.headers)?;
+        let config = gateway.config();
+        let config = config.ok_or(CallRefusal::not_run(ErrorKind::ConfigMissing))?;
+        if header_bytes(&parts.headers) > config.limits.header_bytes {
+            return Err(CallRefusal::not_run(ErrorKind::HeadersTooLarge));
+        }
+        let body = read_body(body, config.limits.body_bytes).await?;
+        // The body took time; what came into force meanwhile holds.
+        let config = gateway.config().unwrap_or(config);
+        let route = config.route(&head.host, parts.uri.path()).cloned();
+        let route = route.ok_or(CallRefusal::not_run(ErrorKind::RouteUnknown))?;
+        let customer = call::customer_of(&config, &route, &head)?;
+        let request = CallerRequest {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            head,
+            body,
+            began,
+        };
+        call::handle(gateway, config, route, customer, request).await
+    };
+    res.await.map_err(refused)
+}
+
+/// A body with two lengths could hide a second request.
+fn check_framing(headers: &HeaderMap) -> Result<(), CallRefusal> {
+    let chunked = headers.contains_key(http::header::TRANSFER_ENCODING);
+    let lengths = headers.get_all(http::header::CONTENT_LENGTH).into_iter().count();
+    if (chunked && lengths > 0) || lengths > 1 {
+        return Err(CallRefusal::not_run(ErrorKind::BadRequest));
+    }
+    Ok(())
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallRefusal> {
+    let read = Limited::new(body, limit).collect();
+    match tokio::time::timeout(BODY_TIME, read).await {
+        Ok(Ok(it)) => Ok(it.to_bytes()),
+        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            Err(CallRefusal::not_run(ErrorKind::BodyTooLarge))
+        }
+        // The caller left while it sent; nobody reads this answer.
+        Ok(Err(_)) => Err(CallRefusal::not_run(ErrorKind::BadRequest)),
+        Err(_) => Err(CallRefusal { run: RunState::NotRun, ..CallRefusal::not_run(ErrorKind::CallerTimeout) }),
+    }
+}
+
+fn header_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum()
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,214 @@
+//! What all requests and tasks of one daemon share.
+//!
+//! Lock order, where two are held at once: beliefs, members, fleet, quotas, budgets. No lock is
+//! held across an await.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use ids::{Incarnation, PoolId};
+use indexmap::IndexMap;
+use policy::engine_choice::EnginePace;
+use policy::quarantine::QuarantineTable;
+use policy::retry::RetryBudget;
+use ports::{Clock, SystemClock};
+use tokio::sync::Notify;
+
+use crate::belief::{BeliefChange, BeliefTable};
+use crate::config::{ControlState, SiteConfig, TargetEntry};
+use crate::dialect::Dialect;
+use crate::directory::{Directory, MemberEntry, Snapshot};
+use crate::exchange::ConnectionTable;
+use crate::fleet::FleetTable;
+use crate::members::MemberTable;
+use crate::metrics::Metrics;
+use crate::peer_link::PeerLink;
+use crate::quota::QuotaTable;
+use crate::settings::GatewaySettings;
+
+/// Share of the allowed retries that daemons spend, so that their sum stays within it.
+const RETRY_CAUTION: f64 = 0.8;
+/// Share of the allowed retry slack that daemons spend together.
+const SLACK_CAUTION: f64 = 0.6;
+
+/// The shared state of one daemon.
+pub struct Gateway<D, S> {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) dialect: D,
+    pub(crate) directory: S,
+    pub(crate) clock: SystemClock,
+    pub(crate) own: MemberEntry,
+    pub(crate) connections: ConnectionTable<SystemClock>,
+    pub(crate) peers: PeerLink,
+    pub(crate) metrics: Metrics,
+    /// Wakes tasks that act on beliefs.
+    pub(crate) believed: Notify,
+    /// Wakes requests that wait for a replica.
+    pub(crate) freed: Notify,
+    pub(crate) beliefs: Mutex<BeliefTable>,
+    pub(crate) members: Mutex<MemberTable>,
+    pub(crate) fleet: Mutex<FleetTable>,
+    pub(crate) quotas: Mutex<QuotaTable>,
+    pub(crate) quarantine: Mutex<QuarantineTable>,
+    pub(crate) pace: Mutex<EnginePace>,
+    budgets: Mutex<IndexMap<PoolId, RetryBudget>>,
+    open: AtomicUsize,
+    leaving: AtomicBool,
+}
+
+/// Counts a request as open until it is dropped.
+pub(crate) struct OpenRequest<D, S> {
+    gateway: Arc<Gateway<D, S>>,
+}
+
+impl<D, S> Drop for OpenRequest<D, S> {
+    fn drop(&mut self) {
+        self.gateway.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl<D: Dialect, S: Directory> Gateway<D, S> {
+    /// A daemon that knows nothing yet.
+    pub fn new(
+        settings: GatewaySettings,
+        dialect: D,
+        directory: S,
+        peers: PeerLink,
+    ) -> Gateway<D, S> {
+        let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let own = MemberEntry {
+            id: settings.instance.clone(),
+            incarnation: Incarnation(time.as_micros() as u64),
+            address: settings.address,
+        };
+        let clock = SystemClock;
+        Gateway {
+            dialect,
+            directory,
+            clock,
+            connections: ConnectionTable::new(clock),
+            peers,
+            metrics: Metrics::new(),
+            believed: Notify::new(),
+            freed: Notify::new(),
+            beliefs: Mutex::default(),
+            members: Mutex::new(MemberTable::new(own.clone(), settings.seeds.clone())),
+            fleet: Mutex::new(FleetTable::new(settings.domain.clone())),
+            quotas: Mutex::default(),
+            quarantine: Mutex::default(),
+            pace: Mutex::default(),
+            budgets: Mutex::default(),
+            open: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            own,
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> Option<Arc<SiteConfig>> {
+        lock(&self.beliefs).config().cloned()
+    }
+
+    /// Whether this daemon takes callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        let beliefs = lock(&self.beliefs);
+        !self.is_leaving() && beliefs.config().is_some() && beliefs.listing().is_some()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts one more open request until the value is dropped.
+    pub(crate) fn open_request(self: &Arc<Self>) -> OpenRequest<D, S> {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenRequest { gateway: self.clone() }
+    }
+
+    /// Requests being handled.
+    pub(crate) fn open_count(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Takes what operators ordered, as of `read_at`.
+    pub(crate) fn adopt_control(
+        &self,
+        read_at: Duration,
+        snapshot: Snapshot<ControlState>,
+        source: &'static str,
+    ) -> BeliefChange {
+        let change = {
+            let mut beliefs = lock(&self.beliefs);
+            beliefs.adopt_control(self.now(), read_at, snapshot)
+        };
+        if change.any() {
+            let config = self.config().map_or(0, |it| it.revision.0);
+            tracing::info!(config, source, weights = change.weights, "control: newer orders");
+            self.believed.notify_waiters();
+        }
+        change
+    }
+
+    /// Takes a listing of replicas, as of `read_at`.
+    pub(crate) fn adopt_listing(
+        &self,
+        read_at: Duration,
+        snapshot: Snapshot<Vec<TargetEntry>>,
+        source: &'static str,
+    ) -> BeliefChange {
+        let mut beliefs = lock(&self.beliefs);
+        let change = beliefs.adopt_listing(read_at, snapshot.revision, snapshot.value);
+        if change.listing
+            && let Some(listing) = beliefs.listing()
+        {
+            let count = listing.entries.len();
+            let leaving = listing.entries.iter().filter(|it| it.leaving).count();
+            lock(&self.fleet).relist(&listing.entries);
+            tracing::info!(
+                revision = listing.revision.0, count, leaving, source, "targets: newer listing"
+            );
+            drop(beliefs);
+            self.believed.notify_waiters();
+            self.freed.notify_waiters();
+        }
+        change
+    }
+
+    /// A first attempt at a pool earns a share of a retry.
+    pub(crate) fn earn_retry(&self, pool: &PoolId) {
+        self.with_budget(pool, RetryBudget::earn);
+    }
+
+    /// Takes one retry of the pool's budget.
+    pub(crate) fn spend_retry(&self, pool: &PoolId) -> bool {
+        self.with_budget(pool, RetryBudget::spend)
+    }
+
+    fn with_budget<T>(&self, pool: &PoolId, change: impl Fn(&mut RetryBudget) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let daemons = lock(&self.members).most() as f64;
+        let share = bounds.retry_ratio * RETRY_CAUTION;
+        let reserve = (bounds.retry_slack * SLACK_CAUTION / daemons).max(1.0);
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(pool.clone())
+            .or_insert_with(|| RetryBudget::new(share, reserve));
+        budget.resize(share, reserve);
+        change(budget)
+    }
+}
+
+/// Locks a table; a panic of another holder leaves it usable.
+pub(crate) fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+    table.lock().unwrap_or_else(|it| it.into_inner())
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,35 @@
+//! The request path for requests that carry their own description, and what daemons know
+//! together to serve it.
+//!
+//! How requests and answers are spelled, and how the users' store is called, lies behind the
+//! ports `dialect` and `directory`. Decisions come from `policy`; this crate owns the sockets,
+//! the tasks and the shared tables.
+
+mod belief;
+mod body;
+mod call;
+pub mod config;
+pub mod dialect;
+mod digest;
+pub mod directory;
+mod events;
+mod exchange;
+mod fleet;
+mod front;
+mod gateway;
+mod members;
+mod metrics;
+mod peer_link;
+mod peers;
+mod quota;
+mod quota_desk;
+mod reader;
+mod readiness;
+mod refusal;
+mod serve;
+pub mod settings;
+mod stream;
+mod weights;
+mod whole;
+
+pub use serve::serve;
--- /dev/null
+++ b/crates/gateway/src/peer_link.rs
@@ -0,0 +1,81 @@
+//! Datagrams to and from the other daemons.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Mutex;
+
+use indexmap::IndexMap;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use crate::digest::{self, PeerMessage};
+use crate::gateway::lock;
+
+/// Longest datagram, in bytes.
+const MAX_DATAGRAM: usize = 60_000;
+
+/// The daemon's socket, and questions that wait for an answer.
+#[derive(Debug)]
+pub struct PeerLink {
+    socket: UdpSocket,
+    port: u16,
+    waiting: Mutex<IndexMap<u64, oneshot::Sender<Option<std::time::Duration>>>>,
+}
+
+impl PeerLink {
+    /// Opens the socket.
+    pub async fn bind(address: IpAddr, port: u16) -> io::Result<PeerLink> {
+        let socket = UdpSocket::bind(SocketAddr::new(address, port)).await?;
+        Ok(PeerLink { socket, port, waiting: Mutex::default() })
+    }
+
+    /// Sends one message to some daemons. What cannot be sent now is lost, as datagrams are.
+    pub fn send(&self, to: &[IpAddr], message: &PeerMessage) {
+        let Some(bytes) = digest::encode(message) else { return };
+        if bytes.len() > MAX_DATAGRAM {
+            tracing::warn!(bytes = bytes.len(), "peers: a message is too long for a datagram");
+            return;
+        }
+        for address in to {
+            let sent = self.socket.try_send_to(&bytes, SocketAddr::new(*address, self.port));
+            if let Err(error) = sent {
+                tracing::debug!(%address, "peers: not sent: {error}");
+            }
+        }
+    }
+
+    /// The next message, and where it came from.
+    pub async fn receive(&self, buffer: &mut Vec<u8>) -> (IpAddr, PeerMessage) {
+        loop {
+            buffer.resize(MAX_DATAGRAM, 0);
+            match self.socket.recv_from(buffer).await {
+                Ok((length, from)) => {
+                    if let Some(message) = digest::decode(&buffer[..length]) {
+                        return (from.ip(), message);
+                    }
+                    tracing::warn!(%from, length, "peers: a datagram cannot be read");
+                }
+                // A datagram that met a closed port comes back as an error here.
+                Err(error) => tracing::debug!("peers: {error}"),
+            }
+        }
+    }
+
+    /// Registers a question; the receiver gets its answer.
+    pub fn ask(&self) -> (u64, oneshot::Receiver<Option<std::time::Duration>>) {
+        let ticket = rand::random();
+        let (sender, receiver) = oneshot::channel();
+        let mut waiting = lock(&self.waiting);
+        waiting.retain(|_, it| !it.is_closed());
+        waiting.insert(ticket, sender);
+        (ticket, receiver)
+    }
+
+    /// Hands an answer to its question.
+    pub fn answer(&self, ticket: u64, wait: Option<std::time::Duration>) {
+        if let Some(sender) = lock(&self.waiting).swap_remove(&ticket) {
+            // The question may have been given up.
+            let _ = sender.send(wait);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quota.rs
@@ -0,0 +1,67 @@
+//! Customers' rates over all daemons: each customer's bucket lies on one daemon, its home.
+//!
+//! The home's bucket fills at the share of daemons that reach it; a daemon that does not hear
+//! its home spends from a bucket of its own, which fills at one daemon's share. So the sum stays
+//! within the rate, whoever is cut off from whom.
+
+use std::time::Duration;
+
+use ids::CustomerId;
+use indexmap::IndexMap;
+use policy::bucket::PartBucket;
+
+use crate::config::CustomerRule;
+
+/// How full a bucket starts: a restarted daemon does not know what was spent before.
+const START_FILL: f64 = 0.25;
+
+/// Buckets of one daemon.
+#[derive(Debug, Default)]
+pub struct QuotaTable {
+    home: IndexMap<CustomerId, PartBucket>,
+    alone: IndexMap<CustomerId, PartBucket>,
+}
+
+/// How tokens are spent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum QuotaSource {
+    /// As the customer's home, for this share of all daemons.
+    Home(f64),
+    /// Without the home, for this share of all daemons.
+    Alone(f64),
+}
+
+impl QuotaTable {
+    /// Takes tokens of a customer, or tells how long to wait for them.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        customer: &CustomerId,
+        rule: &CustomerRule,
+        tokens: u64,
+        source: QuotaSource,
+    ) -> Result<(), Duration> {
+        if rule.rate.0 == 0 {
+            return Ok(());
+        }
+        let (buckets, share) = match source {
+            QuotaSource::Home(share) => (&mut self.home, share),
+            QuotaSource::Alone(share) => (&mut self.alone, share),
+        };
+        let capacity = rule.burst.0 as f64 * share;
+        let rate = rule.rate.0 as f64 * share;
+        let bucket = buckets.entry(customer.clone()).or_insert_with(|| {
+            let mut bucket = PartBucket::empty(now, capacity, rate);
+            bucket.put_back(now, capacity * START_FILL);
+            bucket
+        });
+        bucket.resize(now, capacity, rate);
+        let tokens = tokens as f64;
+        // A request beyond the whole burst passes when the bucket is full.
+        let least = tokens.min(capacity.floor());
+        if bucket.take(now, tokens, least) > 0.0 || tokens == 0.0 {
+            return Ok(());
+        }
+        Err(bucket.wait_for(now, least).unwrap_or(Duration::from_secs(1)))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quota_desk.rs
@@ -0,0 +1,80 @@
+//! Takes a request's tokens from its customer's bucket, here or at the customer's home.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{CustomerId, ErrorKind};
+
+use crate::config::CustomerRule;
+use crate::dialect::Dialect;
+use crate::digest::PeerMessage;
+use crate::directory::Directory;
+use crate::gateway::{Gateway, lock};
+use crate::quota::QuotaSource;
+use crate::refusal::CallRefusal;
+
+/// How long a customer's home may take to answer.
+const HOME_TIME: Duration = Duration::from_millis(40);
+
+/// Takes tokens, or refuses the request with the time after which they will be there.
+pub(crate) async fn take<D: Dialect, S: Directory>(
+    gateway: &Arc<Gateway<D, S>>,
+    customer: &CustomerId,
+    rule: &CustomerRule,
+    tokens: u64,
+) -> Result<(), CallRefusal> {
+    if rule.rate.0 == 0 {
+        return Ok(());
+    }
+    let taken = match ask_home(gateway, customer, tokens).await {
+        HomeWord::Said(taken) => taken,
+        HomeWord::Own => {
+            let now = gateway.now();
+            let share = lock(&gateway.members).reachable_share(now);
+            let source = QuotaSource::Home(share);
+            lock(&gateway.quotas).take(now, customer, rule, tokens, source)
+        }
+        HomeWord::Silent => {
+            let share = 1.0 / lock(&gateway.members).most() as f64;
+            let source = QuotaSource::Alone(share);
+            lock(&gateway.quotas).take(gateway.now(), customer, rule, tokens, source)
+        }
+    };
+    taken.map_err(|wait| {
+        tracing::info!(%customer, tokens, wait_ms = wait.as_millis() as u64, "rate: refused");
+        CallRefusal::not_run(ErrorKind::RateExceeded).retry_after(wait)
+    })
+}
+
+enum HomeWord {
+    Said(Result<(), Duration>),
+    Own,
+    Silent,
+}
+
+async fn ask_home<D: Dialect, S: Directory>(
+    gateway: &Arc<Gateway<D, S>>,
+    customer: &CustomerId,
+    tokens: u64,
+) -> HomeWord {
+    let home = lock(&gateway.members).home(gateway.now(), customer);
+    let Some(home) = home else { return HomeWord::Own };
+    let (ticket, receiver) = gateway.peers.ask();
+    let question = PeerMessage::Take {
+        ticket,
+        from: gateway.own.id.clone(),
+        incarnation: gateway.own.incarnation,
+        customer: customer.clone(),
+        tokens,
+    };
+    gateway.peers.send(&[home.address], &question);
+    match tokio::time::timeout(HOME_TIME, receiver).await {
+        Ok(Ok(None)) => HomeWord::Said(Ok(())),
+        Ok(Ok(Some(wait))) => HomeWord::Said(Err(wait)),
+        _ => {
+            lock(&gateway.members).miss(&home.id);
+            tracing::info!(%customer, home = %home.id, "rate: the home is silent");
+            HomeWord::Silent
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/reader.rs
@@ -0,0 +1,144 @@
+//! Who reads the store, and when.
+//!
+//! One daemon reads and tells the others. Each reads by itself as soon as what it knows is older
+//! than its own limit, and limits grow with a daemon's place among those it reaches: so the next
+//! in line takes over when the reader is gone or cut off, from the store or from its peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::gateway::{Gateway, lock};
+use crate::peers;
+
+/// The reader reads this many times within the bound of what it reads.
+const READS_IN_BOUND: u32 = 5;
+/// The next daemon in line waits for this many periods of the reader.
+const TAKE_OVER_PERIODS: f64 = 1.7;
+/// Each further place in line waits for this many periods more.
+const PLACE_PERIODS: f64 = 0.35;
+/// The pause after a call that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(150);
+/// The time between two announcements that failed.
+const ANNOUNCE_AGAIN: Duration = Duration::from_millis(500);
+/// The time between two readings of the daemons announced.
+const MEMBERS_PERIOD: Duration = Duration::from_secs(5);
+
+/// What a daemon reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Subject {
+    Control,
+    Targets,
+}
+
+/// Keeps what operators ordered fresh.
+pub(crate) async fn follow_control<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
+    follow(gateway, Subject::Control).await;
+}
+
+/// Keeps the listing of replicas fresh.
+pub(crate) async fn follow_targets<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
+    follow(gateway, Subject::Targets).await;
+}
+
+async fn follow<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>, subject: Subject) {
+    loop {
+        let due = due_in(&gateway, subject);
+        if !due.is_zero() {
+            tokio::time::sleep(due).await;
+            continue;
+        }
+        if !read(&gateway, subject).await {
+            tokio::time::sleep(FAILED_PAUSE).await;
+        }
+    }
+}
+
+/// The time until this daemon has to read.
+fn due_in<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, subject: Subject) -> Duration {
+    let now = gateway.now();
+    let bounds = &gateway.settings.bounds;
+    let (known_at, bound) = {
+        let beliefs = lock(&gateway.beliefs);
+        match subject {
+            Subject::Control => (beliefs.control_at(), bounds.config_apply),
+            Subject::Targets => (beliefs.listing().map(|it| it.read_at), bounds.drain),
+        }
+    };
+    let Some(known_at) = known_at else { return Duration::ZERO };
+    let period = bound / READS_IN_BOUND;
+    let rank = lock(&gateway.members).rank(now);
+    let limit = match rank {
+        0 => period,
+        rank => period.mul_f64(TAKE_OVER_PERIODS + PLACE_PERIODS * (rank - 1) as f64),
+    };
+    (known_at + limit).saturating_sub(now)
+}
+
+/// Reads and tells the peers what is new; false if the store did not answer.
+async fn read<D: Dialect, S: Directory>(gateway: &Arc<Gateway<D, S>>, subject: Subject) -> bool {
+    let asked_at = gateway.now();
+    gateway.metrics.store_call(subject.name());
+    let failed = match subject {
+        Subject::Control => match gateway.directory.read_control().await {
+            Ok(snapshot) => {
+                let change = gateway.adopt_control(asked_at, snapshot, "store");
+                if change.any() {
+                    peers::push_control(gateway);
+                }
+                None
+            }
+            Err(error) => Some(error),
+        },
+        Subject::Targets => match gateway.directory.read_targets().await {
+            Ok(snapshot) => {
+                let change = gateway.adopt_listing(asked_at, snapshot, "store");
+                if change.any() {
+                    peers::push_listing(gateway);
+                }
+                None
+            }
+            Err(error) => Some(error),
+        },
+    };
+    if let Some(error) = &failed {
+        tracing::warn!(subject = subject.name(), "store: not read: {error}");
+    }
+    failed.is_none()
+}
+
+/// Announces this daemon and learns of others.
+pub(crate) async fn announce<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
+    while let Err(error) = gateway.directory.announce(&gateway.own).await {
+        tracing::warn!("members: not announced: {error}");
+        tokio::time::sleep(ANNOUNCE_AGAIN).await;
+    }
+    loop {
+        gateway.metrics.store_call("members");
+        match gateway.directory.read_members().await {
+            Ok(snapshot) => {
+                let now = gateway.now();
+                let mut members = lock(&gateway.members);
+                for it in &snapshot.value {
+                    members.add(now, it);
+                }
+            }
+            Err(error) => tracing::warn!("members: not read: {error}"),
+        }
+        tokio::time::sleep(MEMBERS_PERIOD).await;
+        // Peers tell each other whom they know; only the first in line looks for strangers.
+        while lock(&gateway.members).rank(gateway.now()) > 0 {
+            tokio::time::sleep(MEMBERS_PERIOD).await;
+        }
+    }
+}
+
+impl Subject {
+    fn name(self) -> &'static str {
+        match self {
+            Subject::Control => "control",
+            Subject::Targets => "targets",
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,91 @@
+//! Starting and stopping the daemon.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::gateway::Gateway;
+use crate::peer_link::PeerLink;
+use crate::settings::GatewaySettings;
+use crate::{front, peers, reader, readiness, weights};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// How long a leaving daemon takes new connections, for the balancer to notice.
+const NOTICE: Duration = Duration::from_millis(3_200);
+/// Time kept at the end of the grace period for closing connections.
+const CLOSE_TIME: Duration = Duration::from_millis(500);
+/// The time between two looks whether open requests have ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// Serves until told to stop, then leaves without cutting a request.
+pub async fn serve<D: Dialect, S: Directory>(
+    settings: GatewaySettings,
+    dialect: D,
+    directory: S,
+) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let callers = listen(settings.callers)?;
+    let readiness = listen(settings.readiness)?;
+    let link = PeerLink::bind(settings.address, settings.peer_port).await?;
+    let gateway = Arc::new(Gateway::new(settings, dialect, directory, link));
+    let incarnation = gateway.own.incarnation;
+    tracing::info!(instance = %gateway.own.id, %incarnation, "daemon: starts");
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(peers::listen(gateway.clone()));
+    tokio::spawn(peers::tell(gateway.clone()));
+    tokio::spawn(reader::follow_control(gateway.clone()));
+    tokio::spawn(reader::follow_targets(gateway.clone()));
+    tokio::spawn(reader::announce(gateway.clone()));
+    tokio::spawn(weights::drive(gateway.clone()));
+    tokio::spawn(readiness::serve(gateway.clone(), readiness));
+    tokio::spawn(front::serve(gateway.clone(), callers, stopped));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            // FIXME: settings that changed are taken over at the next start only.
+            _ = reload.recv() => tracing::info!("daemon: told to reload"),
+        }
+    }
+    leave(&gateway, &stop).await;
+    tracing::info!(instance = %gateway.own.id, "daemon: stops");
+    Ok(())
+}
+
+async fn leave<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, stop: &watch::Sender<bool>) {
+    tracing::info!(open = gateway.open_count(), "daemon: leaves");
+    let began = gateway.now();
+    let until = began + gateway.settings.bounds.grace.saturating_sub(CLOSE_TIME);
+    gateway.leave();
+    peers::tell_now(gateway);
+    let noticed = (began + NOTICE).min(until);
+    while gateway.now() < until && (gateway.now() < noticed || gateway.open_count() > 0) {
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+    stop.send_replace(true);
+    // Idle connections close, and answers that have just ended go out.
+    tokio::time::sleep(CLOSE_TIME / 5).await;
+    while gateway.now() < until + CLOSE_TIME / 2 && gateway.open_count() > 0 {
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,194 @@
+//! The event stream of a replica to its caller: whole events, in order, once each.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use policy::retry::RetryReason;
+
+use crate::body::{BrokenOff, CallerBody};
+use crate::call::{Call, CallFault, Place};
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::events::EventSplitter;
+use crate::exchange::{CallerResponse, ExchangeFault, FinishedAnswer, OpenAnswer};
+use crate::gateway::lock;
+use crate::whole;
+
+/// The source of a stream's events: one replica after the other.
+struct StreamPump<D: Dialect, S: Directory> {
+    call: Call<D, S>,
+    place: Place<D, S>,
+    body: Incoming,
+    rest: Option<FinishedAnswer>,
+    splitter: EventSplitter,
+    ready: VecDeque<Bytes>,
+    last_event: Option<u64>,
+    sent_at: Duration,
+    begun: bool,
+}
+
+/// What the replica's stream gave.
+enum StreamStep {
+    Events,
+    End,
+}
+
+/// Answers with the stream of `answer`, continued on other replicas if it may be.
+pub(crate) fn answer<D: Dialect, S: Directory>(
+    call: Call<D, S>,
+    place: Place<D, S>,
+    answer: OpenAnswer,
+) -> CallerResponse {
+    let (status, headers, body, rest) = answer.split();
+    call.log_answer(&place, status);
+    let pump = StreamPump {
+        last_event: call.head.after_event,
+        sent_at: call.gateway.now(),
+        call,
+        place,
+        body,
+        rest: Some(rest),
+        splitter: EventSplitter::default(),
+        ready: VecDeque::new(),
+        begun: false,
+    };
+    let pieces = stream::unfold(Some(pump), |pump| async move {
+        let mut pump = pump?;
+        match pump.next().await {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some(pump))),
+            Ok(None) => None,
+            Err(broken) => Some((Err(broken), None)),
+        }
+    });
+    let mut response = Response::new(CallerBody::Pieces(Box::pin(pieces)));
+    *response.status_mut() = status;
+    *response.headers_mut() = whole::end_to_end(headers);
+    response
+}
+
+impl<D: Dialect, S: Directory> StreamPump<D, S> {
+    /// The next events as one piece; `None` at the proper end.
+    async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
+        loop {
+            if let Some(bytes) = self.ready.pop_front() {
+                return Ok(Some(bytes));
+            }
+            let left = self.call.until.saturating_sub(self.call.gateway.now());
+            let step = tokio::time::timeout(left, self.step()).await;
+            let fault = match step {
+                Ok(Ok(StreamStep::Events)) => continue,
+                Ok(Ok(StreamStep::End)) => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Ok(Err(fault)) => fault,
+                Err(_) => ExchangeFault::Timeout,
+            };
+            self.go_on(fault).await?;
+        }
+    }
+
+    async fn step(&mut self) -> Result<StreamStep, ExchangeFault> {
+        let broken = |text: String| ExchangeFault::Broken(text.into());
+        let Some(frame) = self.body.frame().await else {
+            return match self.splitter.is_clean() {
+                true => Ok(StreamStep::End),
+                false => Err(broken("the stream ended inside an event".into())),
+            };
+        };
+        let frame = frame.map_err(|error| broken(error.to_string()))?;
+        if let Some(data) = frame.data_ref() {
+            self.splitter.push(data).map_err(|error| broken(error.to_string()))?;
+        }
+        while let Some(event) = self.splitter.next() {
+            if let (Some(id), Some(last)) = (event.id, self.last_event)
+                && id <= last
+            {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            self.begin();
+            self.ready.push_back(event.bytes);
+        }
+        Ok(StreamStep::Events)
+    }
+
+    /// The first event of a replica came.
+    fn begin(&mut self) {
+        if !self.begun {
+            self.begun = true;
+            let after = self.call.gateway.now().saturating_sub(self.sent_at);
+            self.call.prompt_read(&mut self.place, after);
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(rest) = self.rest.take() {
+            self.call.gateway.connections.keep(rest);
+        }
+        let ms = self.call.gateway.now().saturating_sub(self.call.began).as_millis() as u64;
+        tracing::info!(request = %self.call.head.attempt, ms, "stream: ended");
+    }
+
+    /// Goes on at another replica after the last event delivered, or breaks the answer off.
+    async fn go_on(&mut self, fault: ExchangeFault) -> Result<(), BrokenOff> {
+        // Closing the connection first ends what the replica may still do.
+        self.rest = None;
+        tracing::info!(
+            request = %self.call.head.attempt, target = %self.place.target.id,
+            event = self.last_event, "stream: broke: {fault}"
+        );
+        let mut fault = CallFault::Exchange(fault);
+        loop {
+            if let CallFault::Exchange(ExchangeFault::Broken(_)) = &fault {
+                // The attempt was counted when its answer began.
+                self.call.attempts = self.call.attempts.saturating_sub(1);
+            }
+            if let Err(refusal) = self.call.after_fault(&self.place, &fault) {
+                tracing::warn!(
+                    request = %self.call.head.attempt, kind = %refusal.kind, "stream: broken off"
+                );
+                self.call.gateway.metrics.refuse(refusal.kind.code());
+                return Err(BrokenOff);
+            }
+            let place = self.call.place().await.map_err(|refusal| {
+                tracing::warn!(
+                    request = %self.call.head.attempt, kind = %refusal.kind, "stream: broken off"
+                );
+                BrokenOff
+            })?;
+            self.place = place;
+            self.sent_at = self.call.gateway.now();
+            fault = match self.call.exchange(&self.place, self.last_event).await {
+                Ok(answer) if answer.status == StatusCode::OK => {
+                    self.take_over(answer);
+                    return Ok(());
+                }
+                Ok(answer) => {
+                    let text = format!("status {}", answer.status);
+                    CallFault::Exchange(ExchangeFault::Broken(text.into()))
+                }
+                Err(fault) => fault,
+            };
+        }
+    }
+
+    fn take_over(&mut self, answer: OpenAnswer) {
+        let (_, _, body, rest) = answer.split();
+        self.body = body;
+        self.rest = Some(rest);
+        self.splitter = EventSplitter::default();
+        self.begun = false;
+        self.call.gateway.metrics.retry(RetryReason::StreamReplayed.code());
+        lock(&self.call.gateway.fleet).succeed(&self.place.target);
+        tracing::info!(
+            request = %self.call.head.attempt, target = %self.place.target.id,
+            event = self.last_event, "stream: goes on"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/weights.rs
@@ -0,0 +1,329 @@
+//! Brings the engines to the newest weights: one daemon at a time, under a lease in the store.
+//!
+//! A holder sends orders only while its lease is proven. Another daemon takes over only when the
+//! lease has lapsed and the distance between orders of different holders has passed.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use ids::{Revision, TargetId};
+use indexmap::IndexMap;
+use policy::weight_rounds::{self, LaggingTarget};
+use ports::{Commit, StoreError};
+
+use crate::dialect::{Dialect, TargetReport, WeightOrder};
+use crate::digest::WeightNews;
+use crate::directory::{Directory, OrderLease};
+use crate::exchange::{ConnectionUse, ExchangeFault};
+use crate::gateway::{Gateway, lock};
+use crate::peers;
+
+/// The lease lasts for this part of the distance between holders.
+const LEASE_PART: u32 = 3;
+/// The time between two looks while weights are to be moved.
+const ROUND: Duration = Duration::from_millis(60);
+/// The time between two looks while nothing is to do.
+const IDLE_ROUND: Duration = Duration::from_secs(1);
+/// How long each place in line waits before it offers itself.
+const PLACE_WAIT: Duration = Duration::from_millis(400);
+/// How long a replica may take to answer an order or a question.
+const CALL_TIME: Duration = Duration::from_millis(600);
+/// The pause between two questions whether an order is done.
+const REPORT_PAUSE: Duration = Duration::from_millis(150);
+/// How long an order may take before the replica is asked again from the start.
+const ORDER_TIME: Duration = Duration::from_millis(4_000);
+/// The pause before a replica that did not answer is ordered again.
+const AGAIN_PAUSE: Duration = Duration::from_millis(500);
+
+/// The lease as this daemon holds it.
+#[derive(Debug, Clone)]
+struct HeldLease {
+    lease: OrderLease,
+    revision: Revision,
+    proved_at: Duration,
+}
+
+/// Orders under way, by replica: none is sent twice at once.
+type OrderBook = Mutex<IndexMap<TargetId, Duration>>;
+
+/// A replica whose weights are older than the newest, with the order it needs.
+#[derive(Debug, Clone)]
+struct NeededOrder {
+    target: TargetId,
+    model: Box<str>,
+    version: u64,
+    view: LaggingTarget,
+}
+
+/// Moves weights while this daemon holds the lease.
+pub(crate) async fn drive<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
+    let mut held: Option<HeldLease> = None;
+    let mut needed_since: Option<Duration> = None;
+    let book = Arc::new(OrderBook::default());
+    loop {
+        let needed = needed_orders(&gateway);
+        if needed.is_empty() || gateway.is_leaving() {
+            needed_since = None;
+            let believed = gateway.believed.notified();
+            let _ = tokio::time::timeout(IDLE_ROUND, believed).await;
+            continue;
+        }
+        let now = gateway.now();
+        let since = *needed_since.get_or_insert(now);
+        // The last holder knows its lease and comes first.
+        let place = if held.is_some() { 0 } else { lock(&gateway.members).rank(now) as u32 };
+        if now < since + PLACE_WAIT * place {
+            tokio::time::sleep(ROUND).await;
+            continue;
+        }
+        if !is_proven(&gateway, held.as_ref(), 2) {
+            held = match take_lease(&gateway, held.take()).await {
+                Ok(it) => it,
+                Err(error) => {
+                    tracing::warn!("weights: the lease is not renewed: {error}");
+                    None
+                }
+            };
+            if held.is_none() {
+                tokio::time::sleep(AGAIN_PAUSE).await;
+                continue;
+            }
+        }
+        if let Some(held) = &held {
+            send_orders(&gateway, &book, held, needed);
+        }
+        tokio::time::sleep(ROUND).await;
+    }
+}
+
+fn lease_time<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) -> Duration {
+    gateway.settings.bounds.lease / LEASE_PART
+}
+
+/// Whether the lease holds for the rest of its time, or for that part of it.
+fn is_proven<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    held: Option<&HeldLease>,
+    part: u32,
+) -> bool {
+    held.is_some_and(|it| gateway.now() < it.proved_at + lease_time(gateway) / part)
+}
+
+/// Renews the lease or takes a lapsed one; `None` if another daemon holds it.
+async fn take_lease<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    held: Option<HeldLease>,
+) -> Result<Option<HeldLease>, StoreError> {
+    gateway.metrics.store_call("lease");
+    let snapshot = gateway.directory.read_lease().await?;
+    let lapse = lease_time(gateway) + gateway.settings.bounds.lease;
+    let (token, expected) = match &snapshot.value {
+        None => (1, None),
+        Some((lease, revision)) if lease.holder == gateway.own => {
+            (lease.fencing_token, Some(*revision))
+        }
+        Some((lease, revision)) if snapshot.store_now >= lease.renewed_at + lapse => {
+            (lease.fencing_token + 1, Some(*revision))
+        }
+        Some((lease, _)) => {
+            if held.is_some() {
+                tracing::info!(holder = %lease.holder.id, "weights: the lease is lost");
+            }
+            return Ok(None);
+        }
+    };
+    let lease = OrderLease {
+        holder: gateway.own.clone(),
+        fencing_token: token,
+        renewed_at: snapshot.store_now,
+    };
+    let asked_at = gateway.now();
+    match gateway.directory.write_lease(&lease, expected).await? {
+        Commit::Done(revision) => {
+            if held.is_none() {
+                tracing::info!(token, "weights: the lease is held");
+            }
+            Ok(Some(HeldLease { lease, revision, proved_at: asked_at }))
+        }
+        Commit::Conflict => Ok(None),
+    }
+}
+
+/// Replicas that are to load newer weights.
+fn needed_orders<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) -> Vec<NeededOrder> {
+    let now = gateway.now();
+    let beliefs = lock(&gateway.beliefs);
+    let Some(config) = beliefs.config() else { return Vec::new() };
+    let fleet = lock(&gateway.fleet);
+    let mut needed = Vec::new();
+    for (pool, engine) in config.engine_pools() {
+        for model in &engine.models {
+            let Some((version, _)) = beliefs.wanted_weights(model) else { continue };
+            let lagging = fleet.replicas().filter(|it| {
+                it.entry.pool == *pool && !it.leaving && it.weights < version
+            });
+            for replica in lagging {
+                let ordered = replica.ordered.is_some_and(|it| it.0 >= version);
+                needed.push(NeededOrder {
+                    target: replica.entry.id.clone(),
+                    model: model.clone(),
+                    version,
+                    view: LaggingTarget {
+                        running: fleet.load(now, replica).running,
+                        under_order: ordered && replica.is_loading(now),
+                    },
+                });
+            }
+        }
+    }
+    needed
+}
+
+fn send_orders<D: Dialect, S: Directory>(
+    gateway: &Arc<Gateway<D, S>>,
+    book: &Arc<OrderBook>,
+    held: &HeldLease,
+    needed: Vec<NeededOrder>,
+) {
+    let views: Vec<LaggingTarget> = needed.iter().map(|it| it.view).collect();
+    let pools = lock(&gateway.fleet).replicas().count();
+    for index in weight_rounds::next_orders(&views, pools) {
+        let order = needed[index].clone();
+        let now = gateway.now();
+        {
+            let mut book = lock(book);
+            if book.get(&order.target).is_some_and(|until| now < *until) {
+                continue;
+            }
+            book.insert(order.target.clone(), now + ORDER_TIME);
+        }
+        mark_ordered(gateway, &order);
+        let (gateway, book, held) = (gateway.clone(), book.clone(), held.clone());
+        tokio::spawn(async move {
+            let done = carry_out(&gateway, &held, &order).await;
+            let again = gateway.now() + if done { Duration::ZERO } else { AGAIN_PAUSE };
+            lock(&book).insert(order.target, again);
+        });
+    }
+    peers::tell_now(gateway);
+}
+
+/// Keeps requests away from a replica that is about to load.
+fn mark_ordered<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, order: &NeededOrder) {
+    let now = gateway.now();
+    let mut fleet = lock(&gateway.fleet);
+    let Some(replica) = fleet.get(&order.target) else { return };
+    let news = WeightNews {
+        member: replica.member,
+        born: replica.entry.born,
+        loaded: replica.weights,
+        ordered: order.version,
+    };
+    fleet.hear_weights(now, news);
+}
+
+/// Orders one replica to load and waits until it has; false if that is not known.
+async fn carry_out<D: Dialect, S: Directory>(
+    gateway: &Arc<Gateway<D, S>>,
+    held: &HeldLease,
+    order: &NeededOrder,
+) -> bool {
+    let until = gateway.now() + ORDER_TIME;
+    if !is_proven(gateway, Some(held), 1) {
+        return false;
+    }
+    let message = WeightOrder {
+        target: order.target.clone(),
+        model: order.model.clone(),
+        version: order.version,
+        holder: held.lease.holder.id.as_str().into(),
+        fencing_token: held.lease.fencing_token,
+    };
+    let answer = call(gateway, &order.target, gateway.dialect.order(&message)).await;
+    match &answer {
+        Ok((status, _)) if status.is_success() => {
+            tracing::info!(
+                target = %order.target, version = order.version, status = status.as_u16(),
+                token = held.lease.fencing_token, "weights: ordered"
+            );
+        }
+        Ok((status, _)) => {
+            tracing::warn!(target = %order.target, %status, "weights: order refused");
+            if *status != StatusCode::CONFLICT {
+                return false;
+            }
+        }
+        Err(error) => {
+            tracing::warn!(target = %order.target, "weights: no answer to an order: {error}");
+        }
+    }
+    while gateway.now() < until {
+        tokio::time::sleep(REPORT_PAUSE).await;
+        let Some((report, born)) = ask_report(gateway, &order.target).await else { continue };
+        let loaded = report.weights.iter().find(|it| it.0 == order.model).map_or(0, |it| it.1);
+        if loaded >= order.version {
+            confirm(gateway, order, loaded, born);
+            return true;
+        }
+        if !report.busy && answer.is_err() {
+            return false;
+        }
+    }
+    false
+}
+
+fn confirm<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    order: &NeededOrder,
+    loaded: u64,
+    born: u64,
+) {
+    let member = policy::rendezvous::member_hash(order.target.as_str());
+    let news = WeightNews { member, born, loaded, ordered: order.version };
+    lock(&gateway.fleet).hear_weights(gateway.now(), news);
+    tracing::info!(target = %order.target, version = loaded, "weights: loaded");
+    gateway.freed.notify_waiters();
+    peers::tell_now(gateway);
+}
+
+async fn ask_report<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    target: &TargetId,
+) -> Option<(TargetReport, u64)> {
+    let (method, path) = gateway.dialect.ask_report();
+    let mut request = Request::new(bytes::Bytes::new());
+    *request.method_mut() = method;
+    *request.uri_mut() = http::Uri::from_static(path);
+    let born = lock(&gateway.fleet).get(target)?.entry.born;
+    let (status, body) = call(gateway, target, request).await.ok()?;
+    let report = status.is_success().then(|| gateway.dialect.read_report(&body))??;
+    // A report of another start says nothing of this one.
+    (report.born.is_none_or(|it| it == born)).then_some((report, born))
+}
+
+async fn call<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    target: &TargetId,
+    mut request: Request<bytes::Bytes>,
+) -> Result<(StatusCode, bytes::Bytes), ExchangeFault> {
+    let address = lock(&gateway.fleet).get(target).map(|it| it.entry.address);
+    let address = address.ok_or(ExchangeFault::NotSent("the replica is not listed".into()))?;
+    let host = http::HeaderValue::from_str(&address.to_string());
+    if let Ok(host) = host {
+        request.headers_mut().insert(http::header::HOST, host);
+    }
+    let which = match *request.method() {
+        Method::GET => ConnectionUse::Kept,
+        _ => ConnectionUse::New,
+    };
+    let request = request.map(Full::new);
+    let answer = gateway.connections.send(address, target.as_str(), request, which, CALL_TIME);
+    let (status, _, body, rest) = answer.await?.split();
+    let body = tokio::time::timeout(CALL_TIME, body.collect()).await;
+    let body = body.map_err(|_| ExchangeFault::Timeout)?;
+    let body = body.map_err(|error| ExchangeFault::Broken(error.to_string().into()))?;
+    gateway.connections.keep(rest);
+    Ok((status, body.to_bytes()))
+}
--- /dev/null
+++ b/crates/gateway/src/whole.rs
@@ -0,0 +1,91 @@
+//! Answers that are read whole before they are passed on.
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+
+use crate::body::CallerBody;
+use crate::call::{Call, CallFault};
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::exchange::{CallerResponse, ExchangeFault, OpenAnswer};
+
+/// Longest answer that is read whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// A whole answer of a replica.
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Reads an answer to its end and keeps its connection.
+pub(crate) async fn collect<D: Dialect, S: Directory>(
+    call: &Call<D, S>,
+    answer: OpenAnswer,
+) -> Result<WholeAnswer, CallFault> {
+    let left = call.until.saturating_sub(call.gateway.now());
+    let (status, headers, mut body, rest) = answer.split();
+    let read = async {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame =
+                frame.map_err(|error| ExchangeFault::Broken(error.to_string().into()))?;
+            if let Some(data) = frame.data_ref() {
+                bytes.extend_from_slice(data);
+            }
+            if bytes.len() > MAX_ANSWER_BYTES {
+                return Err(ExchangeFault::Broken("the answer is too long".into()));
+            }
+        }
+        Ok(bytes.freeze())
+    };
+    let body = tokio::time::timeout(left, read).await.unwrap_or(Err(ExchangeFault::Timeout))?;
+    // A replica that answered a failure may not have read the whole request.
+    if status.is_success() {
+        call.gateway.connections.keep(rest);
+    }
+    Ok(WholeAnswer { status, headers, body })
+}
+
+impl WholeAnswer {
+    /// The answer as the caller gets it.
+    pub(crate) fn into_response(self) -> CallerResponse {
+        let mut response = Response::new(CallerBody::whole(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = end_to_end(self.headers);
+        response
+    }
+}
+
+/// The headers that concern more than one connection, without the body's framing.
+pub(crate) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(http::header::CONNECTION)
+        .into_iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .map(|it| it.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// Headers of one connection, and the framing that each connection sets for itself.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
--- a/crates/ids/src/error_kind.rs
+++ b/crates/ids/src/error_kind.rs
@@ -48,6 +48,8 @@
     StreamCut,
     /// Requests like this one crashed targets; it is kept apart.
     Quarantined,
+    /// Requests like this one crashed targets; it is not sent to another.
+    CrashSuspect,
     /// This instance is leaving.
     Leaving,
     /// This instance has no configuration yet.
@@ -119,6 +121,7 @@
     row(ErrorKind::TargetTimeout, 504, "target_timeout", "the target did not answer in time"),
     row(ErrorKind::StreamCut, 502, "stream_cut", "the stream broke and could not be resumed"),
     row(ErrorKind::Quarantined, 422, "quarantined", "requests like this crashed targets"),
+    row(ErrorKind::CrashSuspect, 503, "crash_suspect", "requests like this crash targets"),
     row(ErrorKind::Leaving, 503, "leaving", "this instance is leaving"),
     row(ErrorKind::ConfigMissing, 503, "config_missing", "no configuration has been read yet"),
     row(
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -58,18 +58,32 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     credit: f64,
+    share: f64,
+    reserve: f64,
 }
 
 impl Default for RetryBudget {
     fn default() -> RetryBudget {
-        RetryBudget { credit: RETRY_RESERVE }
+        RetryBudget::new(RETRY_SHARE, RETRY_RESERVE)
     }
 }
 
 impl RetryBudget {
+    /// A budget that earns `share` of a retry with each request, up to `reserve`.
+    pub fn new(share: f64, reserve: f64) -> RetryBudget {
+        RetryBudget { credit: reserve, share, reserve }
+    }
+
+    /// Takes another share and reserve; never gains credit by it.
+    pub fn resize(&mut self, share: f64, reserve: f64) {
+        self.share = share;
+        self.reserve = reserve;
+        self.credit = self.credit.min(reserve);
+    }
+
     /// A first attempt earns a share of a retry.
     pub fn earn(&mut self) {
-        self.credit = (self.credit + RETRY_SHARE).min(RETRY_RESERVE);
+        self.credit = (self.credit + self.share).min(self.reserve);
     }
 
     /// Takes one retry if there is credit.
--- a/crates/stand-ins/src/platform.rs
+++ b/crates/stand-ins/src/platform.rs
@@ -230,7 +230,7 @@
 async fn table_read(rqctx: Context, body: UntypedBody) -> Result<Response<Body>, HttpError> {
     let platform = rqctx.context();
     platform.meet_fault(PlatformPart::Table, false).await?;
-    let asked: platform::wire::ReadRequest = parse(&body)?;
+    let asked: table_service::wire::ReadRequest = parse(&body)?;
     let mut state = platform.lock();
     state.stats.table_reads += 1;
     let rows = state.rows.get(&asked.key).cloned().into_iter().collect();
@@ -241,7 +241,7 @@
 async fn table_scan(rqctx: Context, body: UntypedBody) -> Result<Response<Body>, HttpError> {
     let platform = rqctx.context();
     platform.meet_fault(PlatformPart::Table, false).await?;
-    let asked: platform::wire::ScanRequest = parse(&body)?;
+    let asked: table_service::wire::ScanRequest = parse(&body)?;
     let mut state = platform.lock();
     state.stats.table_reads += 1;
     let rows = state
@@ -275,7 +275,7 @@
     if lost {
         return Ok(faulty_body::broken_answer());
     }
-    Ok(json_answer(StatusCode::OK, &platform::wire::CommitAnswer { commit }))
+    Ok(json_answer(StatusCode::OK, &table_service::wire::CommitAnswer { commit }))
 }
 
 #[endpoint { method = GET, path = "/v1/instances" }]
@@ -287,7 +287,7 @@
     let lag = state.list_lag;
     state.members.retain(|_, (_, at)| at.elapsed() < lag);
     let members = state.members.values().map(|(it, _)| it.clone()).collect();
-    Ok(json_answer(StatusCode::OK, &platform::wire::MembersAnswer { members }))
+    Ok(json_answer(StatusCode::OK, &table_service::wire::MembersAnswer { members }))
 }
 
 #[endpoint { method = PUT, path = "/v1/instances" }]
@@ -361,7 +361,7 @@
 }
 
 fn rows_answer(rows: Vec<Row>, revision: u64) -> Response<Body> {
-    let answer = platform::wire::RowsAnswer { rows, revision: Revision(revision) };
+    let answer = table_service::wire::RowsAnswer { rows, revision: Revision(revision) };
     json_answer(StatusCode::OK, &answer)
 }
 
--- a/crates/platform/tests/contract.rs
+++ b/crates/table-service/tests/contract.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use dropshot::HttpServer;
 use ids::{Incarnation, Revision};
-use platform::{HttpPlatform, PlatformAddress};
+use table_service::{HttpPlatform, PlatformAddress};
 use ports::{
     Commit, Member, MemberList, MemberState, Objects, StoreError, Table, Transaction, Weights,
 };
--- a/crates/web/src/logs.rs
+++ b/crates/web/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs: text or JSON lines on standard error.
+//! Logs: text or JSON lines on standard output.
 
 use tracing_subscriber::EnvFilter;
 
@@ -15,7 +15,7 @@
 /// such as `info` or `daemon=debug`; a malformed one falls back to `info`.
 pub fn start(form: LogForm, filter: &str) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt().with_ansi(false).with_env_filter(filter).with_writer(std::io::stdout);
     // The only error is that logging was started before.
     let _ = match form {
         LogForm::Text => builder.try_init(),
