Order engines to load in two waves

Ruled out: slow orders (202 within 8 ms) and loads (0.6 s on idle engines). Change: half in the first wave; all others once a third serves on the new weights.

--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -57,6 +57,14 @@
     view: LaggingTarget,
 }
 
+/// A pool some of whose engines lag behind.
+#[derive(Debug)]
+struct LaggingPool {
+    needed: Vec<NeededOrder>,
+    /// Engines on the newest weights.
+    ready: usize,
+}
+
 /// Moves weights while this daemon holds the lease.
 pub(crate) async fn drive<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
     let mut held: Option<HeldLease> = None;
@@ -92,7 +100,9 @@
             }
         }
         if let Some(held) = &held {
-            send_orders(&gateway, &book, held, needed);
+            for pool in &needed {
+                send_orders(&gateway, &book, held, pool);
+            }
         }
         tokio::time::sleep(ROUND).await;
     }
@@ -151,20 +161,23 @@
     }
 }
 
-/// Replicas that are to load newer weights.
-fn needed_orders<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) -> Vec<NeededOrder> {
+/// Replicas that are to load newer weights, by pool.
+fn needed_orders<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) -> Vec<LaggingPool> {
     let now = gateway.now();
     let beliefs = lock(&gateway.beliefs);
     let Some(config) = beliefs.config() else { return Vec::new() };
     let fleet = lock(&gateway.fleet);
-    let mut needed = Vec::new();
+    let mut pools = Vec::new();
     for (pool, engine) in config.engine_pools() {
         for model in &engine.models {
             let Some((version, _)) = beliefs.wanted_weights(model) else { continue };
-            let lagging = fleet.replicas().filter(|it| {
-                it.entry.pool == *pool && !it.leaving && it.weights < version
-            });
-            for replica in lagging {
+            let mut needed = Vec::new();
+            let mut ready = 0;
+            for replica in fleet.replicas().filter(|it| it.entry.pool == *pool && !it.leaving) {
+                if replica.weights >= version {
+                    ready += 1;
+                    continue;
+                }
                 let ordered = replica.ordered.is_some_and(|it| it.0 >= version);
                 needed.push(NeededOrder {
                     target: replica.entry.id.clone(),
@@ -176,21 +189,24 @@
                     },
                 });
             }
+            if !needed.is_empty() {
+                pools.push(LaggingPool { needed, ready });
+            }
         }
     }
-    needed
+    pools
 }
 
 fn send_orders<D: Dialect, S: Directory>(
     gateway: &Arc<Gateway<D, S>>,
     book: &Arc<OrderBook>,
     held: &HeldLease,
-    needed: Vec<NeededOrder>,
+    pool: &LaggingPool,
 ) {
-    let views: Vec<LaggingTarget> = needed.iter().map(|it| it.view).collect();
-    let pools = lock(&gateway.fleet).replicas().count();
-    for index in weight_rounds::next_orders(&views, pools) {
-        let order = needed[index].clone();
+    let views: Vec<LaggingTarget> = pool.needed.iter().map(|it| it.view).collect();
+    let chosen = weight_rounds::next_orders(&views, pool.ready);
+    for index in &chosen {
+        let order = pool.needed[*index].clone();
         let now = gateway.now();
         {
             let mut book = lock(book);
@@ -207,7 +223,9 @@
             lock(&book).insert(order.target, again);
         });
     }
-    peers::tell_now(gateway);
+    if !chosen.is_empty() {
+        peers::tell_now(gateway);
+    }
 }
 
 /// Keeps requests away from a replica that is about to load.
--- a/crates/policy/src/weight_rounds.rs
+++ b/crates/policy/src/weight_rounds.rs
@@ -1,10 +1,14 @@
 //! Which engines load new weights next.
 //!
-//! Loading takes an engine out for as long as its requests take to end and the load itself.
-//! A few at a time keep the rest serving, and idle engines go first, since they wait for nothing.
+//! An ordered engine takes no new requests, lets those on it end and then loads. Answers the
+//! pattern of weights that move under load: the first wave leaves enough engines serving; as
+//! soon as enough serve on the new weights, all others go, since requests go to the new ones.
+//! Engines with the least to finish go first.
 
-/// Share of the engines that may be out at once.
-const OUT_SHARE: f64 = 0.34;
+/// Share of the engines in the first wave.
+const FIRST_WAVE: f64 = 0.5;
+/// Share of the engines on the new weights from which all others are ordered.
+const ENOUGH_READY: f64 = 0.34;
 
 /// An engine whose weights are older than the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,9 +19,11 @@
     pub under_order: bool,
 }
 
-/// Indices of the engines to order now, out of `total` engines.
-pub fn next_orders(lagging: &[LaggingTarget], total: usize) -> Vec<usize> {
-    let most = ((total as f64 * OUT_SHARE) as usize).max(1);
+/// Indices of the engines to order now; `ready` engines have the newest weights.
+pub fn next_orders(lagging: &[LaggingTarget], ready: usize) -> Vec<usize> {
+    let total = (lagging.len() + ready) as f64;
+    let share = if ready as f64 >= total * ENOUGH_READY { 1.0 } else { FIRST_WAVE };
+    let most = ((total * share) as usize).max(1);
     let out = lagging.iter().filter(|it| it.under_order).count();
     let mut idle: Vec<usize> =
         (0..lagging.len()).filter(|index| !lagging[*index].under_order).collect();
