Take no requests once the balancer has noticed a leaving daemon

Ruled out: the replica (its runs were cut by our close). Change: 2.6 s after SIGTERM the listener and idle connections close; open requests end.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -32,14 +32,18 @@
 /// Idle time of connections that come before any configuration.
 const FIRST_IDLE: Duration = Duration::from_secs(15);
 
-/// Serves callers until `stop` changes; then closes connections as they become idle.
+/// Serves callers until `stop` is true; then closes connections as they become idle.
 pub(crate) async fn serve<D: Dialect, S: Directory>(
     gateway: Arc<Gateway<D, S>>,
     listener: TcpListener,
-    stop: watch::Receiver<bool>,
+    mut stop: watch::Receiver<bool>,
 ) {
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = async { drop(stop.wait_for(|it| *it).await) } => return,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 tracing::warn!("front: no connection accepted: {error}");
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,8 +18,9 @@
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
-/// How long a leaving daemon takes new connections, for the balancer to notice.
-const NOTICE: Duration = Duration::from_millis(3_200);
+/// How long a leaving daemon takes new requests, for the balancer to notice: two questions a
+/// second apart and the way of a connection that was just given to it.
+const NOTICE: Duration = Duration::from_millis(2_600);
 /// Time kept at the end of the grace period for closing connections.
 const CLOSE_TIME: Duration = Duration::from_millis(500);
 /// The time between two looks whether open requests have ended.
@@ -68,16 +69,14 @@
     let until = began + gateway.settings.bounds.grace.saturating_sub(CLOSE_TIME);
     gateway.leave();
     peers::tell_now(gateway);
-    let noticed = (began + NOTICE).min(until);
-    while gateway.now() < until && (gateway.now() < noticed || gateway.open_count() > 0) {
-        tokio::time::sleep(DRAIN_LOOK).await;
-    }
+    tokio::time::sleep(NOTICE.min(gateway.settings.bounds.grace / 2)).await;
+    // No new requests from here on: what comes late could not end within the grace period.
     stop.send_replace(true);
-    // Idle connections close, and answers that have just ended go out.
-    tokio::time::sleep(CLOSE_TIME / 5).await;
-    while gateway.now() < until + CLOSE_TIME / 2 && gateway.open_count() > 0 {
+    while gateway.now() < until && gateway.open_count() > 0 {
         tokio::time::sleep(DRAIN_LOOK).await;
     }
+    // Answers that have just ended go out.
+    tokio::time::sleep(CLOSE_TIME / 5).await;
 }
 
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
