Weigh what reading a prompt does to the streams beside it

Ruled out: batch size (4 streams an engine against 48) and memory (2 preemptions). Change: the cost of a place counts held-up streams; long and short prompts prefer opposite ends of an order of engines that all daemons share.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -476,6 +476,7 @@
         parts,
         prompt_tokens: prompt,
         output_tokens: output,
+        pause_s: config.shortest_gap(pool).map(|it| it.as_secs_f64()),
         wall: wall.map(|it| it.as_str().into()),
     })
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -39,6 +39,8 @@
     pub timeout: Duration,
     /// The latency objective; for streams, of the first event.
     pub objective: Duration,
+    /// The longest pause between events of a stream that is still on time.
+    pub gap: Option<Duration>,
     /// Rank of urgency, 0 is the most urgent.
     pub priority: u8,
     /// Pools with their weights.
@@ -178,7 +180,13 @@
             .max_by_key(|it| it.prefix.len())
     }
 
-    /// The pool that serves a model, if any.
+    /// The shortest pause between events that some stream of a pool is allowed.
+    pub fn shortest_gap(&self, pool: &PoolId) -> Option<Duration> {
+        let routes = self.routes.iter().filter(|it| it.pools.iter().any(|one| one.0 == *pool));
+        routes.filter_map(|it| it.gap).min()
+    }
+
+    /// Pools of engines.
     pub fn engine_pools(&self) -> impl Iterator<Item = (&PoolId, &EngineRule)> {
         self.pools.iter().filter_map(|(id, it)| Some((id, it.engine.as_ref()?)))
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use ids::{FailureDomain, PoolId, TargetId};
 use indexmap::IndexMap;
-use policy::engine_choice::EngineView;
+use policy::engine_choice::{EngineView, PromptSize};
 use policy::health::{HealthState, ReplicaHealth};
 use policy::plain_choice::PlainView;
 use policy::prefix_table::{PrefixTable, PromptPrefix};
@@ -104,6 +104,8 @@
     pub prompt_tokens: u64,
     /// Most output tokens.
     pub output_tokens: u64,
+    /// The shortest pause that streams of the pool are allowed, in seconds.
+    pub pause_s: Option<f64>,
     /// The customer whose cache is kept apart, if it is.
     pub wall: Option<Box<str>>,
 }
@@ -269,7 +271,7 @@
         self.occupy(&id, LoadCount { running: 1, ..LoadCount::default() }, 0, None)
     }
 
-    /// Places a prompt and counts it. Returns also the expected seconds to its first token.
+    /// Places a prompt and counts it. Returns also what its place costs, in seconds.
     pub fn place_prompt(
         &mut self,
         now: Duration,
@@ -306,6 +308,7 @@
                     unread_tokens: load.unread_tokens,
                     memory_tokens: load.memory_tokens,
                     memory_limit: engine.kv_tokens,
+                    lane: self.lane(it),
                     // A home is where other daemons will have placed the same beginning.
                     cached_tokens: if home { believed.max(shared / 2) } else { believed },
                     near: it.entry.domain == self.domain,
@@ -313,8 +316,8 @@
                 }
             })
             .collect();
-        let (index, expected_s) =
-            policy::engine_choice::choose(&views, need.prompt_tokens, pace)?;
+        let size = PromptSize { tokens: need.prompt_tokens, pause_s: need.pause_s };
+        let (index, cost_s) = policy::engine_choice::choose(&views, size, pace)?;
         let chosen = open[index];
         let (id, weights) = (chosen.entry.id.clone(), chosen.weights);
         let salted = need.salted(weights);
@@ -326,7 +329,7 @@
             memory_tokens: need.prompt_tokens + need.output_tokens,
         };
         let placed = self.occupy(&id, load, cached, fetch_from)?;
-        Some((placed, expected_s))
+        Some((placed, cost_s))
     }
 
     /// A replica on the same weights that may hold more of the prompt than the one chosen.
@@ -369,6 +372,15 @@
         others.find(|it| it.member == *home).map(|it| it.entry.address)
     }
 
+    /// A replica's place in an order that all daemons share, from 0 to 1.
+    fn lane(&self, replica: &Replica) -> f64 {
+        let others = self.replicas.values().filter(|it| it.entry.pool == replica.entry.pool);
+        let (before, all) = others.fold((0_u32, 0_u32), |(before, all), it| {
+            (before + u32::from(it.member < replica.member), all + 1)
+        });
+        f64::from(before) / f64::from(all.max(1))
+    }
+
     /// The first replicas by rendezvous for the shared beginning of a prompt.
     fn homes(&self, pool: &PoolId, need: &PromptNeed) -> Vec<u64> {
         let Some(key) = need.home_key() else { return Vec::new() };
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -1,12 +1,28 @@
-//! Which engine gets a prompt: the one with the earliest expected first token.
+//! Which engine gets a prompt: the one with the earliest expected first token, unless reading
+//! the prompt there would hold up the streams of others.
 //!
-//! Answers the load pattern of long shared prompts: what counts is the prompt that is still to
-//! be read on a replica, its own and that of requests before it, and then how full its batch is.
+//! Answers two load patterns. Long shared prompts: what counts is the prompt that is still to be
+//! read on a replica, its own and that of requests before it. Short prompts with long answers
+//! beside them: an engine makes one token for each piece of a prompt that it reads, so a long
+//! prompt delays every stream on the engine. Long prompts keep to one end of a fixed order of
+//! engines and short ones to the other, as far as load allows.
 
 /// Share of a batch's free time that a full batch takes from reading prompts.
 const BATCH_DRAG: f64 = 0.5;
 /// Added for a replica whose memory the prompt would overfill, in seconds.
 const OVERFULL_S: f64 = 1.0;
+/// What a second of reading costs per stream that it holds up, in seconds.
+const HOLD_UP: f64 = 0.1;
+/// Added per stream when unread prompts would hold it up beyond the pause allowed, in seconds.
+const LATE_PAUSE_S: f64 = 0.2;
+/// Share of the pause allowed that unread prompts may take.
+const PAUSE_SHARE: f64 = 0.8;
+/// The pause allowed where no stream states one, in seconds.
+const ANY_PAUSE_S: f64 = 1.0;
+/// Share of the pause allowed from whose reading time on a prompt is long.
+const LONG_SHARE: f64 = 0.15;
+/// How much an engine at the other end of the order is disliked, in seconds.
+const LANE_S: f64 = 0.06;
 /// Added for a replica in another failure domain, in seconds.
 const FAR_S: f64 = 0.004;
 /// Smoothing of the learned reading speed.
@@ -27,6 +43,8 @@
     pub memory_limit: u64,
     /// Tokens of the prompt expected in its cache.
     pub cached_tokens: u64,
+    /// Its place in an order that all daemons share, from 0 to 1.
+    pub lane: f64,
     /// It is in the daemon's own failure domain.
     pub near: bool,
     /// Added to its expected time for what else speaks against it, in seconds.
@@ -52,6 +70,11 @@
         self.overhead_s + tokens as f64 / self.tokens_per_s
     }
 
+    /// Seconds to read `tokens`.
+    pub fn reading_s(&self, tokens: u64) -> f64 {
+        tokens as f64 / self.tokens_per_s
+    }
+
     /// Learns from a first token that came after `seconds` on an idle engine.
     pub fn learn(&mut self, tokens: u64, seconds: f64) {
         let reading = seconds - self.overhead_s;
@@ -63,29 +86,56 @@
     }
 }
 
+/// A prompt to be placed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PromptSize {
+    /// Its length in tokens.
+    pub tokens: u64,
+    /// The shortest pause that streams of the pool are allowed, in seconds.
+    pub pause_s: Option<f64>,
+}
+
+impl PromptSize {
+    /// Whether reading it holds up streams for a good part of the pause they are allowed.
+    pub fn is_long(self, pace: EnginePace) -> bool {
+        let pause_s = self.pause_s.unwrap_or(ANY_PAUSE_S);
+        pace.reading_s(self.tokens) > pause_s * LONG_SHARE
+    }
+}
+
 impl EngineView {
-    /// Expected seconds to the first token of a prompt.
-    pub fn expected_s(&self, prompt_tokens: u64, pace: EnginePace) -> f64 {
-        let unread = self.unread_tokens + prompt_tokens.saturating_sub(self.cached_tokens);
+    /// What placing a prompt here costs: expected seconds to its first token, and what it does
+    /// to others.
+    pub fn cost_s(&self, prompt: PromptSize, pace: EnginePace) -> f64 {
+        let own_unread = prompt.tokens.saturating_sub(self.cached_tokens);
+        let unread = self.unread_tokens + own_unread;
         let fill = f64::from(self.running) / f64::from(self.batch.max(1));
         let queue = (fill - 1.0).max(0.0);
-        let mut expected = pace.first_token_s(unread) * (1.0 + BATCH_DRAG * fill) + queue;
-        if self.memory_tokens + prompt_tokens > self.memory_limit {
-            expected += OVERFULL_S;
+        let mut cost = pace.first_token_s(unread) * (1.0 + BATCH_DRAG * fill) + queue;
+        let streams = f64::from(self.running);
+        cost += HOLD_UP * streams * pace.reading_s(own_unread);
+        let pause_s = prompt.pause_s.unwrap_or(ANY_PAUSE_S) * PAUSE_SHARE;
+        if pace.reading_s(unread) > pause_s {
+            cost += LATE_PAUSE_S * streams.max(1.0);
+        }
+        let lane = if prompt.is_long(pace) { 1.0 - self.lane } else { self.lane };
+        cost += LANE_S * lane;
+        if self.memory_tokens + prompt.tokens > self.memory_limit {
+            cost += OVERFULL_S;
         }
         if !self.near {
-            expected += FAR_S;
+            cost += FAR_S;
         }
-        expected + self.penalty_s
+        cost + self.penalty_s
     }
 }
 
-/// The engine with the earliest expected first token, and that time in seconds.
+/// The engine that costs least, and that cost in seconds.
 pub fn choose(
     views: &[EngineView],
-    prompt_tokens: u64,
+    prompt: PromptSize,
     pace: EnginePace,
 ) -> Option<(usize, f64)> {
-    let times = views.iter().map(|it| it.expected_s(prompt_tokens, pace));
-    times.enumerate().min_by(|left, right| left.1.total_cmp(&right.1))
+    let costs = views.iter().map(|it| it.cost_s(prompt, pace));
+    costs.enumerate().min_by(|left, right| left.1.total_cmp(&right.1))
 }
