Tell peers which prompts were placed where

Change: digests carry the beginnings placed since the last one; a place counts as holding from the moment it is chosen.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -374,7 +374,8 @@
         fleet.succeed(target);
         let Some(need) = &self.need else { return };
         let salted = need.salted(target.weights);
-        fleet.prefixes.learn(now, &salted, target.member, target.born);
+        let digests: Vec<u64> = salted.iter().map(|it| it.digest).collect();
+        fleet.prefixes.learn(now, &digests, target.member, target.born);
         if target.running_before == 0 && target.fetch_from.is_none() {
             let unread = need.prompt_tokens.saturating_sub(target.cached_tokens);
             lock(&gateway.pace).learn(unread, after.as_secs_f64());
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -56,6 +56,17 @@
     pub ordered: u64,
 }
 
+/// A replica was sent a prompt and will hold its beginning.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixNews {
+    /// The digest of the beginning under its salt.
+    pub prefix: u64,
+    /// The hash of the replica's id.
+    pub member: u64,
+    /// The replica's start.
+    pub born: u64,
+}
+
 /// What a daemon tells its peers again and again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -73,6 +84,8 @@
     pub loads: Vec<TargetLoad>,
     /// What it knows of weights.
     pub weights: Vec<WeightNews>,
+    /// Prompts placed since its last digest.
+    pub prefixes: Vec<PrefixNews>,
     /// Replicas that it knows to be leaving, by the hashes of their ids.
     pub leaving_targets: Vec<u64>,
     /// The daemons it knows.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,7 +12,7 @@
 use policy::rendezvous;
 
 use crate::config::{EngineRule, TargetEntry};
-use crate::digest::{TargetLoad, WeightNews};
+use crate::digest::{PrefixNews, TargetLoad, WeightNews};
 
 /// A replica that answered "full" is left out for this long.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
@@ -89,6 +89,8 @@
     told_weights: IndexMap<(u64, u64), WeightNews>,
     /// Which replicas hold which beginnings of prompts.
     pub prefixes: PrefixTable,
+    /// Beginnings placed since peers were last told.
+    prefix_news: Vec<PrefixNews>,
 }
 
 /// A request for an engine, as placement sees it.
@@ -119,6 +121,7 @@
             peer_loads: IndexMap::new(),
             told_weights: IndexMap::new(),
             prefixes: PrefixTable::default(),
+            prefix_news: Vec::new(),
         }
     }
 
@@ -329,9 +332,24 @@
             memory_tokens: need.prompt_tokens + need.output_tokens,
         };
         let placed = self.occupy(&id, load, cached, fetch_from)?;
+        self.note_prefixes(now, &placed, &salted[..need.shared]);
         Some((placed, cost_s))
     }
 
+    /// A replica will hold these beginnings as soon as it has read the prompt placed on it.
+    fn note_prefixes(&mut self, now: Duration, placed: &PlacedTarget, shared: &[PromptPrefix]) {
+        let (member, born) = (placed.member, placed.born);
+        let digests: Vec<u64> = shared.iter().map(|it| it.digest).collect();
+        self.prefixes.learn(now, &digests, member, born);
+        let news = digests.iter().map(|prefix| PrefixNews { prefix: *prefix, member, born });
+        self.prefix_news.extend(news);
+    }
+
+    /// Beginnings placed since this was last asked, for peers.
+    pub fn take_prefix_news(&mut self) -> Vec<PrefixNews> {
+        std::mem::take(&mut self.prefix_news)
+    }
+
     /// A replica on the same weights that may hold more of the prompt than the one chosen.
     fn fetch_source(
         &self,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -101,6 +101,9 @@
         let peer = rendezvous::member_hash(digest.from.id.as_str());
         fleet.hear_loads(now, peer, &digest.loads);
         fleet.hear_leaving(&digest.leaving_targets);
+        for it in &digest.prefixes {
+            fleet.prefixes.learn(now, &[it.prefix], it.member, it.born);
+        }
         digest.weights.iter().fold(false, |news, it| fleet.hear_weights(now, *it) || news)
     };
     if news {
@@ -162,7 +165,7 @@
         (config, control, listing)
     };
     let members = lock(&gateway.members).entries();
-    let fleet = lock(&gateway.fleet);
+    let mut fleet = lock(&gateway.fleet);
     Digest {
         from: gateway.own.clone(),
         leaving: gateway.is_leaving(),
@@ -171,6 +174,7 @@
         listing,
         loads: fleet.own_loads(),
         weights: fleet.weight_news(),
+        prefixes: fleet.take_prefix_news(),
         leaving_targets: fleet.leaving_members(),
         members,
     }
--- a/crates/policy/src/prefix_table.rs
+++ b/crates/policy/src/prefix_table.rs
@@ -34,10 +34,10 @@
 }
 
 impl PrefixTable {
-    /// A replica, in this life, has just read a prompt.
-    pub fn learn(&mut self, now: Duration, prefixes: &[PromptPrefix], member: u64, born: u64) {
-        for prefix in prefixes {
-            let holders = self.prefixes.entry(prefix.digest).or_default();
+    /// A replica, in this life, has just read prompts with these digests, or will at once.
+    pub fn learn(&mut self, now: Duration, digests: &[u64], member: u64, born: u64) {
+        for digest in digests {
+            let holders = self.prefixes.entry(*digest).or_default();
             holders.retain(|it| it.member != member);
             if holders.len() == MAX_HOLDERS {
                 holders.remove(0);
