Keep shared parts in the store of kept cache and fetch evicted ones from it

Change: a prompt whose shared parts the store lacks is saved there; a placed prompt names the store as source when it holds them. One daemon looks at the store each second; its life tells restarts.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -263,6 +263,7 @@
             salt: need.salt(target.weights),
             urgency: self.urgency.min(9),
             fetch_from: target.fetch_from,
+            save_to: target.save_to.map(|it| it.address),
         });
         let dispatch = Dispatch {
             target: target.id.clone(),
@@ -376,6 +377,9 @@
         let salted = need.salted(target.weights);
         let digests: Vec<u64> = salted.iter().map(|it| it.digest).collect();
         fleet.prefixes.learn(now, &digests, target.member, target.born);
+        if let Some(copy) = target.save_to {
+            fleet.note_copy(now, copy, &salted[..need.shared]);
+        }
         if target.running_before == 0 && target.fetch_from.is_none() {
             let unread = need.prompt_tokens.saturating_sub(target.cached_tokens);
             lock(&gateway.pace).learn(unread, after.as_secs_f64());
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -186,6 +186,11 @@
         routes.filter_map(|it| it.gap).min()
     }
 
+    /// The store of kept cache, if there is one.
+    pub fn kept_cache(&self) -> Option<SocketAddr> {
+        self.pools.values().find_map(|it| it.kept_cache)
+    }
+
     /// Pools of engines.
     pub fn engine_pools(&self) -> impl Iterator<Item = (&PoolId, &EngineRule)> {
         self.pools.iter().filter_map(|(id, it)| Some((id, it.engine.as_ref()?)))
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,9 +1,10 @@
 //! The port to callers and replicas: how a request and an answer are spelled on the wire.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, request};
+use http::{HeaderMap, Request, request};
 use ids::{CustomerId, RequestId, TargetId, TokenCount};
 
 /// A request as its caller described it.
@@ -74,8 +75,10 @@
     pub salt: Box<str>,
     /// Rank of urgency, 0 is the most urgent.
     pub urgency: u8,
-    /// A replica that may hold parts of the prompt.
-    pub fetch_from: Option<std::net::SocketAddr>,
+    /// A replica or a store of kept cache that may hold parts of the prompt.
+    pub fetch_from: Option<SocketAddr>,
+    /// A store of kept cache that is to get the prompt once it is read.
+    pub save_to: Option<SocketAddr>,
 }
 
 /// What an answer's headers say.
@@ -134,7 +137,13 @@
     fn order(&self, order: &WeightOrder) -> Request<Bytes>;
 
     /// The request for a replica's report on itself.
-    fn ask_report(&self) -> (Method, &'static str);
+    fn ask_report(&self) -> Request<Bytes>;
+
+    /// The request that asks a store of kept cache whether it lives.
+    fn ask_kept(&self) -> Request<Bytes>;
+
+    /// The life of a store of kept cache, by its answer.
+    fn read_kept(&self, body: &[u8]) -> Option<u64>;
 
     /// Reads a replica's report.
     fn read_report(&self, body: &[u8]) -> Option<TargetReport>;
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons: datagrams in `bincode`. Each stands for itself; a lost one is
 //! made good by the next.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ids::{CustomerId, Incarnation, InstanceId, Revision};
@@ -67,6 +68,17 @@
     pub born: u64,
 }
 
+/// How a store of kept cache was last seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptNews {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its life; `None` if it did not answer.
+    pub epoch: Option<u64>,
+    /// How long ago that was.
+    pub age: Duration,
+}
+
 /// What a daemon tells its peers again and again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -84,6 +96,8 @@
     pub loads: Vec<TargetLoad>,
     /// What it knows of weights.
     pub weights: Vec<WeightNews>,
+    /// The store of kept cache, as it saw it or heard of it.
+    pub kept: Option<KeptNews>,
     /// Prompts placed since its last digest.
     pub prefixes: Vec<PrefixNews>,
     /// Replicas that it knows to be leaving, by the hashes of their ids.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,6 +12,7 @@
 use policy::rendezvous;
 
 use crate::config::{EngineRule, TargetEntry};
+use crate::kept::KeptCache;
 use crate::digest::{PrefixNews, TargetLoad, WeightNews};
 
 /// A replica that answered "full" is left out for this long.
@@ -73,12 +74,23 @@
     pub cached_tokens: u64,
     /// A replica that may hold more of the prompt.
     pub fetch_from: Option<SocketAddr>,
+    /// A store of kept cache that does not hold the shared parts yet.
+    pub save_to: Option<KeptCopy>,
     /// What it adds to the replica's load.
     pub load: LoadCount,
     /// Requests of this daemon that were on it already.
     pub running_before: u32,
 }
 
+/// A copy of a prompt for a store of kept cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeptCopy {
+    /// Where the store listens.
+    pub address: SocketAddr,
+    member: u64,
+    life: u64,
+}
+
 /// Replicas by id, loads of peers, and beliefs about caches.
 #[derive(Debug)]
 pub struct FleetTable {
@@ -89,6 +101,8 @@
     told_weights: IndexMap<(u64, u64), WeightNews>,
     /// Which replicas hold which beginnings of prompts.
     pub prefixes: PrefixTable,
+    /// The store of kept cache, if one was looked at.
+    pub(crate) kept: Option<KeptCache>,
     /// Beginnings placed since peers were last told.
     prefix_news: Vec<PrefixNews>,
 }
@@ -121,6 +135,7 @@
             peer_loads: IndexMap::new(),
             told_weights: IndexMap::new(),
             prefixes: PrefixTable::default(),
+            kept: None,
             prefix_news: Vec::new(),
         }
     }
@@ -271,7 +286,7 @@
             .collect();
         let index = policy::plain_choice::choose(&views, rand::random())?;
         let id = open[index].entry.id.clone();
-        self.occupy(&id, LoadCount { running: 1, ..LoadCount::default() }, 0, None)
+        self.occupy(&id, LoadCount { running: 1, ..LoadCount::default() })
     }
 
     /// Places a prompt and counts it. Returns also what its place costs, in seconds.
@@ -326,19 +341,55 @@
         let salted = need.salted(weights);
         let cached = self.prefixes.cached_tokens(now, &salted, chosen.member, chosen.entry.born);
         let fetch_from = self.fetch_source(now, chosen, need, &salted, &homes, cached);
+        let save_to = self.copy_wanted(now, &salted[..need.shared]);
         let load = LoadCount {
             running: 1,
             unread_tokens: need.prompt_tokens.saturating_sub(views[index].cached_tokens),
             memory_tokens: need.prompt_tokens + need.output_tokens,
         };
-        let placed = self.occupy(&id, load, cached, fetch_from)?;
+        let placed = self.occupy(&id, load)?;
+        let placed = PlacedTarget { cached_tokens: cached, fetch_from, save_to, ..placed };
         self.note_prefixes(now, &placed, &salted[..need.shared]);
         Some((placed, cost_s))
     }
 
+    /// The store of kept cache, if it holds all shared parts.
+    fn kept_holder(&self, now: Duration, shared: &[PromptPrefix]) -> Option<SocketAddr> {
+        let kept = self.kept?;
+        let life = kept.life(now)?;
+        let tokens = shared.last()?.tokens;
+        let held = self.prefixes.cached_tokens(now, shared, kept.member(), life);
+        (held >= tokens).then_some(kept.address)
+    }
+
+    /// The store of kept cache, if it lives and does not hold all shared parts.
+    fn copy_wanted(&self, now: Duration, shared: &[PromptPrefix]) -> Option<KeptCopy> {
+        let kept = self.kept?;
+        let life = kept.life(now)?;
+        let tokens = shared.last()?.tokens;
+        let held = self.prefixes.cached_tokens(now, shared, kept.member(), life);
+        let copy = KeptCopy { address: kept.address, member: kept.member(), life };
+        (held < tokens).then_some(copy)
+    }
+
+    /// A prompt was read and goes to the store.
+    pub fn note_copy(&mut self, now: Duration, copy: KeptCopy, shared: &[PromptPrefix]) {
+        self.note_holder(now, copy.member, copy.life, shared);
+    }
+
+    /// How the store of kept cache was seen, here or by a peer.
+    pub(crate) fn hear_kept(&mut self, seen: KeptCache) {
+        if self.kept.is_none_or(|it| it.seen_at < seen.seen_at || it.address != seen.address) {
+            self.kept = Some(seen);
+        }
+    }
+
     /// A replica will hold these beginnings as soon as it has read the prompt placed on it.
     fn note_prefixes(&mut self, now: Duration, placed: &PlacedTarget, shared: &[PromptPrefix]) {
-        let (member, born) = (placed.member, placed.born);
+        self.note_holder(now, placed.member, placed.born, shared);
+    }
+
+    fn note_holder(&mut self, now: Duration, member: u64, born: u64, shared: &[PromptPrefix]) {
         let digests: Vec<u64> = shared.iter().map(|it| it.digest).collect();
         self.prefixes.learn(now, &digests, member, born);
         let news = digests.iter().map(|prefix| PrefixNews { prefix: *prefix, member, born });
@@ -360,8 +411,11 @@
         homes: &[u64],
         cached: u64,
     ) -> Option<SocketAddr> {
-        let shared = need.shared_tokens();
-        if cached >= shared {
+        // The replica may have evicted what it is believed to hold: the store is asked then.
+        if let Some(address) = self.kept_holder(now, &salted[..need.shared]) {
+            return Some(address);
+        }
+        if cached >= need.shared_tokens() {
             return None;
         }
         let usable = |it: &&Replica| {
@@ -411,13 +465,7 @@
         rendezvous::homes(key, &members, 2).into_iter().map(|it| members[it]).collect()
     }
 
-    fn occupy(
-        &mut self,
-        id: &TargetId,
-        load: LoadCount,
-        cached_tokens: u64,
-        fetch_from: Option<SocketAddr>,
-    ) -> Option<PlacedTarget> {
+    fn occupy(&mut self, id: &TargetId, load: LoadCount) -> Option<PlacedTarget> {
         let replica = self.replicas.get_mut(id)?;
         let running_before = replica.own.running;
         replica.own.running += load.running;
@@ -430,8 +478,9 @@
             address: replica.entry.address,
             release: replica.entry.release.clone(),
             weights: replica.weights,
-            cached_tokens,
-            fetch_from,
+            cached_tokens: 0,
+            fetch_from: None,
+            save_to: None,
             load,
             running_before,
         })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod belief;
 mod body;
 mod call;
+mod call_target;
 pub mod config;
 pub mod dialect;
 mod digest;
@@ -17,6 +18,7 @@
 mod fleet;
 mod front;
 mod gateway;
+mod kept;
 mod members;
 mod metrics;
 mod peer_link;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use crate::digest::{Digest, PeerMessage};
 use crate::directory::{Directory, Snapshot};
 use crate::gateway::{Gateway, lock};
+use crate::kept::KeptCache;
 use crate::quota::QuotaSource;
 
 /// The time between two digests.
@@ -101,6 +102,9 @@
         let peer = rendezvous::member_hash(digest.from.id.as_str());
         fleet.hear_loads(now, peer, &digest.loads);
         fleet.hear_leaving(&digest.leaving_targets);
+        if let Some(news) = digest.kept {
+            fleet.hear_kept(KeptCache::heard(now, news));
+        }
         for it in &digest.prefixes {
             fleet.prefixes.learn(now, &[it.prefix], it.member, it.born);
         }
@@ -174,6 +178,7 @@
         listing,
         loads: fleet.own_loads(),
         weights: fleet.weight_news(),
+        kept: fleet.kept.map(|it| it.news(now)),
         prefixes: fleet.take_prefix_news(),
         leaving_targets: fleet.leaving_members(),
         members,
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -6,17 +6,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http::{Request, StatusCode};
 use ids::{Revision, TargetId};
 use indexmap::IndexMap;
 use policy::weight_rounds::{self, LaggingTarget};
 use ports::{Commit, StoreError};
 
+use crate::call_target;
 use crate::dialect::{Dialect, TargetReport, WeightOrder};
 use crate::digest::WeightNews;
 use crate::directory::{Directory, OrderLease};
-use crate::exchange::{ConnectionUse, ExchangeFault};
+use crate::exchange::ExchangeFault;
 use crate::gateway::{Gateway, lock};
 use crate::peers;
 
@@ -310,10 +310,7 @@
     gateway: &Gateway<D, S>,
     target: &TargetId,
 ) -> Option<(TargetReport, u64)> {
-    let (method, path) = gateway.dialect.ask_report();
-    let mut request = Request::new(bytes::Bytes::new());
-    *request.method_mut() = method;
-    *request.uri_mut() = http::Uri::from_static(path);
+    let request = gateway.dialect.ask_report();
     let born = lock(&gateway.fleet).get(target)?.entry.born;
     let (status, body) = call(gateway, target, request).await.ok()?;
     let report = status.is_success().then(|| gateway.dialect.read_report(&body))??;
@@ -324,24 +321,9 @@
 async fn call<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     target: &TargetId,
-    mut request: Request<bytes::Bytes>,
+    request: Request<bytes::Bytes>,
 ) -> Result<(StatusCode, bytes::Bytes), ExchangeFault> {
     let address = lock(&gateway.fleet).get(target).map(|it| it.entry.address);
     let address = address.ok_or(ExchangeFault::NotSent("the replica is not listed".into()))?;
-    let host = http::HeaderValue::from_str(&address.to_string());
-    if let Ok(host) = host {
-        request.headers_mut().insert(http::header::HOST, host);
-    }
-    let which = match *request.method() {
-        Method::GET => ConnectionUse::Kept,
-        _ => ConnectionUse::New,
-    };
-    let request = request.map(Full::new);
-    let answer = gateway.connections.send(address, target.as_str(), request, which, CALL_TIME);
-    let (status, _, body, rest) = answer.await?.split();
-    let body = tokio::time::timeout(CALL_TIME, body.collect()).await;
-    let body = body.map_err(|_| ExchangeFault::Timeout)?;
-    let body = body.map_err(|error| ExchangeFault::Broken(error.to_string().into()))?;
-    gateway.connections.keep(rest);
-    Ok((status, body.to_bytes()))
+    call_target::call(gateway, address, target.as_str(), request, CALL_TIME).await
 }
