Name in an order how many the replica has accepted

A late order of older weights could undo a newer one; with the number of accepted orders it is not carried out.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -109,6 +109,9 @@
     pub holder: Box<str>,
     /// Grows with every change of holder.
     pub fencing_token: u64,
+    /// Orders that the replica has accepted before. An order that arrives late, after newer
+    /// ones, finds another number and is not carried out.
+    pub accepted_before: u64,
 }
 
 /// What a replica reports of itself.
@@ -118,6 +121,8 @@
     pub born: Option<u64>,
     /// It carries out an order now.
     pub busy: bool,
+    /// Orders it has accepted since its start.
+    pub accepted: u64,
     /// The versions of its weights by model.
     pub weights: Vec<(Box<str>, u64)>,
 }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -249,47 +249,66 @@
     order: &NeededOrder,
 ) -> bool {
     let until = gateway.now() + ORDER_TIME;
-    if !is_proven(gateway, Some(held), 1) {
-        return false;
+    let mut sent = false;
+    while gateway.now() < until {
+        let Some((report, born)) = ask_report(gateway, &order.target).await else {
+            tokio::time::sleep(REPORT_PAUSE).await;
+            continue;
+        };
+        let loaded = report.weights.iter().find(|it| it.0 == order.model).map_or(0, |it| it.1);
+        if loaded >= order.version {
+            confirm(gateway, order, loaded, born);
+            return true;
+        }
+        if !report.busy && !sent {
+            if !is_proven(gateway, Some(held), 1) {
+                return false;
+            }
+            sent = send_order(gateway, held, order, report.accepted).await;
+        }
+        tokio::time::sleep(REPORT_PAUSE).await;
     }
+    false
+}
+
+/// Sends an order; false if the replica surely did not accept it.
+async fn send_order<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    held: &HeldLease,
+    order: &NeededOrder,
+    accepted_before: u64,
+) -> bool {
     let message = WeightOrder {
         target: order.target.clone(),
         model: order.model.clone(),
         version: order.version,
         holder: held.lease.holder.id.as_str().into(),
         fencing_token: held.lease.fencing_token,
+        accepted_before,
     };
     let answer = call(gateway, &order.target, gateway.dialect.order(&message)).await;
-    match &answer {
+    let (target, version) = (&order.target, order.version);
+    let token = held.lease.fencing_token;
+    match answer {
         Ok((status, _)) if status.is_success() => {
-            tracing::info!(
-                target = %order.target, version = order.version, status = status.as_u16(),
-                token = held.lease.fencing_token, "weights: ordered"
-            );
+            let status = status.as_u16();
+            tracing::info!(%target, version, status, token, accepted_before, "weights: ordered");
+            true
         }
         Ok((status, _)) => {
-            tracing::warn!(target = %order.target, %status, "weights: order refused");
-            if *status != StatusCode::CONFLICT {
-                return false;
-            }
+            tracing::warn!(%target, version, %status, token, "weights: order refused");
+            false
         }
-        Err(error) => {
-            tracing::warn!(target = %order.target, "weights: no answer to an order: {error}");
+        Err(ExchangeFault::NotSent(error)) => {
+            tracing::warn!(%target, version, token, "weights: order not sent: {error}");
+            false
         }
-    }
-    while gateway.now() < until {
-        tokio::time::sleep(REPORT_PAUSE).await;
-        let Some((report, born)) = ask_report(gateway, &order.target).await else { continue };
-        let loaded = report.weights.iter().find(|it| it.0 == order.model).map_or(0, |it| it.1);
-        if loaded >= order.version {
-            confirm(gateway, order, loaded, born);
-            return true;
-        }
-        if !report.busy && answer.is_err() {
-            return false;
+        Err(error) => {
+            // It may be carried out yet; another order before that is known would be one too many.
+            tracing::warn!(%target, version, token, "weights: no answer to an order: {error}");
+            true
         }
     }
-    false
 }
 
 fn confirm<D: Dialect, S: Directory>(
