Let a new holder order at once what the one before surely has not

Ruled out: late orders (their number is checked now). Change: a lapsed lease is taken at once; for the distance between holders only replicas are ordered whose last order is known to be that far back and whose count of orders is the one peers told.

--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -55,6 +55,8 @@
     pub loaded: u64,
     /// The newest version it was ordered to load.
     pub ordered: u64,
+    /// Orders that it has accepted.
+    pub accepted: u64,
 }
 
 /// A replica was sent a prompt and will hold its beginning.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -53,6 +53,10 @@
     pub weights: u64,
     /// The version it was last ordered to load, and when this daemon heard so.
     pub ordered: Option<(u64, Duration)>,
+    /// Orders that it is known to have accepted.
+    pub accepted: u64,
+    /// When this daemon last heard of an order to it.
+    pub last_order_at: Option<Duration>,
 }
 
 /// Where a request goes.
@@ -155,6 +159,7 @@
                     let mut replica = Replica::new(entry.clone());
                     let told = self.told_weights.get(&(replica.member, entry.born));
                     replica.weights = replica.weights.max(told.map_or(0, |it| it.loaded));
+                    replica.accepted = told.map_or(0, |it| it.accepted);
                     self.replicas.insert(entry.id.clone(), replica);
                 }
             }
@@ -206,14 +211,20 @@
         let told = self.told_weights.entry((news.member, news.born)).or_insert(WeightNews {
             loaded: 0,
             ordered: 0,
+            accepted: 0,
             ..news
         });
         let fresh = told.loaded < news.loaded || told.ordered < news.ordered;
         told.loaded = told.loaded.max(news.loaded);
         told.ordered = told.ordered.max(news.ordered);
+        told.accepted = told.accepted.max(news.accepted);
         let same = |it: &&mut Replica| it.member == news.member && it.entry.born == news.born;
         let Some(replica) = self.replicas.values_mut().find(same) else { return fresh };
         replica.weights = replica.weights.max(news.loaded);
+        if news.accepted > replica.accepted {
+            replica.last_order_at = Some(now);
+        }
+        replica.accepted = replica.accepted.max(news.accepted);
         if replica.ordered.is_none_or(|it| it.0 < news.ordered) && news.ordered > replica.weights {
             replica.ordered = Some((news.ordered, now));
         }
@@ -228,6 +239,7 @@
             born: it.entry.born,
             loaded: it.weights,
             ordered: it.ordered.map_or(0, |it| it.0),
+            accepted: it.accepted,
         });
         news.collect()
     }
@@ -554,6 +566,8 @@
             full_until: Duration::ZERO,
             weights: newest_weights(&entry),
             ordered: None,
+            accepted: 0,
+            last_order_at: None,
             entry,
         }
     }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -1,13 +1,15 @@
 //! Brings the engines to the newest weights: one daemon at a time, under a lease in the store.
 //!
-//! A holder sends orders only while its lease is proven. Another daemon takes over only when the
-//! lease has lapsed and the distance between orders of different holders has passed.
+//! A holder sends orders only while its lease is proven; another daemon takes over when it has
+//! lapsed. Orders of different holders to one replica keep their distance: until that time has
+//! passed since it took over, a holder orders only replicas that the one before surely has not
+//! ordered, by when peers told of their last order and by the number of orders they accepted.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::{Request, StatusCode};
-use ids::{Revision, TargetId};
+use ids::TargetId;
 use indexmap::IndexMap;
 use policy::weight_rounds::{self, LaggingTarget};
 use ports::{Commit, StoreError};
@@ -20,6 +22,8 @@
 use crate::gateway::{Gateway, lock};
 use crate::peers;
 
+/// Another daemon waits for this part of a lapsed lease more, for clocks that differ in speed.
+const LAPSE_MARGIN: u32 = 5;
 /// The lease lasts for this part of the distance between holders.
 const LEASE_PART: u32 = 3;
 /// The time between two looks while weights are to be moved.
@@ -41,8 +45,9 @@
 #[derive(Debug, Clone)]
 struct HeldLease {
     lease: OrderLease,
-    revision: Revision,
     proved_at: Duration,
+    /// When orders of earlier holders are far enough back.
+    settled_at: Duration,
 }
 
 /// Orders under way, by replica: none is sent twice at once.
@@ -128,7 +133,7 @@
 ) -> Result<Option<HeldLease>, StoreError> {
     gateway.metrics.store_call("lease");
     let snapshot = gateway.directory.read_lease().await?;
-    let lapse = lease_time(gateway) + gateway.settings.bounds.lease;
+    let lapse = lease_time(gateway) + lease_time(gateway) / LAPSE_MARGIN;
     let (token, expected) = match &snapshot.value {
         None => (1, None),
         Some((lease, revision)) if lease.holder == gateway.own => {
@@ -151,11 +156,15 @@
     };
     let asked_at = gateway.now();
     match gateway.directory.write_lease(&lease, expected).await? {
-        Commit::Done(revision) => {
+        Commit::Done(_) => {
             if held.is_none() {
                 tracing::info!(token, "weights: the lease is held");
             }
-            Ok(Some(HeldLease { lease, revision, proved_at: asked_at }))
+            // A lease that was lost for a while may have been in other hands.
+            let settled_at = held.map_or(gateway.now() + gateway.settings.bounds.lease, |it| {
+                it.settled_at
+            });
+            Ok(Some(HeldLease { lease, proved_at: asked_at, settled_at }))
         }
         Commit::Conflict => Ok(None),
     }
@@ -228,6 +237,28 @@
     }
 }
 
+/// Tells peers that an order goes out, so that the next holder keeps its distance.
+fn mark_sent<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    order: &NeededOrder,
+    accepted: u64,
+) {
+    let now = gateway.now();
+    {
+        let mut fleet = lock(&gateway.fleet);
+        let Some(replica) = fleet.get(&order.target) else { return };
+        let news = WeightNews {
+            member: replica.member,
+            born: replica.entry.born,
+            loaded: replica.weights,
+            ordered: order.version,
+            accepted,
+        };
+        fleet.hear_weights(now, news);
+    }
+    peers::tell_now(gateway);
+}
+
 /// Keeps requests away from a replica that is about to load.
 fn mark_ordered<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, order: &NeededOrder) {
     let now = gateway.now();
@@ -238,6 +269,7 @@
         born: replica.entry.born,
         loaded: replica.weights,
         ordered: order.version,
+        accepted: replica.accepted,
     };
     fleet.hear_weights(now, news);
 }
@@ -260,7 +292,7 @@
             confirm(gateway, order, loaded, born);
             return true;
         }
-        if !report.busy && !sent {
+        if !report.busy && !sent && is_settled(gateway, held, &order.target, report.accepted) {
             if !is_proven(gateway, Some(held), 1) {
                 return false;
             }
@@ -271,6 +303,24 @@
     false
 }
 
+/// Whether no earlier holder has ordered a replica within the distance between holders.
+fn is_settled<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    held: &HeldLease,
+    target: &TargetId,
+    accepted: u64,
+) -> bool {
+    let now = gateway.now();
+    if now >= held.settled_at {
+        return true;
+    }
+    let fleet = lock(&gateway.fleet);
+    let Some(replica) = fleet.get(target) else { return false };
+    let distance = gateway.settings.bounds.lease;
+    let last = replica.last_order_at;
+    replica.accepted == accepted && last.is_none_or(|at| now >= at + distance)
+}
+
 /// Sends an order; false if the replica surely did not accept it.
 async fn send_order<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
@@ -286,6 +336,7 @@
         fencing_token: held.lease.fencing_token,
         accepted_before,
     };
+    mark_sent(gateway, order, accepted_before + 1);
     let answer = call(gateway, &order.target, gateway.dialect.order(&message)).await;
     let (target, version) = (&order.target, order.version);
     let token = held.lease.fencing_token;
@@ -318,7 +369,7 @@
     born: u64,
 ) {
     let member = policy::rendezvous::member_hash(order.target.as_str());
-    let news = WeightNews { member, born, loaded, ordered: order.version };
+    let news = WeightNews { member, born, loaded, ordered: order.version, accepted: 0 };
     lock(&gateway.fleet).hear_weights(gateway.now(), news);
     tracing::info!(target = %order.target, version = loaded, "weights: loaded");
     gateway.freed.notify_waiters();
