Tell peers along a tree of hubs instead of all to all

Change: the square root of the fleet, the most capable daemons, are hubs that tell each other; every other daemon tells one hub of its own failure domain. Fleets up to 12 are all hubs, as before. News of orders, listings and weights are passed on at once; loads are kept by their origin, so that no way around counts them twice.

--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{CustomerId, Incarnation, InstanceId, Revision};
+use ids::{CustomerId, Revision};
 use policy::quarantine::Strike;
 use serde::{Deserialize, Serialize};
 
@@ -81,22 +81,44 @@
     pub age: Duration,
 }
 
-/// What a daemon tells its peers again and again.
+/// One daemon's own requests, as told by itself or through a hub.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OriginState {
+    /// The hash of the daemon's id.
+    pub origin: u64,
+    /// How long ago it said so.
+    pub age: Duration,
+    /// It takes no more callers.
+    pub leaving: bool,
+    /// Its requests on replicas.
+    pub loads: Vec<TargetLoad>,
+}
+
+/// Which way a digest goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DigestWay {
+    /// To the sender's hub: about the sender.
+    Up,
+    /// Between hubs: about the sender and those that take it for their hub.
+    Across,
+    /// From a hub: about everyone.
+    Down,
+}
+
+/// What a daemon tells again and again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender.
     pub from: MemberEntry,
-    /// It takes no more callers.
-    pub leaving: bool,
-    /// Its configuration.
-    pub config: Revision,
+    /// Which way it goes.
+    pub way: DigestWay,
     /// Its orders: the store's revision, how long ago that was the newest, and their digest.
     pub control: Option<(Revision, Duration, u64)>,
     /// Its listing: the store's revision, how long ago that was the newest, and its digest.
     pub listing: Option<(Revision, Duration, u64)>,
-    /// Its requests on replicas.
-    pub loads: Vec<TargetLoad>,
-    /// What it knows of weights.
+    /// Daemons and their requests.
+    pub origins: Vec<OriginState>,
+    /// What it knows of weights; not in every digest.
     pub weights: Vec<WeightNews>,
     /// The store of kept cache, as it saw it or heard of it.
     pub kept: Option<KeptNews>,
@@ -104,7 +126,7 @@
     pub prefixes: Vec<PrefixNews>,
     /// Replicas that it knows to be leaving, by the hashes of their ids.
     pub leaving_targets: Vec<u64>,
-    /// The daemons it knows.
+    /// The daemons it knows; not in every digest.
     pub members: Vec<MemberEntry>,
 }
 
@@ -117,14 +139,12 @@
     Control(Revision, Duration, Box<ControlState>),
     /// The replicas listed, at this revision of the store and this old.
     Listing(Revision, Duration, Vec<TargetEntry>),
+    /// News of weights, passed on at once.
+    Weights(Vec<WeightNews>),
     /// Asks the home of a customer for tokens.
     Take {
         /// Tells answers apart.
         ticket: u64,
-        /// Who asks.
-        from: InstanceId,
-        /// Its life.
-        incarnation: Incarnation,
         /// The customer.
         customer: CustomerId,
         /// How many.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use ids::{Incarnation, InstanceId, PoolId, Revision};
+use ids::{FailureDomain, Incarnation, InstanceId, PoolId, Revision};
 use ports::{Commit, StoreError};
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +30,10 @@
     pub incarnation: Incarnation,
     /// Where its peers reach it.
     pub address: IpAddr,
+    /// Where it fails together with others.
+    pub domain: FailureDomain,
+    /// How much it can carry beside others; only the order counts.
+    pub capacity: u32,
 }
 
 /// The lease on giving orders to replicas.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -181,13 +181,27 @@
         self.replicas.get_mut(id)
     }
 
-    /// A peer's loads as of now.
-    pub fn hear_loads(&mut self, now: Duration, peer: u64, loads: &[TargetLoad]) {
+    /// A peer's loads as of `said_at`.
+    pub fn hear_loads(&mut self, said_at: Duration, peer: u64, loads: &[TargetLoad]) {
+        if self.peer_loads.get(&peer).is_some_and(|it| it.0 > said_at) {
+            return;
+        }
         let loads = loads.iter().map(|it| (it.member, it.load())).collect();
-        self.peer_loads.insert(peer, (now, loads));
+        self.peer_loads.insert(peer, (said_at, loads));
+    }
+
+    /// Forgets loads that were said long ago.
+    pub fn sweep_loads(&mut self, now: Duration) {
         self.peer_loads.retain(|_, it| now < it.0 + LOAD_AGE);
     }
 
+    /// A peer's loads as last heard, to pass them on.
+    pub fn peer_loads(&self, peer: u64) -> Vec<TargetLoad> {
+        let loads = self.peer_loads.get(&peer);
+        let loads = loads.into_iter().flat_map(|it| &it.1);
+        loads.map(|(member, load)| TargetLoad::new(*member, *load)).collect()
+    }
+
     /// This daemon's loads, for peers.
     pub fn own_loads(&self) -> Vec<TargetLoad> {
         let busy = self.replicas.values().filter(|it| it.own.running > 0);
@@ -214,7 +228,9 @@
             accepted: 0,
             ..news
         });
-        let fresh = told.loaded < news.loaded || told.ordered < news.ordered;
+        let fresh = told.loaded < news.loaded
+            || told.ordered < news.ordered
+            || told.accepted < news.accepted;
         told.loaded = told.loaded.max(news.loaded);
         told.ordered = told.ordered.max(news.ordered);
         told.accepted = told.accepted.max(news.accepted);
@@ -234,14 +250,7 @@
     /// All that is known of weights, for peers.
     pub fn weight_news(&self) -> Vec<WeightNews> {
         let replicas = self.replicas.values().filter(|it| it.weights > 0);
-        let news = replicas.map(|it| WeightNews {
-            member: it.member,
-            born: it.entry.born,
-            loaded: it.weights,
-            ordered: it.ordered.map_or(0, |it| it.0),
-            accepted: it.accepted,
-        });
-        news.collect()
+        replicas.map(Replica::weight_news).collect()
     }
 
     /// Requests on a replica, of all daemons.
@@ -413,6 +422,13 @@
         std::mem::take(&mut self.prefix_news)
     }
 
+    /// Beginnings that a peer placed.
+    pub fn hear_prefixes(&mut self, now: Duration, news: &[PrefixNews]) {
+        for it in news {
+            self.prefixes.learn(now, &[it.prefix], it.member, it.born);
+        }
+    }
+
     /// A replica on the same weights that may hold more of the prompt than the one chosen.
     fn fetch_source(
         &self,
@@ -572,6 +588,17 @@
         }
     }
 
+    /// What is known of its weights, for peers.
+    pub fn weight_news(&self) -> WeightNews {
+        WeightNews {
+            member: self.member,
+            born: self.entry.born,
+            loaded: self.weights,
+            ordered: self.ordered.map_or(0, |it| it.0),
+            accepted: self.accepted,
+        }
+    }
+
     /// Whether it may get a request now.
     pub fn may_work(&self, now: Duration) -> bool {
         !self.leaving
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::members::MemberTable;
 use crate::metrics::Metrics;
 use crate::peer_link::PeerLink;
+use crate::peers::PrefixRelay;
 use crate::quota::QuotaTable;
 use crate::settings::GatewaySettings;
 
@@ -41,6 +42,7 @@
     pub(crate) own: MemberEntry,
     pub(crate) connections: ConnectionTable<SystemClock>,
     pub(crate) peers: PeerLink,
+    pub(crate) prefix_relay: PrefixRelay,
     pub(crate) metrics: Metrics,
     /// Wakes tasks that act on beliefs.
     pub(crate) believed: Notify,
@@ -81,6 +83,8 @@
             id: settings.instance.clone(),
             incarnation: Incarnation(time.as_micros() as u64),
             address: settings.address,
+            domain: settings.domain.clone(),
+            capacity: settings.capacity,
         };
         let clock = SystemClock;
         Gateway {
@@ -89,6 +93,7 @@
             clock,
             connections: ConnectionTable::new(clock),
             peers,
+            prefix_relay: PrefixRelay::default(),
             metrics: Metrics::new(),
             believed: Notify::new(),
             freed: Notify::new(),
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,10 +1,11 @@
-//! The daemons that this one knows, and when it last heard them.
+//! The daemons that this one knows, when they were last heard, and who tells whom.
 
 use std::net::IpAddr;
 use std::time::Duration;
 
 use ids::{CustomerId, InstanceId};
 use indexmap::IndexMap;
+use policy::peer_tree::{self, TreeMember};
 use policy::rendezvous;
 
 use crate::directory::MemberEntry;
@@ -13,27 +14,78 @@
 const SILENT_AFTER: Duration = Duration::from_millis(1_000);
 /// A daemon not heard for this long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
+/// A daemon that was just named counts as reachable for this long, until it is heard.
+const NEW_FOR: Duration = Duration::from_millis(1_500);
+/// A hub that does not answer for this long is left for the next one.
+const PARENT_SILENCE: Duration = Duration::from_millis(750);
+/// How long it is left.
+const PARENT_PAUSE: Duration = Duration::from_secs(3);
 
 #[derive(Debug)]
 struct Known {
     entry: MemberEntry,
+    member: u64,
+    /// When it was last known to run, from itself or through others.
     heard_at: Option<Duration>,
+    /// When it last spoke to this daemon itself.
+    spoke_at: Option<Duration>,
+    /// When it last spoke as to its hub.
+    child_at: Option<Duration>,
     added_at: Duration,
     leaving: bool,
 }
 
+/// The hub of a daemon that is none.
+#[derive(Debug, Clone)]
+struct ParentLink {
+    id: InstanceId,
+    since: Duration,
+}
+
 /// Daemons by id.
 #[derive(Debug)]
 pub struct MemberTable {
     own: MemberEntry,
+    own_member: u64,
     seeds: Vec<IpAddr>,
     known: IndexMap<InstanceId, Known>,
+    parent: Option<ParentLink>,
+    silent_parents: IndexMap<InstanceId, Duration>,
+}
+
+/// To whom a daemon tells what.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct NeighbourSet {
+    /// The hub of this daemon, if it is none itself.
+    pub up: Vec<IpAddr>,
+    /// The other hubs, if this daemon is one.
+    pub across: Vec<IpAddr>,
+    /// Daemons that take this one for their hub.
+    pub down: Vec<IpAddr>,
+}
+
+impl NeighbourSet {
+    /// All of them but one.
+    pub fn all_but(&self, source: Option<IpAddr>) -> Vec<IpAddr> {
+        let all = self.up.iter().chain(&self.across).chain(&self.down);
+        let mut all: Vec<IpAddr> = all.copied().filter(|it| Some(*it) != source).collect();
+        all.sort();
+        all.dedup();
+        all
+    }
 }
 
 impl MemberTable {
     /// Knows only itself and the addresses of seeds.
     pub fn new(own: MemberEntry, seeds: Vec<IpAddr>) -> MemberTable {
-        MemberTable { own, seeds, known: IndexMap::new() }
+        MemberTable {
+            own_member: rendezvous::member_hash(own.id.as_str()),
+            own,
+            seeds,
+            known: IndexMap::new(),
+            parent: None,
+            silent_parents: IndexMap::new(),
+        }
     }
 
     /// A daemon was named by the store or a peer.
@@ -45,19 +97,33 @@
             Some(it) if it.entry.incarnation >= entry.incarnation => {}
             Some(it) => it.entry = entry.clone(),
             None => {
-                let known =
-                    Known { entry: entry.clone(), heard_at: None, added_at: now, leaving: false };
+                let known = Known {
+                    entry: entry.clone(),
+                    member: rendezvous::member_hash(entry.id.as_str()),
+                    heard_at: None,
+                    spoke_at: None,
+                    child_at: None,
+                    added_at: now,
+                    leaving: false,
+                };
                 self.known.insert(entry.id.clone(), known);
             }
         }
     }
 
-    /// A daemon spoke.
-    pub fn hear(&mut self, now: Duration, entry: &MemberEntry, leaving: bool) {
+    /// A daemon spoke; `to_hub`: as to its hub.
+    pub fn hear(&mut self, now: Duration, entry: &MemberEntry, to_hub: bool) {
         self.add(now, entry);
         let Some(it) = self.known.get_mut(&entry.id) else { return };
-        if it.entry.incarnation == entry.incarnation {
-            it.heard_at = Some(now);
+        it.spoke_at = Some(now);
+        it.child_at = if to_hub { Some(now) } else { None };
+    }
+
+    /// A daemon was known to run at `heard_at`.
+    pub fn hear_of(&mut self, member: u64, heard_at: Duration, leaving: bool) {
+        let known = self.known.values_mut().find(|it| it.member == member);
+        if let Some(it) = known.filter(|it| it.heard_at.is_none_or(|at| at <= heard_at)) {
+            it.heard_at = Some(heard_at);
             it.leaving = leaving;
         }
     }
@@ -65,22 +131,73 @@
     /// Forgets daemons not heard for long.
     pub fn sweep(&mut self, now: Duration) {
         self.known.retain(|_, it| now < it.heard_at.unwrap_or(it.added_at) + FORGET_AFTER);
+        self.silent_parents.retain(|_, until| now < *until);
     }
 
-    /// All entries, this daemon's own first.
+    /// All entries heard, this daemon's own first.
     pub fn entries(&self) -> Vec<MemberEntry> {
         let known = self.known.values().filter(|it| it.heard_at.is_some());
         std::iter::once(self.own.clone()).chain(known.map(|it| it.entry.clone())).collect()
     }
 
-    /// Where to send: everyone known, and the seeds.
-    pub fn addresses(&self) -> Vec<IpAddr> {
-        let mut all: Vec<IpAddr> = self.known.values().map(|it| it.entry.address).collect();
-        all.extend(self.seeds.iter().copied());
-        all.retain(|it| *it != self.own.address);
-        all.sort();
-        all.dedup();
-        all
+    /// The daemons heard lately, by hash, and how long ago; not this one.
+    pub fn heard(&self, now: Duration) -> impl Iterator<Item = (u64, Duration, bool)> {
+        let known = self.known.values().filter(move |it| it.is_near(now));
+        known.filter_map(move |it| Some((it.member, now.saturating_sub(it.heard_at?), it.leaving)))
+    }
+
+    /// Daemons that take this one for their hub, by hash.
+    pub fn children(&self, now: Duration) -> Vec<u64> {
+        self.known.values().filter(|it| it.is_child(now)).map(|it| it.member).collect()
+    }
+
+    /// Whether any other daemon was heard.
+    pub fn hears_any(&self, now: Duration) -> bool {
+        self.known.values().any(|it| it.is_near(now))
+    }
+
+    /// To whom this daemon tells what now. Turns to another hub if its own is silent.
+    pub fn neighbours(&mut self, now: Duration) -> NeighbourSet {
+        let mut set = NeighbourSet::default();
+        let (members, hubs) = self.hubs(now);
+        if hubs.iter().any(|it| members[*it].member == self.own_member) {
+            self.parent = None;
+            let others = hubs.iter().filter_map(|it| self.by_member(members[*it].member));
+            set.across = others.map(|it| it.entry.address).collect();
+        } else {
+            let order = peer_tree::parents(&members, &hubs, self.own_member);
+            let order: Vec<u64> = order.into_iter().map(|it| members[it].member).collect();
+            set.up = self.choose_parent(now, &order).into_iter().collect();
+        }
+        if !self.hears_any(now) {
+            // Nobody is heard yet: seeds may know the others.
+            set.across.extend(self.seeds.iter().copied().filter(|it| *it != self.own.address));
+            set.across.sort();
+            set.across.dedup();
+        }
+        let children = self.known.values().filter(|it| it.is_child(now));
+        set.down = children.map(|it| it.entry.address).collect();
+        set
+    }
+
+    fn choose_parent(&mut self, now: Duration, order: &[u64]) -> Option<IpAddr> {
+        if let Some(parent) = &self.parent {
+            let spoke_at = self.known.get(&parent.id).and_then(|it| it.spoke_at);
+            let heard = spoke_at.map_or(parent.since, |it| it.max(parent.since));
+            if now >= heard + PARENT_SILENCE {
+                self.silent_parents.insert(parent.id.clone(), now + PARENT_PAUSE);
+            }
+        }
+        let usable = |it: &&Known| !self.silent_parents.contains_key(&it.entry.id);
+        let mut hubs = order.iter().filter_map(|it| self.by_member(*it));
+        let first = hubs.next()?;
+        let chosen = std::iter::once(first).chain(hubs).find(usable).unwrap_or(first);
+        let (id, address) = (chosen.entry.id.clone(), chosen.entry.address);
+        if self.parent.as_ref().is_none_or(|it| it.id != id) {
+            tracing::debug!(hub = %id, "members: turns to a hub");
+            self.parent = Some(ParentLink { id, since: now });
+        }
+        Some(address)
     }
 
     /// Daemons that may run, whether they can be reached or not, with this one.
@@ -96,32 +213,69 @@
 
     /// This daemon's place among those that can be reached and stay; 0 is the first.
     pub fn rank(&self, now: Duration) -> usize {
-        let near = self.known.values().filter(|it| it.is_near(now) && !it.leaving);
-        near.filter(|it| it.entry.id < self.own.id).count()
+        let members = self.candidates(now);
+        let order = peer_tree::order(&members);
+        let own = order.iter().position(|it| members[*it].member == self.own_member);
+        own.unwrap_or(0)
+    }
+
+    /// Whether this daemon is a hub.
+    pub fn is_hub(&self, now: Duration) -> bool {
+        self.rank(now) < peer_tree::hub_count(self.candidates(now).len())
     }
 
     /// The daemon that keeps a customer's bucket: `None` if it is this one.
     pub fn home(&self, now: Duration, customer: &CustomerId) -> Option<MemberEntry> {
-        let near = self.known.values().filter(|it| it.is_near(now) && !it.leaving);
-        let all: Vec<&MemberEntry> =
-            std::iter::once(&self.own).chain(near.map(|it| &it.entry)).collect();
-        let hashes: Vec<u64> =
-            all.iter().map(|it| rendezvous::member_hash(it.id.as_str())).collect();
+        let (members, hubs) = self.hubs(now);
+        let hashes: Vec<u64> = hubs.iter().map(|it| members[*it].member).collect();
         let key = rendezvous::member_hash(customer.as_str());
-        let home = rendezvous::homes(key, &hashes, 1).first().copied().unwrap_or(0);
-        (home != 0).then(|| all[home].clone())
+        let home = hashes[*rendezvous::homes(key, &hashes, 1).first()?];
+        self.by_member(home).map(|it| it.entry.clone())
     }
 
     /// A daemon did not answer: it is taken to be out of reach until it speaks again.
     pub fn miss(&mut self, id: &InstanceId) {
         if let Some(it) = self.known.get_mut(id) {
             it.heard_at = it.heard_at.map(|at| at.saturating_sub(SILENT_AFTER));
+            it.added_at = it.added_at.saturating_sub(NEW_FOR);
         }
     }
+
+    /// Daemons that can be reached and stay, with this one; and which of them are hubs.
+    fn hubs(&self, now: Duration) -> (Vec<TreeMember>, Vec<usize>) {
+        let members = self.candidates(now);
+        let mut order = peer_tree::order(&members);
+        order.truncate(peer_tree::hub_count(members.len()));
+        (members, order)
+    }
+
+    fn candidates(&self, now: Duration) -> Vec<TreeMember> {
+        let tree = |entry: &MemberEntry, member| TreeMember {
+            member,
+            capacity: entry.capacity,
+            near: entry.domain == self.own.domain,
+        };
+        let known = self.known.values().filter(|it| !it.leaving);
+        let known = known.filter(|it| it.is_near(now) || it.is_new(now));
+        let known = known.map(|it| tree(&it.entry, it.member));
+        std::iter::once(tree(&self.own, self.own_member)).chain(known).collect()
+    }
+
+    fn by_member(&self, member: u64) -> Option<&Known> {
+        self.known.values().find(|it| it.member == member)
+    }
 }
 
 impl Known {
     fn is_near(&self, now: Duration) -> bool {
         self.heard_at.is_some_and(|it| now < it + SILENT_AFTER)
     }
+
+    fn is_new(&self, now: Duration) -> bool {
+        self.heard_at.is_none() && now < self.added_at + NEW_FOR
+    }
+
+    fn is_child(&self, now: Duration) -> bool {
+        self.child_at.is_some_and(|it| now < it + SILENT_AFTER)
+    }
 }
--- a/crates/gateway/src/quota_desk.rs
+++ b/crates/gateway/src/quota_desk.rs
@@ -60,13 +60,7 @@
     let home = lock(&gateway.members).home(gateway.now(), customer);
     let Some(home) = home else { return HomeWord::Own };
     let (ticket, receiver) = gateway.peers.ask();
-    let question = PeerMessage::Take {
-        ticket,
-        from: gateway.own.id.clone(),
-        incarnation: gateway.own.incarnation,
-        customer: customer.clone(),
-        tokens,
-    };
+    let question = PeerMessage::Take { ticket, customer: customer.clone(), tokens };
     gateway.peers.send(&[home.address], &question);
     match tokio::time::timeout(HOME_TIME, receiver).await {
         Ok(Ok(None)) => HomeWord::Said(Ok(())),
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -18,8 +18,12 @@
 const TAKE_OVER_PERIODS: f64 = 1.7;
 /// Each further place in line waits for this many periods more.
 const PLACE_PERIODS: f64 = 0.35;
+/// The last in line waits for this share of the bound.
+const LONGEST_SHARE: f64 = 0.6;
 /// The pause after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
+/// How long a new daemon waits for its seeds before it turns to the store.
+const FIRST_WAIT: Duration = Duration::from_millis(800);
 /// The time between two announcements that failed.
 const ANNOUNCE_AGAIN: Duration = Duration::from_millis(500);
 /// The time between two readings of the daemons announced.
@@ -71,7 +75,10 @@
     let rank = lock(&gateway.members).rank(now);
     let limit = match rank {
         0 => period,
-        rank => period.mul_f64(TAKE_OVER_PERIODS + PLACE_PERIODS * (rank - 1) as f64),
+        rank => {
+            let limit = period.mul_f64(TAKE_OVER_PERIODS + PLACE_PERIODS * (rank - 1) as f64);
+            limit.min(bound.mul_f64(LONGEST_SHARE))
+        }
     };
     (known_at + limit).saturating_sub(now)
 }
@@ -85,7 +92,7 @@
             Ok(snapshot) => {
                 let change = gateway.adopt_control(asked_at, snapshot, "store");
                 if change.any() {
-                    peers::push_control(gateway);
+                    peers::push_control(gateway, None);
                 }
                 None
             }
@@ -95,7 +102,7 @@
             Ok(snapshot) => {
                 let change = gateway.adopt_listing(asked_at, snapshot, "store");
                 if change.any() {
-                    peers::push_listing(gateway);
+                    peers::push_listing(gateway, None);
                 }
                 None
             }
@@ -108,29 +115,44 @@
     failed.is_none()
 }
 
-/// Announces this daemon and learns of others.
+/// Announces this daemon if others may have to find it in the store, and learns of others.
 pub(crate) async fn announce<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
-    while let Err(error) = gateway.directory.announce(&gateway.own).await {
-        tracing::warn!("members: not announced: {error}");
-        tokio::time::sleep(ANNOUNCE_AGAIN).await;
-    }
+    // Seeds tell a new daemon of the others; the store is for those whose seeds are gone.
+    tokio::time::sleep(FIRST_WAIT).await;
+    let mut announced = false;
     loop {
-        gateway.metrics.store_call("members");
-        match gateway.directory.read_members().await {
-            Ok(snapshot) => {
-                let now = gateway.now();
-                let mut members = lock(&gateway.members);
-                for it in &snapshot.value {
-                    members.add(now, it);
-                }
+        let now = gateway.now();
+        let (is_hub, rank, alone) = {
+            let members = lock(&gateway.members);
+            (members.is_hub(now), members.rank(now), !members.hears_any(now))
+        };
+        if is_hub && !announced {
+            gateway.metrics.store_call("announce");
+            match gateway.directory.announce(&gateway.own).await {
+                Ok(()) => announced = true,
+                Err(error) => tracing::warn!("members: not announced: {error}"),
             }
-            Err(error) => tracing::warn!("members: not read: {error}"),
         }
-        tokio::time::sleep(MEMBERS_PERIOD).await;
-        // Peers tell each other whom they know; only the first in line looks for strangers.
-        while lock(&gateway.members).rank(gateway.now()) > 0 {
-            tokio::time::sleep(MEMBERS_PERIOD).await;
+        if rank == 0 || alone {
+            read_members(&gateway).await;
+        }
+        let announced_late = is_hub && !announced;
+        let pause = if announced_late || alone { ANNOUNCE_AGAIN } else { MEMBERS_PERIOD };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn read_members<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) {
+    gateway.metrics.store_call("members");
+    match gateway.directory.read_members().await {
+        Ok(snapshot) => {
+            let now = gateway.now();
+            let mut members = lock(&gateway.members);
+            for it in &snapshot.value {
+                members.add(now, it);
+            }
         }
+        Err(error) => tracing::warn!("members: not read: {error}"),
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub peer_port: u16,
     /// Daemons that may know others.
     pub seeds: Vec<IpAddr>,
+    /// How much this instance can carry beside others; only the order counts.
+    pub capacity: u32,
     /// Threads that serve.
     pub workers: usize,
     /// File descriptors for sockets.
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -232,9 +232,6 @@
             lock(&book).insert(order.target, again);
         });
     }
-    if !chosen.is_empty() {
-        peers::tell_now(gateway);
-    }
 }
 
 /// Tells peers that an order goes out, so that the next holder keeps its distance.
@@ -243,35 +240,28 @@
     order: &NeededOrder,
     accepted: u64,
 ) {
-    let now = gateway.now();
-    {
-        let mut fleet = lock(&gateway.fleet);
-        let Some(replica) = fleet.get(&order.target) else { return };
-        let news = WeightNews {
-            member: replica.member,
-            born: replica.entry.born,
-            loaded: replica.weights,
-            ordered: order.version,
-            accepted,
-        };
-        fleet.hear_weights(now, news);
+    spread(gateway, &order.target, |news| {
+        news.ordered = order.version;
+        news.accepted = accepted;
+    });
+}
+
+/// Tells peers what changed about one replica.
+fn spread<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    target: &TargetId,
+    change: impl Fn(&mut WeightNews),
+) {
+    let news = lock(&gateway.fleet).get(target).map(|it| it.weight_news());
+    if let Some(mut news) = news {
+        change(&mut news);
+        peers::spread_weights(gateway, &[news], None);
     }
-    peers::tell_now(gateway);
 }
 
 /// Keeps requests away from a replica that is about to load.
 fn mark_ordered<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, order: &NeededOrder) {
-    let now = gateway.now();
-    let mut fleet = lock(&gateway.fleet);
-    let Some(replica) = fleet.get(&order.target) else { return };
-    let news = WeightNews {
-        member: replica.member,
-        born: replica.entry.born,
-        loaded: replica.weights,
-        ordered: order.version,
-        accepted: replica.accepted,
-    };
-    fleet.hear_weights(now, news);
+    spread(gateway, &order.target, |news| news.ordered = order.version);
 }
 
 /// Orders one replica to load and waits until it has; false if that is not known.
@@ -283,13 +273,13 @@
     let until = gateway.now() + ORDER_TIME;
     let mut sent = false;
     while gateway.now() < until {
-        let Some((report, born)) = ask_report(gateway, &order.target).await else {
+        let Some(report) = ask_report(gateway, &order.target).await else {
             tokio::time::sleep(REPORT_PAUSE).await;
             continue;
         };
         let loaded = report.weights.iter().find(|it| it.0 == order.model).map_or(0, |it| it.1);
         if loaded >= order.version {
-            confirm(gateway, order, loaded, born);
+            confirm(gateway, order, loaded);
             return true;
         }
         if !report.busy && !sent && is_settled(gateway, held, &order.target, report.accepted) {
@@ -366,26 +356,21 @@
     gateway: &Gateway<D, S>,
     order: &NeededOrder,
     loaded: u64,
-    born: u64,
 ) {
-    let member = policy::rendezvous::member_hash(order.target.as_str());
-    let news = WeightNews { member, born, loaded, ordered: order.version, accepted: 0 };
-    lock(&gateway.fleet).hear_weights(gateway.now(), news);
     tracing::info!(target = %order.target, version = loaded, "weights: loaded");
-    gateway.freed.notify_waiters();
-    peers::tell_now(gateway);
+    spread(gateway, &order.target, |news| news.loaded = loaded);
 }
 
 async fn ask_report<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     target: &TargetId,
-) -> Option<(TargetReport, u64)> {
+) -> Option<TargetReport> {
     let request = gateway.dialect.ask_report();
     let born = lock(&gateway.fleet).get(target)?.entry.born;
     let (status, body) = call(gateway, target, request).await.ok()?;
     let report = status.is_success().then(|| gateway.dialect.read_report(&body))??;
     // A report of another start says nothing of this one.
-    (report.born.is_none_or(|it| it == born)).then_some((report, born))
+    report.born.is_none_or(|it| it == born).then_some(report)
 }
 
 async fn call<D: Dialect, S: Directory>(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod health;
 pub mod move_plan;
 pub mod parts;
+pub mod peer_tree;
 pub mod placement;
 pub mod plain_choice;
 pub mod prefix_table;
--- /dev/null
+++ b/crates/policy/src/peer_tree.rs
@@ -0,0 +1,42 @@
+//! Who tells whom: a few hubs that all tell each other, and one hub for each other daemon.
+//!
+//! A daemon sends a number of messages that does not grow with the fleet, a hub one that grows
+//! with its square root. Small fleets are all hubs. The most capable daemons become hubs.
+
+use crate::rendezvous;
+
+/// Fleets up to this size are all hubs.
+const FLAT_FLEET: usize = 12;
+
+/// A daemon that may become a hub.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TreeMember {
+    /// The hash of its id.
+    pub member: u64,
+    /// How much it can carry; only the order counts.
+    pub capacity: u32,
+    /// It is in the failure domain of the daemon that asks.
+    pub near: bool,
+}
+
+/// Hubs of a fleet of this size.
+pub fn hub_count(fleet: usize) -> usize {
+    if fleet <= FLAT_FLEET { fleet } else { (fleet as f64).sqrt().ceil() as usize }
+}
+
+/// Indices of all daemons, the first hubs first. The same on every daemon.
+pub fn order(members: &[TreeMember]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..members.len()).collect();
+    order.sort_by_key(|it| (std::cmp::Reverse(members[*it].capacity), members[*it].member));
+    order
+}
+
+/// Indices of the hubs in the order in which `own` turns to them: near ones first.
+pub fn parents(members: &[TreeMember], hubs: &[usize], own: u64) -> Vec<usize> {
+    let mut parents = hubs.to_vec();
+    parents.sort_by_key(|it| {
+        let hub = &members[*it];
+        (!hub.near, std::cmp::Reverse(rendezvous::weight(own, hub.member)))
+    });
+    parents
+}
--- /dev/null
+++ b/crates/policy/tests/gateway_decisions.rs
@@ -0,0 +1,118 @@
+//! Decisions about prefixes, waves of new weights, hubs and plain calls.
+
+use std::time::Duration;
+
+use policy::peer_tree::{self, TreeMember};
+use policy::plain_choice::{self, PlainView};
+use policy::prefix_table::{PrefixTable, PromptPrefix};
+use policy::retry::RetryBudget;
+use policy::weight_rounds::{self, LaggingTarget};
+use rstest::rstest;
+
+const PREFIXES: [PromptPrefix; 2] =
+    [PromptPrefix { digest: 1, tokens: 2_500 }, PromptPrefix { digest: 2, tokens: 6_000 }];
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[rstest]
+#[case::whole(&[1, 2], 7, 1, 5, 6_000)]
+#[case::only_the_first_part(&[1], 7, 1, 5, 2_500)]
+#[case::another_replica(&[1, 2], 8, 1, 5, 0)]
+#[case::another_life(&[1, 2], 7, 2, 5, 0)]
+#[case::long_ago(&[1, 2], 7, 1, 60, 0)]
+fn cached_tokens_are_those_of_the_longest_beginning_held(
+    #[case] held: &[u64],
+    #[case] member: u64,
+    #[case] born: u64,
+    #[case] after_s: u64,
+    #[case] tokens: u64,
+) {
+    let mut table = PrefixTable::default();
+    table.learn(at(0), held, 7, 1);
+    assert_eq!(table.cached_tokens(at(after_s), &PREFIXES, member, born), tokens);
+}
+
+#[test]
+fn the_table_of_beginnings_is_bounded() {
+    let mut table = PrefixTable::default();
+    for digest in 0..50_000 {
+        table.learn(at(0), &[digest], 7, 1);
+    }
+    assert!(table.len() <= 20_001);
+}
+
+fn lagging(running: u32, under_order: bool) -> LaggingTarget {
+    LaggingTarget { running, under_order }
+}
+
+#[rstest]
+#[case::first_wave_is_half(&[lagging(3, false), lagging(1, false), lagging(2, false), lagging(0, false)], 0, &[3, 1])]
+#[case::those_under_order_count(&[lagging(3, true), lagging(1, true), lagging(2, false), lagging(0, false)], 0, &[])]
+#[case::all_once_enough_are_ready(&[lagging(3, false), lagging(1, false)], 2, &[1, 0])]
+#[case::a_single_engine_goes(&[lagging(9, false)], 0, &[0])]
+fn waves_of_new_weights(
+    #[case] engines: &[LaggingTarget],
+    #[case] ready: usize,
+    #[case] expected: &[usize],
+) {
+    assert_eq!(weight_rounds::next_orders(engines, ready), expected);
+}
+
+fn members(count: u64) -> Vec<TreeMember> {
+    (0..count).map(|it| TreeMember { member: it * 7_919, capacity: 1, near: it % 2 == 0 }).collect()
+}
+
+#[rstest]
+#[case(1, 1)]
+#[case(8, 8)]
+#[case(12, 12)]
+#[case(90, 10)]
+#[case(370, 20)]
+fn hubs_grow_with_the_square_root(#[case] fleet: usize, #[case] hubs: usize) {
+    assert_eq!(peer_tree::hub_count(fleet), hubs);
+}
+
+#[test]
+fn the_most_capable_daemons_come_first_whoever_asks() {
+    let mut fleet = members(20);
+    fleet[13].capacity = 9;
+    let order = peer_tree::order(&fleet);
+    assert_eq!(order[0], 13);
+    fleet.reverse();
+    let reversed = peer_tree::order(&fleet);
+    assert_eq!(fleet[reversed[0]].member, 13 * 7_919);
+}
+
+#[test]
+fn daemons_turn_to_hubs_of_their_own_domain_first() {
+    let fleet = members(40);
+    let hubs = [0, 1, 2, 3];
+    for own in 0..20 {
+        let parents = peer_tree::parents(&fleet, &hubs, own);
+        assert!(fleet[parents[0]].near && fleet[parents[1]].near && !fleet[parents[2]].near);
+    }
+}
+
+#[rstest]
+#[case::less_loaded(PlainView { slots: 6, running: 4, near: true, penalty: 0.0 })]
+#[case::own_domain(PlainView { slots: 6, running: 1, near: false, penalty: 0.0 })]
+#[case::not_suspected(PlainView { slots: 6, running: 0, near: true, penalty: 1.0 })]
+fn plain_calls_go_to_the_better_replica(#[case] worse: PlainView) {
+    let better = PlainView { slots: 6, running: 1, near: true, penalty: 0.0 };
+    for spread in 0..4 {
+        assert_eq!(plain_choice::choose(&[worse, better], spread), Some(1));
+    }
+}
+
+#[test]
+fn a_smaller_reserve_takes_credit_away_and_a_greater_one_gives_none() {
+    let mut budget = RetryBudget::new(0.5, 4.0);
+    budget.resize(0.5, 2.0);
+    budget.resize(0.5, 8.0);
+    assert!(budget.spend() && budget.spend() && !budget.spend());
+    budget.earn();
+    budget.earn();
+    assert!(budget.spend());
+}
