Pace the digests of hubs and sum up loads for their daemons

Ruled out: refused sends (none after the first moment), slow homes (answers after 1.7 ms at the median). Change: a hub spreads its digests over the period and sums up loads; news go down the tree once; a bucket is overdrawn by a request beyond its size and fills up first.

--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -101,8 +101,9 @@
     Up,
     /// Between hubs: about the sender and those that take it for their hub.
     Across,
-    /// From a hub: about everyone.
-    Down,
+    /// From a hub to the daemon with this hash: about everyone, with the loads of all others
+    /// summed up.
+    Down(u64),
 }
 
 /// What a daemon tells again and again.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -35,6 +35,14 @@
     pub memory_tokens: u64,
 }
 
+impl LoadCount {
+    fn add(&mut self, other: &LoadCount) {
+        self.running += other.running;
+        self.unread_tokens += other.unread_tokens;
+        self.memory_tokens += other.memory_tokens;
+    }
+}
+
 /// One replica.
 #[derive(Debug)]
 pub struct Replica {
@@ -195,6 +203,20 @@
         self.peer_loads.retain(|_, it| now < it.0 + LOAD_AGE);
     }
 
+    /// The requests of all daemons but one, for that one.
+    pub fn loads_without(&self, now: Duration, peer: u64) -> Vec<TargetLoad> {
+        let mut sums: IndexMap<u64, LoadCount> = IndexMap::new();
+        let mut add = |member: u64, load: &LoadCount| sums.entry(member).or_default().add(load);
+        for replica in self.replicas.values().filter(|it| it.own.running > 0) {
+            add(replica.member, &replica.own);
+        }
+        let others = self.peer_loads.iter().filter(|it| *it.0 != peer);
+        for (_, (_, loads)) in others.filter(|it| now < it.1.0 + LOAD_AGE) {
+            loads.iter().for_each(|(member, load)| add(*member, load));
+        }
+        sums.iter().map(|(member, load)| TargetLoad::new(*member, *load)).collect()
+    }
+
     /// A peer's loads as last heard, to pass them on.
     pub fn peer_loads(&self, peer: u64) -> Vec<TargetLoad> {
         let loads = self.peer_loads.get(&peer);
@@ -258,10 +280,9 @@
         let mut sum = replica.own;
         for (at, loads) in self.peer_loads.values() {
             let load = loads.get(&replica.member).filter(|_| now < *at + LOAD_AGE);
-            let Some(load) = load else { continue };
-            sum.running += load.running;
-            sum.unread_tokens += load.unread_tokens;
-            sum.memory_tokens += load.memory_tokens;
+            if let Some(load) = load {
+                sum.add(load);
+            }
         }
         sum
     }
@@ -496,9 +517,7 @@
     fn occupy(&mut self, id: &TargetId, load: LoadCount) -> Option<PlacedTarget> {
         let replica = self.replicas.get_mut(id)?;
         let running_before = replica.own.running;
-        replica.own.running += load.running;
-        replica.own.unread_tokens += load.unread_tokens;
-        replica.own.memory_tokens += load.memory_tokens;
+        replica.own.add(&load);
         Some(PlacedTarget {
             id: id.clone(),
             born: replica.entry.born,
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -32,6 +32,8 @@
     /// When it last spoke as to its hub.
     child_at: Option<Duration>,
     added_at: Duration,
+    /// When it last failed to answer this daemon.
+    missed_at: Duration,
     leaving: bool,
 }
 
@@ -62,13 +64,18 @@
     pub across: Vec<IpAddr>,
     /// Daemons that take this one for their hub.
     pub down: Vec<IpAddr>,
+    /// The hashes of their ids, in the same order.
+    pub down_members: Vec<u64>,
 }
 
 impl NeighbourSet {
-    /// All of them but one.
-    pub fn all_but(&self, source: Option<IpAddr>) -> Vec<IpAddr> {
-        let all = self.up.iter().chain(&self.across).chain(&self.down);
-        let mut all: Vec<IpAddr> = all.copied().filter(|it| Some(*it) != source).collect();
+    /// To whom news go that came from `source`, or arose here: what another hub or the own hub
+    /// told goes down only, since hubs tell each other themselves.
+    pub fn onward(&self, source: Option<IpAddr>) -> Vec<IpAddr> {
+        let from_above = source.is_some_and(|it| self.across.contains(&it) || self.up.contains(&it));
+        let above = self.up.iter().chain(&self.across).filter(|_| !from_above);
+        let all = above.chain(&self.down).copied();
+        let mut all: Vec<IpAddr> = all.filter(|it| Some(*it) != source).collect();
         all.sort();
         all.dedup();
         all
@@ -104,6 +111,7 @@
                     spoke_at: None,
                     child_at: None,
                     added_at: now,
+                    missed_at: Duration::ZERO,
                     leaving: false,
                 };
                 self.known.insert(entry.id.clone(), known);
@@ -122,7 +130,10 @@
     /// A daemon was known to run at `heard_at`.
     pub fn hear_of(&mut self, member: u64, heard_at: Duration, leaving: bool) {
         let known = self.known.values_mut().find(|it| it.member == member);
-        if let Some(it) = known.filter(|it| it.heard_at.is_none_or(|at| at <= heard_at)) {
+        let newer = |it: &&mut Known| {
+            it.heard_at.is_none_or(|at| at <= heard_at) && it.missed_at < heard_at
+        };
+        if let Some(it) = known.filter(newer) {
             it.heard_at = Some(heard_at);
             it.leaving = leaving;
         }
@@ -175,8 +186,10 @@
             set.across.sort();
             set.across.dedup();
         }
-        let children = self.known.values().filter(|it| it.is_child(now));
-        set.down = children.map(|it| it.entry.address).collect();
+        for child in self.known.values().filter(|it| it.is_child(now)) {
+            set.down.push(child.entry.address);
+            set.down_members.push(child.member);
+        }
         set
     }
 
@@ -234,8 +247,9 @@
     }
 
     /// A daemon did not answer: it is taken to be out of reach until it speaks again.
-    pub fn miss(&mut self, id: &InstanceId) {
+    pub fn miss(&mut self, now: Duration, id: &InstanceId) {
         if let Some(it) = self.known.get_mut(id) {
+            it.missed_at = now;
             it.heard_at = it.heard_at.map(|at| at.saturating_sub(SILENT_AFTER));
             it.added_at = it.added_at.saturating_sub(NEW_FOR);
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,9 +8,7 @@
 use policy::rendezvous;
 
 use crate::dialect::Dialect;
-use crate::digest::{
-    Digest, DigestWay, OriginState, PeerMessage, PrefixNews, TargetLoad, WeightNews,
-};
+use crate::digest::{Digest, DigestWay, OriginState, PeerMessage, PrefixNews, WeightNews};
 use crate::directory::{Directory, Snapshot};
 use crate::gateway::{Gateway, lock};
 use crate::kept::KeptCache;
@@ -18,6 +16,8 @@
 
 /// The time between two digests.
 const DIGEST_PERIOD: Duration = Duration::from_millis(250);
+/// Under which a daemon keeps the loads that its hub sums up for it.
+const SUM_OF_HUB: u64 = 0;
 /// What changes seldom goes into one digest of this many.
 const SELDOM: u32 = 8;
 
@@ -32,39 +32,56 @@
 
 /// Tells peers this daemon's state until the process ends.
 pub(crate) async fn tell<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
+    // Daemons that start together do not all speak at the same moment.
+    tokio::time::sleep(DIGEST_PERIOD.mul_f64(rand::random())).await;
     let mut round = 0_u32;
     loop {
-        tell_round(&gateway, round.is_multiple_of(SELDOM));
+        let began = gateway.now();
+        tell_round(&gateway, round.is_multiple_of(SELDOM)).await;
         round = round.wrapping_add(1);
         let now = gateway.now();
         lock(&gateway.members).sweep(now);
         lock(&gateway.fleet).sweep_loads(now);
         gateway.connections.sweep();
-        tokio::time::sleep(DIGEST_PERIOD).await;
+        tokio::time::sleep((began + DIGEST_PERIOD).saturating_sub(now)).await;
     }
 }
 
-/// Tells peers at once that this daemon leaves.
-pub(crate) fn tell_now<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) {
-    tell_round(gateway, true);
-}
-
-fn tell_round<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, seldom: bool) {
+async fn tell_round<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, seldom: bool) {
     let neighbours = lock(&gateway.members).neighbours(gateway.now());
     let own = lock(&gateway.fleet).take_prefix_news();
-    let mut below = std::mem::take(&mut *lock(&gateway.prefix_relay.below));
+    let mut news = std::mem::take(&mut *lock(&gateway.prefix_relay.below));
     let beside = std::mem::take(&mut *lock(&gateway.prefix_relay.beside));
-    let send = |to: &[IpAddr], way, prefixes: &[PrefixNews]| {
-        if !to.is_empty() {
-            let digest = digest(gateway, way, prefixes, seldom);
-            gateway.peers.send(to, &PeerMessage::Digest(Box::new(digest)));
-        }
-    };
-    send(&neighbours.up, DigestWay::Up, &own);
-    below.extend(own);
-    send(&neighbours.across, DigestWay::Across, &below);
-    below.extend(beside);
-    send(&neighbours.down, DigestWay::Down, &below);
+    send_digest(gateway, &neighbours.up, DigestWay::Up, &own, seldom);
+    news.extend(own);
+    send_digest(gateway, &neighbours.across, DigestWay::Across, &news, seldom);
+    news.extend(beside);
+    // A link that gets all of a hub's digests at once loses other datagrams.
+    let pause = DIGEST_PERIOD / (neighbours.down.len() as u32 + 1);
+    for (address, member) in neighbours.down.iter().zip(&neighbours.down_members) {
+        tokio::time::sleep(pause).await;
+        send_digest(gateway, &[*address], DigestWay::Down(*member), &news, seldom);
+    }
+}
+
+fn send_digest<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    to: &[IpAddr],
+    way: DigestWay,
+    prefixes: &[PrefixNews],
+    seldom: bool,
+) {
+    if !to.is_empty() {
+        let digest = digest(gateway, way, prefixes, seldom);
+        gateway.peers.send(to, &PeerMessage::Digest(Box::new(digest)));
+    }
+}
+
+/// Tells peers at once that this daemon leaves.
+pub(crate) fn tell_leaving<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) {
+    let neighbours = lock(&gateway.members).neighbours(gateway.now());
+    send_digest(gateway, &neighbours.up, DigestWay::Up, &[], false);
+    send_digest(gateway, &neighbours.across, DigestWay::Across, &[], false);
 }
 
 fn digest<D: Dialect, S: Directory>(
@@ -89,17 +106,21 @@
         origin: rendezvous::member_hash(gateway.own.id.as_str()),
         age: Duration::ZERO,
         leaving: gateway.is_leaving(),
-        loads: fleet.own_loads(),
+        loads: match way {
+            DigestWay::Down(child) => fleet.loads_without(now, child),
+            DigestWay::Up | DigestWay::Across => fleet.own_loads(),
+        },
     }];
-    if way != DigestWay::Up {
-        let children = members.children(now);
-        let told = members.heard(now).filter(|it| way == DigestWay::Down || children.contains(&it.0));
-        origins.extend(told.map(|(origin, age, leaving)| OriginState {
-            origin,
-            age,
-            leaving,
-            loads: fleet.peer_loads(origin),
-        }));
+    let children = members.children(now);
+    for (origin, age, leaving) in members.heard(now) {
+        let loads = match way {
+            DigestWay::Up => continue,
+            DigestWay::Across if children.contains(&origin) => fleet.peer_loads(origin),
+            DigestWay::Across => continue,
+            // The sum stands with the sender.
+            DigestWay::Down(_) => Vec::new(),
+        };
+        origins.push(OriginState { origin, age, leaving, loads });
     }
     Digest {
         from: gateway.own.clone(),
@@ -116,25 +137,25 @@
     }
 }
 
-/// Tells peers what operators ordered, but for the one it came from.
+/// Passes on what operators ordered.
 pub(crate) fn push_control<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     source: Option<IpAddr>,
 ) {
-    let to = lock(&gateway.members).neighbours(gateway.now()).all_but(source);
+    let to = lock(&gateway.members).neighbours(gateway.now()).onward(source);
     send_control(gateway, &to);
 }
 
-/// Tells peers which replicas are listed, but for the one it came from.
+/// Passes on which replicas are listed.
 pub(crate) fn push_listing<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     source: Option<IpAddr>,
 ) {
-    let to = lock(&gateway.members).neighbours(gateway.now()).all_but(source);
+    let to = lock(&gateway.members).neighbours(gateway.now()).onward(source);
     send_listing(gateway, &to);
 }
 
-/// Takes news of weights and passes them on, but to the one they came from.
+/// Takes news of weights and passes them on.
 pub(crate) fn spread_weights<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     news: &[WeightNews],
@@ -150,7 +171,7 @@
     }
     gateway.believed.notify_waiters();
     gateway.freed.notify_waiters();
-    let to = lock(&gateway.members).neighbours(now).all_but(source);
+    let to = lock(&gateway.members).neighbours(now).onward(source);
     gateway.peers.send(&to, &PeerMessage::Weights(fresh));
 }
 
@@ -191,7 +212,7 @@
         PeerMessage::Taken { ticket, wait } => gateway.peers.answer(ticket, wait),
         PeerMessage::Strike(strike) => {
             if lock(&gateway.quarantine).strike(now, strike) {
-                let to = lock(&gateway.members).neighbours(now).all_but(Some(from));
+                let to = lock(&gateway.members).neighbours(now).onward(Some(from));
                 gateway.peers.send(&to, &PeerMessage::Strike(strike));
             }
         }
@@ -215,11 +236,13 @@
     }
     let behind = compare(gateway, digest);
     {
-        let own = rendezvous::member_hash(gateway.own.id.as_str());
         let mut fleet = lock(&gateway.fleet);
-        for it in digest.origins.iter().filter(|it| it.origin != own) {
-            let loads: &[TargetLoad] = &it.loads;
-            fleet.hear_loads(now.saturating_sub(it.age), it.origin, loads);
+        for it in &digest.origins {
+            match digest.way {
+                DigestWay::Down(_) if it.loads.is_empty() => {}
+                DigestWay::Down(_) => fleet.hear_loads(now, SUM_OF_HUB, &it.loads),
+                _ => fleet.hear_loads(now.saturating_sub(it.age), it.origin, &it.loads),
+            }
         }
         fleet.hear_leaving(&digest.leaving_targets);
         if let Some(news) = digest.kept {
@@ -230,15 +253,15 @@
     let relay = match digest.way {
         DigestWay::Up => Some(&gateway.prefix_relay.below),
         DigestWay::Across => Some(&gateway.prefix_relay.beside),
-        DigestWay::Down => None,
+        DigestWay::Down(_) => None,
     };
     if let Some(relay) = relay {
         lock(relay).extend_from_slice(&digest.prefixes);
     }
     spread_weights(gateway, &digest.weights, Some(from));
     if digest.alone {
-        let answer = self::digest(gateway, DigestWay::Down, &[], true);
-        gateway.peers.send(&[from], &PeerMessage::Digest(Box::new(answer)));
+        let member = rendezvous::member_hash(digest.from.id.as_str());
+        send_digest(gateway, &[from], DigestWay::Down(member), &[], true);
     }
     if behind.control {
         send_control(gateway, &[from]);
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -57,9 +57,9 @@
         });
         bucket.resize(now, capacity, rate);
         let tokens = tokens as f64;
-        // A request beyond the whole burst passes when the bucket is full.
+        // A request beyond the whole burst passes when the bucket is full, and is paid off then.
         let least = tokens.min(capacity.floor());
-        if bucket.take(now, tokens, least) > 0.0 || tokens == 0.0 {
+        if bucket.take_or_owe(now, tokens, least) {
             return Ok(());
         }
         Err(bucket.wait_for(now, least).unwrap_or(Duration::from_secs(1)))
--- a/crates/gateway/src/quota_desk.rs
+++ b/crates/gateway/src/quota_desk.rs
@@ -14,7 +14,7 @@
 use crate::refusal::CallRefusal;
 
 /// How long a customer's home may take to answer.
-const HOME_TIME: Duration = Duration::from_millis(40);
+const HOME_TIME: Duration = Duration::from_millis(60);
 
 /// Takes tokens, or refuses the request with the time after which they will be there.
 pub(crate) async fn take<D: Dialect, S: Directory>(
@@ -66,7 +66,7 @@
         Ok(Ok(None)) => HomeWord::Said(Ok(())),
         Ok(Ok(Some(wait))) => HomeWord::Said(Err(wait)),
         _ => {
-            lock(&gateway.members).miss(&home.id);
+            lock(&gateway.members).miss(gateway.now(), &home.id);
             tracing::info!(%customer, home = %home.id, "rate: the home is silent");
             HomeWord::Silent
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -69,7 +69,7 @@
     let began = gateway.now();
     let until = began + gateway.settings.bounds.grace.saturating_sub(CLOSE_TIME);
     gateway.leave();
-    peers::tell_now(gateway);
+    peers::tell_leaving(gateway);
     tokio::time::sleep(NOTICE.min(gateway.settings.bounds.grace / 2)).await;
     // No new requests from here on: what comes late could not end within the grace period.
     stop.send_replace(true);
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -33,6 +33,17 @@
         taken
     }
 
+    /// Takes all of `tokens` if at least `least` are there; what is missing is owed and fills
+    /// up first.
+    pub fn take_or_owe(&mut self, now: Duration, tokens: f64, least: f64) -> bool {
+        self.fill(now);
+        let taken = self.level >= least;
+        if taken {
+            self.level -= tokens;
+        }
+        taken
+    }
+
     /// Puts back tokens that were taken from this bucket and not used.
     pub fn put_back(&mut self, now: Duration, tokens: f64) {
         self.fill(now);
