--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,25 +5,25 @@
 //! ports `dialect` and `directory`. Decisions come from `policy`; this crate owns the sockets,
 //! the tasks and the shared tables.
 
-mod belief;
+pub mod belief;
 mod body;
 mod call;
 mod call_target;
 pub mod config;
 pub mod dialect;
-mod digest;
+pub mod digest;
 pub mod directory;
-mod events;
+pub mod events;
 mod exchange;
-mod fleet;
+pub mod fleet;
 mod front;
 mod gateway;
 mod kept;
-mod members;
+pub mod members;
 mod metrics;
 mod peer_link;
 mod peers;
-mod quota;
+pub mod quota;
 mod quota_desk;
 mod reader;
 mod readiness;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -33,7 +33,7 @@
     child_at: Option<Duration>,
     added_at: Duration,
     /// When it last failed to answer this daemon.
-    missed_at: Duration,
+    missed_at: Option<Duration>,
     leaving: bool,
 }
 
@@ -111,7 +111,7 @@
                     spoke_at: None,
                     child_at: None,
                     added_at: now,
-                    missed_at: Duration::ZERO,
+                    missed_at: None,
                     leaving: false,
                 };
                 self.known.insert(entry.id.clone(), known);
@@ -130,10 +130,7 @@
     /// A daemon was known to run at `heard_at`.
     pub fn hear_of(&mut self, member: u64, heard_at: Duration, leaving: bool) {
         let known = self.known.values_mut().find(|it| it.member == member);
-        let newer = |it: &&mut Known| {
-            it.heard_at.is_none_or(|at| at <= heard_at) && it.missed_at < heard_at
-        };
-        if let Some(it) = known.filter(newer) {
+        if let Some(it) = known.filter(|it| it.heard_at.is_none_or(|at| at <= heard_at)) {
             it.heard_at = Some(heard_at);
             it.leaving = leaving;
         }
@@ -249,9 +246,7 @@
     /// A daemon did not answer: it is taken to be out of reach until it speaks again.
     pub fn miss(&mut self, now: Duration, id: &InstanceId) {
         if let Some(it) = self.known.get_mut(id) {
-            it.missed_at = now;
-            it.heard_at = it.heard_at.map(|at| at.saturating_sub(SILENT_AFTER));
-            it.added_at = it.added_at.saturating_sub(NEW_FOR);
+            it.missed_at = Some(now);
         }
     }
 
@@ -282,11 +277,13 @@
 
 impl Known {
     fn is_near(&self, now: Duration) -> bool {
-        self.heard_at.is_some_and(|it| now < it + SILENT_AFTER)
+        let missed_at = self.missed_at;
+        let heard = self.heard_at.filter(|at| missed_at.is_none_or(|it| it < *at));
+        heard.is_some_and(|it| now < it + SILENT_AFTER)
     }
 
     fn is_new(&self, now: Duration) -> bool {
-        self.heard_at.is_none() && now < self.added_at + NEW_FOR
+        self.heard_at.is_none() && self.missed_at.is_none() && now < self.added_at + NEW_FOR
     }
 
     fn is_child(&self, now: Duration) -> bool {
--- /dev/null
+++ b/crates/gateway/tests/events.rs
@@ -0,0 +1,41 @@
+//! Event streams are cut into whole events, whatever the network made of them.
+
+use gateway::events::EventSplitter;
+use rstest::rstest;
+
+fn split(chunks: &[&str]) -> (Vec<(String, Option<u64>)>, bool) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for chunk in chunks {
+        splitter.push(chunk.as_bytes()).expect("short events");
+        while let Some(event) = splitter.next() {
+            events.push((String::from_utf8_lossy(&event.bytes).into_owned(), event.id));
+        }
+    }
+    (events, splitter.is_clean())
+}
+
+#[rstest]
+#[case::one(&["id: 1\ndata: a\n\n"], &[("id: 1\ndata: a\n\n", Some(1))], true)]
+#[case::two_at_once(&["id:1\n\nid:2\n\n"], &[("id:1\n\n", Some(1)), ("id:2\n\n", Some(2))], true)]
+#[case::cut_anywhere(&["id: 1\nda", "ta: a\n", "\n"], &[("id: 1\ndata: a\n\n", Some(1))], true)]
+#[case::carriage_returns(&["id: 3\r\ndata: a\r\n\r", "\n"], &[("id: 3\r\ndata: a\r\n\r\n", Some(3))], true)]
+#[case::without_id(&["data: a\n\n"], &[("data: a\n\n", None)], true)]
+#[case::ends_inside_an_event(&["id: 1\n\nid: 2\nda"], &[("id: 1\n\n", Some(1))], false)]
+fn events_come_out_whole(
+    #[case] chunks: &[&str],
+    #[case] expected: &[(&str, Option<u64>)],
+    #[case] clean: bool,
+) {
+    let expected: Vec<_> = expected.iter().map(|it| (it.0.to_string(), it.1)).collect();
+    assert_eq!(split(chunks), (expected, clean));
+}
+
+#[test]
+fn an_endless_event_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    let chunk = vec![b'a'; 600 << 10];
+    assert!(splitter.push(&chunk).is_ok());
+    assert!(splitter.next().is_none());
+    assert!(splitter.push(&chunk).is_err());
+}
--- /dev/null
+++ b/crates/gateway/tests/knowledge.rs
@@ -0,0 +1,250 @@
+//! What a daemon believes, whom it tells, and how it spends customers' tokens.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+
+use gateway::belief::BeliefTable;
+use gateway::config::{CallerLimits, ControlState, CustomerRule, SiteConfig, TargetEntry};
+use gateway::directory::{MemberEntry, Snapshot};
+use gateway::members::MemberTable;
+use gateway::quota::{QuotaSource, QuotaTable};
+use ids::{Incarnation, Revision, TokenCount, TokenRate};
+use policy::rendezvous;
+use rstest::rstest;
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn config(revision: u64) -> SiteConfig {
+    SiteConfig {
+        revision: Revision(revision),
+        routes: Vec::new(),
+        pools: Default::default(),
+        customers: Default::default(),
+        keys: Default::default(),
+        limits: CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_time: ms(1),
+            idle_time: ms(1),
+        },
+    }
+}
+
+fn control(config_revision: u64, weights: u64) -> ControlState {
+    ControlState {
+        config: Some(config(config_revision)),
+        weights: [("m".into(), weights)].into_iter().collect(),
+        rollouts: Default::default(),
+    }
+}
+
+fn snapshot<T>(revision: u64, value: T) -> Snapshot<T> {
+    Snapshot { revision: Revision(revision), store_now: Duration::ZERO, value }
+}
+
+#[rstest]
+#[case::newer(9, 5, 9, 5)]
+#[case::older_configuration(3, 5, 7, 5)]
+#[case::older_weights(9, 2, 9, 4)]
+fn orders_never_go_back(
+    #[case] revision: u64,
+    #[case] weights: u64,
+    #[case] expected_revision: u64,
+    #[case] expected_weights: u64,
+) {
+    let mut beliefs = BeliefTable::default();
+    beliefs.adopt_control(ms(0), ms(0), snapshot(10, control(7, 4)));
+    beliefs.adopt_control(ms(1), ms(1), snapshot(11, control(revision, weights)));
+    assert_eq!(beliefs.config().map(|it| it.revision.0), Some(expected_revision));
+    assert_eq!(beliefs.wanted_weights("m").map(|it| it.0), Some(expected_weights));
+}
+
+#[test]
+fn the_same_orders_have_the_same_mark_and_others_another() {
+    let mark = |state| {
+        let mut beliefs = BeliefTable::default();
+        beliefs.adopt_control(ms(0), ms(0), snapshot(10, state));
+        beliefs.control_mark()
+    };
+    assert_eq!(mark(control(7, 4)), mark(control(7, 4)));
+    assert_ne!(mark(control(7, 4)), mark(control(8, 4)));
+    assert_ne!(mark(control(7, 4)), mark(control(7, 5)));
+}
+
+fn entry(id: &str, leaving: bool) -> TargetEntry {
+    TargetEntry {
+        id: id.parse().expect("an id"),
+        born: 1,
+        pool: "desk".parse().expect("an id"),
+        address: (Ipv4Addr::LOCALHOST, 1).into(),
+        domain: "a".parse().expect("an id"),
+        release: "v1".into(),
+        slots: 6,
+        leaving,
+        weights: Default::default(),
+    }
+}
+
+#[test]
+fn an_older_listing_does_not_bring_a_leaving_replica_back() {
+    let mut beliefs = BeliefTable::default();
+    beliefs.adopt_listing(ms(10), Revision(8), vec![entry("r", true)]);
+    let change = beliefs.adopt_listing(ms(20), Revision(7), vec![entry("r", false)]);
+    assert!(!change.any());
+    assert!(beliefs.listing().is_some_and(|it| it.entries[0].leaving && it.read_at == ms(10)));
+}
+
+fn member(number: u8, capacity: u32) -> MemberEntry {
+    MemberEntry {
+        id: format!("d{number}").parse().expect("an id"),
+        incarnation: Incarnation(1),
+        address: IpAddr::V4(Ipv4Addr::new(127, 0, 1, number)),
+        domain: "a".parse().expect("an id"),
+        capacity,
+    }
+}
+
+fn hash(entry: &MemberEntry) -> u64 {
+    rendezvous::member_hash(entry.id.as_str())
+}
+
+/// The table of daemon `own` in a fleet where all run and are heard at `now`.
+fn fleet(own: u8, count: u8, now: Duration) -> MemberTable {
+    let mut table = MemberTable::new(member(own, 1), Vec::new());
+    for number in (0..count).filter(|it| *it != own) {
+        let entry = member(number, 1);
+        table.add(now, &entry);
+        table.hear_of(hash(&entry), now, false);
+    }
+    table
+}
+
+#[test]
+fn a_small_fleet_tells_everyone() {
+    let set = fleet(0, 8, ms(10)).neighbours(ms(10));
+    assert_eq!((set.up.len(), set.across.len(), set.down.len()), (0, 7, 0));
+}
+
+#[test]
+fn in_a_large_fleet_hubs_tell_hubs_and_each_other_daemon_one_hub() {
+    let mut hubs = 0;
+    for own in 0..90 {
+        let set = fleet(own, 90, ms(10)).neighbours(ms(10));
+        match set.up.len() {
+            0 => {
+                hubs += 1;
+                assert_eq!(set.across.len(), 9);
+            }
+            up => assert_eq!((up, set.across.len()), (1, 0)),
+        }
+    }
+    assert_eq!(hubs, 10);
+}
+
+#[test]
+fn a_silent_hub_is_left_for_the_next() {
+    let own = (0..90).find(|it| !fleet(*it, 90, ms(10)).is_hub(ms(10))).expect("not all are hubs");
+    let mut table = fleet(own, 90, ms(10));
+    let first = table.neighbours(ms(10)).up;
+    assert_eq!(table.neighbours(ms(500)).up, first);
+    let later = ms(900);
+    for number in (0..90).filter(|it| *it != own) {
+        table.hear_of(hash(&member(number, 1)), later, false);
+    }
+    assert_ne!(table.neighbours(later).up, first);
+}
+
+#[test]
+fn news_of_another_hub_go_down_only() {
+    let own = (0..90).find(|it| fleet(*it, 90, ms(10)).is_hub(ms(10))).expect("some hub");
+    let mut table = fleet(own, 90, ms(10));
+    let child = (0..90).map(|it| member(it, 1)).find(|it| {
+        let number = it.id.as_str()[1..].parse().unwrap_or(0);
+        number != own && !fleet(number, 90, ms(10)).is_hub(ms(10))
+    });
+    let child = child.expect("some daemon is no hub");
+    table.hear(ms(10), &child, true);
+    let set = table.neighbours(ms(10));
+    assert_eq!(set.onward(Some(set.across[0])), [child.address]);
+    assert_eq!(set.onward(Some(child.address)).len(), 9);
+    assert_eq!(set.onward(None).len(), 10);
+}
+
+#[test]
+fn a_daemon_that_did_not_answer_is_not_near_until_it_is_heard_later() {
+    let mut table = fleet(0, 3, ms(10));
+    let entry = member(1, 1);
+    table.miss(ms(20), &entry.id);
+    table.hear_of(hash(&entry), ms(15), false);
+    assert_eq!(table.heard(ms(20)).count(), 1);
+    table.hear_of(hash(&entry), ms(30), false);
+    assert_eq!(table.heard(ms(30)).count(), 2);
+}
+
+#[test]
+fn all_daemons_name_the_same_home() {
+    let customer = "c1".parse().expect("an id");
+    let homes: Vec<_> = (0..8)
+        .map(|own| {
+            let home = fleet(own, 8, ms(10)).home(ms(10), &customer);
+            home.map_or(format!("d{own}"), |it| it.id.to_string())
+        })
+        .collect();
+    assert!(homes.windows(2).all(|it| it[0] == it[1]), "{homes:?}");
+}
+
+fn rule(rate: u64) -> CustomerRule {
+    CustomerRule {
+        priority: None,
+        rate: TokenRate(rate),
+        burst: TokenCount(rate),
+        default_cost: TokenCount(200),
+        isolated: false,
+    }
+}
+
+/// Tokens granted to requests of `tokens` that come every 10 ms for `seconds`.
+fn granted(table: &mut QuotaTable, rule: &CustomerRule, tokens: u64, seconds: u64) -> u64 {
+    let customer = "c1".parse().expect("an id");
+    let tries = (0..seconds * 100).map(|it| ms(it * 10));
+    let source = QuotaSource::Home(1.0);
+    tries.filter(|it| table.take(*it, &customer, rule, tokens, source).is_ok()).count() as u64
+        * tokens
+}
+
+#[rstest]
+#[case::small_requests(10_000, 500)]
+#[case::requests_beyond_the_burst(10_000, 25_000)]
+fn a_home_grants_no_more_than_rate_and_burst(#[case] rate: u64, #[case] tokens: u64) {
+    let seconds = 20;
+    let sum = granted(&mut QuotaTable::default(), &rule(rate), tokens, seconds);
+    assert!(sum <= rate * seconds + rate + tokens, "{sum}");
+    assert!(sum + 2 * tokens >= rate * seconds / 2, "{sum}");
+}
+
+#[test]
+fn buckets_of_daemons_without_a_home_do_not_add_up_to_more_than_the_rate() {
+    let (customer, rule) = ("c1".parse().expect("an id"), rule(20_000));
+    let mut sum = 0;
+    for _ in 0..90 {
+        let mut table = QuotaTable::default();
+        for at in (0..8_000).step_by(20) {
+            let source = QuotaSource::Alone(1.0 / 90.0);
+            sum += 9_000 * u64::from(table.take(ms(at), &customer, &rule, 9_000, source).is_ok());
+        }
+    }
+    // Each daemon may overdraw its bucket by one request, once in the time that fills it again.
+    assert!(sum <= 90 * 9_000, "{sum}");
+}
+
+#[test]
+fn the_wait_told_is_the_time_until_the_tokens_are_there() {
+    let (customer, rule) = ("c1".parse().expect("an id"), rule(1_000));
+    let mut table = QuotaTable::default();
+    let source = QuotaSource::Home(1.0);
+    let wait = table.take(ms(0), &customer, &rule, 1_000, source).expect_err("it starts short");
+    assert!(table.take(wait - ms(20), &customer, &rule, 1_000, source).is_err());
+    assert!(table.take(wait + ms(20), &customer, &rule, 1_000, source).is_ok());
+}
