Ask a customer's home twice, then the next one; spend alone only through a real outage

Change: the home is asked again after 35 ms, then the next home; each answer of a home empties the bucket for being alone. Shared parts are fetched from the store, or from the replica that used them last, also when the chosen replica is believed to hold them.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -382,7 +382,7 @@
         let (id, weights) = (chosen.entry.id.clone(), chosen.weights);
         let salted = need.salted(weights);
         let cached = self.prefixes.cached_tokens(now, &salted, chosen.member, chosen.entry.born);
-        let fetch_from = self.fetch_source(now, chosen, need, &salted, &homes, cached);
+        let fetch_from = self.fetch_source(now, chosen, &salted[..need.shared]);
         let save_to = self.copy_wanted(now, &salted[..need.shared]);
         let load = LoadCount {
             running: 1,
@@ -395,15 +395,6 @@
         Some((placed, cost_s))
     }
 
-    /// The store of kept cache, if it holds all shared parts.
-    fn kept_holder(&self, now: Duration, shared: &[PromptPrefix]) -> Option<SocketAddr> {
-        let kept = self.kept?;
-        let life = kept.life(now)?;
-        let tokens = shared.last()?.tokens;
-        let held = self.prefixes.cached_tokens(now, shared, kept.member(), life);
-        (held >= tokens).then_some(kept.address)
-    }
-
     /// The store of kept cache, if it lives and does not hold all shared parts.
     fn copy_wanted(&self, now: Duration, shared: &[PromptPrefix]) -> Option<KeptCopy> {
         let kept = self.kept?;
@@ -450,47 +441,30 @@
         }
     }
 
-    /// A replica on the same weights that may hold more of the prompt than the one chosen.
+    /// Where the shared parts may be fetched from: the store, or the replica on the same weights
+    /// that used them last. The chosen replica may have evicted what it is believed to hold, and
+    /// fetches nothing if it has not.
     fn fetch_source(
         &self,
         now: Duration,
         chosen: &Replica,
-        need: &PromptNeed,
-        salted: &[PromptPrefix],
-        homes: &[u64],
-        cached: u64,
+        shared: &[PromptPrefix],
     ) -> Option<SocketAddr> {
-        // The replica may have evicted what it is believed to hold: the store is asked then.
-        if let Some(address) = self.kept_holder(now, &salted[..need.shared]) {
-            return Some(address);
-        }
-        if cached >= need.shared_tokens() {
-            return None;
-        }
-        let usable = |it: &&Replica| {
-            it.member != chosen.member
-                && it.entry.pool == chosen.entry.pool
-                && it.weights == chosen.weights
-                && it.may_work(now)
-                && it.health.state(now) == HealthState::Good
-        };
-        let held = |it: &Replica| {
-            self.prefixes.cached_tokens(now, salted, it.member, it.entry.born)
+        let usable = |member: u64, born: u64| {
+            let same = |it: &&Replica| it.member == member && it.entry.born == born;
+            let replica = self.replicas.values().find(same)?;
+            let usable = replica.weights == chosen.weights
+                && replica.may_work(now)
+                && replica.health.state(now) == HealthState::Good;
+            usable.then_some(replica.entry.address)
         };
-        let others = self.replicas.values().filter(usable);
-        let best = others.map(|it| (held(it), it)).max_by_key(|it| it.0);
-        if let Some((tokens, replica)) = best
-            && tokens > cached
-        {
-            return Some(replica.entry.address);
-        }
-        if cached > 0 {
-            return None;
-        }
-        let mut homes = homes.iter().filter(|it| **it != chosen.member);
-        let home = homes.next()?;
-        let mut others = self.replicas.values().filter(usable);
-        others.find(|it| it.member == *home).map(|it| it.entry.address)
+        let kept = self.kept.and_then(|it| Some((it.member(), it.life(now)?, it.address)));
+        shared.iter().rev().find_map(|prefix| {
+            let holders = self.prefixes.holders(now, prefix.digest);
+            let store = kept.filter(|it| holders.contains(&(it.0, it.1))).map(|it| it.2);
+            let mut others = holders.into_iter().filter(|it| it.0 != chosen.member);
+            store.or_else(|| others.find_map(|(member, born)| usable(member, born)))
+        })
     }
 
     /// A replica's place in an order that all daemons share, from 0 to 1.
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -12,7 +12,7 @@
 
 use crate::config::CustomerRule;
 
-/// How full a bucket starts: a restarted daemon does not know what was spent before.
+/// How full a home's bucket starts: a new home does not know what was spent before.
 const START_FILL: f64 = 0.25;
 
 /// Buckets of one daemon.
@@ -22,7 +22,7 @@
     alone: IndexMap<CustomerId, PartBucket>,
 }
 
-/// How tokens are spent.
+/// Where tokens come from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum QuotaSource {
     /// As the customer's home, for this share of all daemons.
@@ -32,6 +32,11 @@
 }
 
 impl QuotaTable {
+    /// A customer's home answered: what this daemon may spend alone begins anew.
+    pub fn hear_home(&mut self, customer: &CustomerId) {
+        self.alone.swap_remove(customer);
+    }
+
     /// Takes tokens of a customer, or tells how long to wait for them.
     pub fn take(
         &mut self,
@@ -50,9 +55,14 @@
         };
         let capacity = rule.burst.0 as f64 * share;
         let rate = rule.rate.0 as f64 * share;
+        let start = match source {
+            QuotaSource::Home(_) => capacity * START_FILL,
+            // The home may have granted all until a moment ago.
+            QuotaSource::Alone(_) => 0.0,
+        };
         let bucket = buckets.entry(customer.clone()).or_insert_with(|| {
             let mut bucket = PartBucket::empty(now, capacity, rate);
-            bucket.put_back(now, capacity * START_FILL);
+            bucket.put_back(now, start);
             bucket
         });
         bucket.resize(now, capacity, rate);
--- a/crates/gateway/src/quota_desk.rs
+++ b/crates/gateway/src/quota_desk.rs
@@ -13,8 +13,12 @@
 use crate::quota::QuotaSource;
 use crate::refusal::CallRefusal;
 
-/// How long a customer's home may take to answer.
-const HOME_TIME: Duration = Duration::from_millis(60);
+/// How long a customer's home may take to answer before it is asked again: datagrams get lost.
+const ANSWER_TIME: Duration = Duration::from_millis(35);
+/// Times that one home is asked.
+const ASKED: u32 = 2;
+/// Homes that are tried in turn.
+const HOMES: u32 = 2;
 
 /// Takes tokens, or refuses the request with the time after which they will be there.
 pub(crate) async fn take<D: Dialect, S: Directory>(
@@ -26,10 +30,20 @@
     if rule.rate.0 == 0 {
         return Ok(());
     }
-    let taken = match ask_home(gateway, customer, tokens).await {
-        HomeWord::Said(taken) => taken,
+    let mut word = HomeWord::Silent;
+    for _ in 0..HOMES {
+        word = ask_home(gateway, customer, tokens).await;
+        if !matches!(word, HomeWord::Silent) {
+            break;
+        }
+    }
+    let now = gateway.now();
+    let taken = match word {
+        HomeWord::Said(taken) => {
+            lock(&gateway.quotas).hear_home(customer);
+            taken
+        }
         HomeWord::Own => {
-            let now = gateway.now();
             let share = lock(&gateway.members).reachable_share(now);
             let source = QuotaSource::Home(share);
             lock(&gateway.quotas).take(now, customer, rule, tokens, source)
@@ -37,7 +51,7 @@
         HomeWord::Silent => {
             let share = 1.0 / lock(&gateway.members).most() as f64;
             let source = QuotaSource::Alone(share);
-            lock(&gateway.quotas).take(gateway.now(), customer, rule, tokens, source)
+            lock(&gateway.quotas).take(now, customer, rule, tokens, source)
         }
     };
     taken.map_err(|wait| {
@@ -61,14 +75,17 @@
     let Some(home) = home else { return HomeWord::Own };
     let (ticket, receiver) = gateway.peers.ask();
     let question = PeerMessage::Take { ticket, customer: customer.clone(), tokens };
-    gateway.peers.send(&[home.address], &question);
-    match tokio::time::timeout(HOME_TIME, receiver).await {
-        Ok(Ok(None)) => HomeWord::Said(Ok(())),
-        Ok(Ok(Some(wait))) => HomeWord::Said(Err(wait)),
-        _ => {
-            lock(&gateway.members).miss(gateway.now(), &home.id);
-            tracing::info!(%customer, home = %home.id, "rate: the home is silent");
-            HomeWord::Silent
+    let mut receiver = receiver;
+    for _ in 0..ASKED {
+        gateway.peers.send(&[home.address], &question);
+        match tokio::time::timeout(ANSWER_TIME, &mut receiver).await {
+            Ok(Ok(None)) => return HomeWord::Said(Ok(())),
+            Ok(Ok(Some(wait))) => return HomeWord::Said(Err(wait)),
+            Ok(Err(_)) => break,
+            Err(_) => {}
         }
     }
+    lock(&gateway.members).miss(gateway.now(), &home.id);
+    tracing::info!(%customer, home = %home.id, "rate: the home is silent");
+    HomeWord::Silent
 }
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -248,3 +248,14 @@
     assert!(table.take(wait - ms(20), &customer, &rule, 1_000, source).is_err());
     assert!(table.take(wait + ms(20), &customer, &rule, 1_000, source).is_ok());
 }
+
+#[test]
+fn a_daemon_whose_home_answers_now_and_then_gets_nothing_beside_it() {
+    let (customer, rule) = ("c1".parse().expect("an id"), rule(90_000));
+    let mut table = QuotaTable::default();
+    let source = QuotaSource::Alone(1.0 / 90.0);
+    for at in (0..60_000).step_by(100) {
+        table.hear_home(&customer);
+        assert!(table.take(ms(at), &customer, &rule, 500, source).is_err());
+    }
+}
--- a/crates/policy/src/prefix_table.rs
+++ b/crates/policy/src/prefix_table.rs
@@ -68,6 +68,15 @@
         held.map_or(0, |it| it.tokens)
     }
 
+    /// Who is believed to hold a beginning, as member and life, the latest to use it first.
+    pub fn holders(&self, now: Duration, digest: u64) -> Vec<(u64, u64)> {
+        let holders = self.prefixes.get(&digest).map_or(&[][..], |it| it);
+        let mut held: Vec<&Holder> =
+            holders.iter().filter(|it| now < it.used_at + LIFETIME).collect();
+        held.sort_by_key(|it| std::cmp::Reverse(it.used_at));
+        held.into_iter().map(|it| (it.member, it.born)).collect()
+    }
+
     /// Beginnings on record.
     pub fn len(&self) -> usize {
         self.prefixes.len()
