--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -5,8 +5,10 @@
 mod measure;
 mod mutant_table;
 mod mutants;
+mod play;
 mod test_run;
 
+use std::path::PathBuf;
 use std::process;
 
 use argh::FromArgs;
@@ -24,6 +26,7 @@
     Demo(DemoArgs),
     Measure(MeasureArgs),
     Mutants(MutantsArgs),
+    Play(PlayArgs),
     Test(TestArgs),
 }
 
@@ -54,6 +57,18 @@
     only: String,
 }
 
+/// Play days of a deployment on a bench that is given by its path; all else goes to the bench.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "play")]
+struct PlayArgs {
+    /// the bench's program
+    #[argh(positional)]
+    bench: PathBuf,
+    /// what it is told, such as `score SITE --jobs 3`
+    #[argh(positional, greedy)]
+    words: Vec<String>,
+}
+
 /// Run all tests but those that KNOWN-RED.txt names, and print these.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "test")]
@@ -66,6 +81,7 @@
         Chore::Demo(_) => demo::run().await,
         Chore::Measure(it) => measure::run(&it.what, it.seeds).await,
         Chore::Mutants(it) => mutants::run(&it.only),
+        Chore::Play(it) => play::run(&it.bench, &it.words),
         Chore::Test(_) => test_run::run(),
     };
     if let Err(error) = res {
