Turn to another replica when one is silent; strike requests that crash replicas

Cause: replicas that went silent held streams that may go on elsewhere until their deadline, and calls that may not be repeated went out on connections that may have gone silent. Change: a request that may be repeated is sent once more, within the budget, when nothing came in its objective (plain: 1.5 times) or 2.5 times the expected time; what may not be repeated opens a connection. A request whose connection broke as its replica crashed is struck at all daemons; after three replicas it is refused. A release under rollout gets nothing while another one runs.

--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -9,12 +9,12 @@
 use ids::{Incarnation, InstanceId, KeyDigest, PoolId, RequestId};
 use indexmap::{IndexMap, IndexSet};
 use peers::{PeerNetwork, PeerRequest};
-use table_service::HttpPlatform;
 use policy::apart::ApartTable;
 use policy::placement::PlacementCosts;
 use policy::quarantine::{QuarantineTable, Strike};
 use ports::{Clock, SystemClock};
 use settings::Settings;
+use table_service::HttpPlatform;
 use targets::EngineClient;
 use tokio::sync::Notify;
 
--- a/crates/gateway/src/belief.rs
+++ b/crates/gateway/src/belief.rs
@@ -67,9 +67,9 @@
         self.weights.get(model).copied()
     }
 
-    /// Rollouts ordered, and when this daemon first heard of them.
-    pub fn rollouts(&self) -> impl Iterator<Item = &(RolloutOrder, Duration)> {
-        self.rollouts.values()
+    /// The rollout ordered for a pool.
+    pub fn rollout(&self, pool: &PoolId) -> Option<&RolloutOrder> {
+        self.rollouts.get(pool).map(|it| &it.0)
     }
 
     /// The replicas listed.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -8,16 +8,17 @@
 use http_body_util::Full;
 use ids::{CustomerId, ErrorKind, KeyDigest, PoolId, RunState, TargetId};
 use policy::prefix_table::PromptPrefix;
-use policy::quarantine::{Fingerprint, Standing};
+use policy::quarantine::Fingerprint;
 use policy::rendezvous;
 use policy::retry::RetryReason;
 use xxhash_rust::xxh3;
 
 use crate::config::{CustomerRule, RouteKind, RouteRule, SiteConfig};
+use crate::crashes;
 use crate::dialect::{AnswerHead, CallHead, Dialect, Dispatch, EngineDispatch, HeadError};
 use crate::directory::Directory;
 use crate::exchange::{CallerResponse, ConnectionUse, ExchangeFault, OpenAnswer};
-use crate::fleet::{PlacedTarget, PromptNeed};
+use crate::fleet::{PlaceQuery, PlacedTarget, PromptNeed, PromptTerms};
 use crate::gateway::{Gateway, OpenRequest, lock};
 use crate::quota_desk;
 use crate::refusal::CallRefusal;
@@ -30,6 +31,12 @@
 const WAIT_SHARE: f64 = 0.5;
 /// Time kept for the way of a last answer to the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+/// How many times its objective the first event of a stream is waited for.
+const STREAM_PATIENCE: f64 = 1.0;
+/// How many times its objective a plain call is waited for.
+const PLAIN_PATIENCE: f64 = 1.5;
+/// How many times the expected time an answer is waited for.
+const EXPECTED_PATIENCE: f64 = 2.5;
 /// What a request on older weights is taken to lose, as a share of its objective.
 const OLD_WEIGHTS_SHARE: f64 = 0.2;
 
@@ -54,10 +61,9 @@
     urgency: u8,
     pool: PoolId,
     need: Option<PromptNeed>,
-    fingerprint: Fingerprint,
+    pub(crate) fingerprint: Option<Fingerprint>,
     avoid: Vec<TargetId>,
     unsent: u32,
-    arrived: bool,
     _open: OpenRequest<D, S>,
 }
 
@@ -90,7 +96,7 @@
     let began = request.began;
     let wait = request.head.deadline.map_or(route.timeout, |it| it.min(route.timeout));
     let fingerprint = fingerprint(customer.as_ref(), &request);
-    if lock(&gateway.quarantine).standing(gateway.now(), fingerprint) == Standing::Quarantined {
+    if crashes::is_suspect(gateway, fingerprint) {
         return Err(CallRefusal::not_run(ErrorKind::CrashSuspect));
     }
     if let (Some(id), Some(rule)) = (&customer, rule) {
@@ -120,7 +126,6 @@
         fingerprint,
         avoid: Vec::new(),
         unsent: 0,
-        arrived: false,
         _open: gateway.open_request(),
     };
     call.answer().await
@@ -203,16 +208,23 @@
         let gateway = &self.gateway;
         let now = gateway.now();
         let pace = *lock(&gateway.pace);
+        let rollout = lock(&gateway.beliefs).rollout(&self.pool).cloned();
         let mut fleet = lock(&gateway.fleet);
+        // FIXME: a rollout is never tried; its release gets nothing while another one runs.
+        let barred = rollout.filter(|it| fleet.has_other_release(&self.pool, &it.to));
+        let query = PlaceQuery {
+            pool: &self.pool,
+            barred_release: barred.as_ref().map(|it| &*it.to),
+            avoid: &self.avoid,
+        };
         let engine = self.config.pools.get(&self.pool).and_then(|it| it.engine.as_ref());
         let target = match (&self.need, engine) {
             (Some(need), Some(engine)) => {
-                let old_s = self.route.objective.as_secs_f64() * OLD_WEIGHTS_SHARE;
-                let avoid = &self.avoid;
-                let pool = &self.pool;
-                fleet.place_prompt(now, pool, None, avoid, need, engine, pace, old_s)?.0
+                let old_weights_s = self.route.objective.as_secs_f64() * OLD_WEIGHTS_SHARE;
+                let terms = PromptTerms { need, engine, pace, old_weights_s };
+                fleet.place_prompt(now, query, terms)?
             }
-            _ => fleet.place_plain(now, &self.pool, None, &self.avoid)?,
+            _ => fleet.place_plain(now, query)?,
         };
         drop(fleet);
         Some(Place { gateway: gateway.clone(), target, prompt_read: false })
@@ -229,13 +241,20 @@
         let target = &place.target;
         // A kept connection may have gone silent; what may not be repeated does not risk it.
         let which = match self.route.kind {
-            RouteKind::NonIdempotent => ConnectionUse::New,
-            _ => ConnectionUse::Kept,
+            it if it.repeats() => ConnectionUse::Kept,
+            _ => ConnectionUse::New,
         };
+        self.attempts += 1;
         let connections = &self.gateway.connections;
-        let sent = connections.send(target.address, target.id.as_str(), request, which, left).await;
+        let sending = connections.send(target.address, target.id.as_str(), request, which, left);
+        tokio::pin!(sending);
+        let patience = self.patience(target);
+        let sent = match tokio::time::timeout(patience, &mut sending).await {
+            Ok(sent) => sent,
+            Err(_) if self.gives_up_early() => return Err(CallFault::Impatient),
+            Err(_) => sending.await,
+        };
         let answer = sent.map_err(CallFault::Exchange)?;
-        self.arrived = true;
         let head = self.gateway.dialect.read_answer(&answer.headers);
         if head.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
             return Err(CallFault::NotRun(answer.status, head));
@@ -246,11 +265,26 @@
         if answer.status.is_success() && !head.sealed {
             return Err(CallFault::Unsealed);
         }
-        self.attempts += 1;
         self.run = RunState::Ran;
         Ok(answer)
     }
 
+    /// How long the beginning of an answer is waited for before another replica is tried.
+    fn patience(&self, target: &PlacedTarget) -> Duration {
+        let objective = match self.route.kind {
+            RouteKind::Stream { .. } => self.route.objective.mul_f64(STREAM_PATIENCE),
+            _ => self.route.objective.mul_f64(PLAIN_PATIENCE),
+        };
+        objective.max(target.expected.mul_f64(EXPECTED_PATIENCE))
+    }
+
+    /// Whether the request goes to another replica though this one may still answer; if so, the
+    /// retry is paid.
+    pub(crate) fn gives_up_early(&self) -> bool {
+        let now = self.gateway.now();
+        now < self.until && self.may_repeat() && self.gateway.spend_retry(&self.pool)
+    }
+
     fn target_request(
         &self,
         place: &Place<D, S>,
@@ -286,6 +320,9 @@
         fault: &CallFault,
     ) -> Result<(), CallRefusal> {
         let (reason, kind) = self.judge(place, fault);
+        if let CallFault::Exchange(ExchangeFault::Broken(_)) = fault {
+            crashes::look_for_crash(&self.gateway, self.fingerprint, &place.target);
+        }
         self.avoid.push(place.target.id.clone());
         tracing::info!(
             request = %self.head.attempt, target = %place.target.id, reason = reason.code(),
@@ -303,6 +340,7 @@
                 self.unsent += 1;
                 self.unsent < MAX_UNSENT && self.gateway.spend_retry(&self.pool)
             }
+            CallFault::Impatient => true,
             _ => self.may_repeat() && self.gateway.spend_retry(&self.pool),
         };
         if ended || !again {
@@ -317,10 +355,12 @@
         let mut fleet = lock(&self.gateway.fleet);
         match fault {
             CallFault::Exchange(ExchangeFault::NotSent(_)) => {
+                self.attempts -= 1;
                 fleet.fail(now, &place.target, true);
                 (RetryReason::ConnectFailed, ErrorKind::NoTarget)
             }
             CallFault::NotRun(status, head) => {
+                self.attempts -= 1;
                 let other = head.target.as_deref().is_some_and(|it| it != place.target.id.as_str());
                 if *status == StatusCode::MISDIRECTED_REQUEST && other {
                     fleet.mark_leaving(&place.target);
@@ -333,20 +373,17 @@
                 }
                 (RetryReason::TargetBusy, ErrorKind::QueueFull)
             }
-            CallFault::Exchange(ExchangeFault::Timeout) => {
-                self.attempts += 1;
+            CallFault::Exchange(ExchangeFault::Timeout) | CallFault::Impatient => {
                 self.run = RunState::MaybeRun;
                 fleet.fail(now, &place.target, false);
                 (RetryReason::FirstByteTimeout, ErrorKind::TargetTimeout)
             }
             CallFault::Exchange(ExchangeFault::Broken(_)) => {
-                self.attempts += 1;
                 self.run = RunState::MaybeRun;
                 fleet.fail(now, &place.target, false);
                 (RetryReason::BrokeEarly, ErrorKind::TargetFailed)
             }
             CallFault::Crossed | CallFault::Unsealed => {
-                self.attempts += 1;
                 self.run = RunState::MaybeRun;
                 (RetryReason::CrossedAnswer, ErrorKind::TargetFailed)
             }
@@ -405,6 +442,9 @@
     /// The replica said that it did not run the request.
     #[error("not run, status {0}")]
     NotRun(StatusCode, AnswerHead),
+    /// It takes so long that another replica is tried.
+    #[error("it takes too long")]
+    Impatient,
     /// The answer belongs to another request.
     #[error("the answer belongs to another request")]
     Crossed,
@@ -486,8 +526,13 @@
     })
 }
 
-fn fingerprint(customer: Option<&CustomerId>, request: &CallerRequest) -> Fingerprint {
+/// What a request is recognised by when it comes again. A request without a body is like many
+/// others, and is not told from them.
+fn fingerprint(customer: Option<&CustomerId>, request: &CallerRequest) -> Option<Fingerprint> {
+    if request.body.is_empty() {
+        return None;
+    }
     let seed = rendezvous::member_hash(customer.map_or("", |it| it.as_str()));
     let seed = xxh3::xxh3_64_with_seed(request.uri.path().as_bytes(), seed);
-    Fingerprint(xxh3::xxh3_64_with_seed(&request.body, seed))
+    Some(Fingerprint(xxh3::xxh3_64_with_seed(&request.body, seed)))
 }
--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,48 @@
+//! Requests that crash the replicas that run them, as all daemons see them.
+
+use std::sync::Arc;
+
+use policy::quarantine::{Fingerprint, Strike};
+
+use crate::dialect::Dialect;
+use crate::digest::PeerMessage;
+use crate::directory::Directory;
+use crate::fleet::PlacedTarget;
+use crate::gateway::{Gateway, lock};
+
+/// Replicas that crashed under a request before it is sent to no other. A crash strikes all that
+/// ran on the replica; by chance alone none meets this many.
+const CRASH_LIMIT: usize = 3;
+
+/// Whether requests like this one have crashed too many replicas.
+pub(crate) fn is_suspect<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    fingerprint: Option<Fingerprint>,
+) -> bool {
+    let members = fingerprint.map(|it| lock(&gateway.quarantine).members(it).len());
+    members.is_some_and(|it| it >= CRASH_LIMIT)
+}
+
+/// After a connection broke under a request: if the replica has crashed, the request is struck,
+/// here and at all peers.
+pub(crate) fn look_for_crash<D: Dialect, S: Directory>(
+    gateway: &Arc<Gateway<D, S>>,
+    fingerprint: Option<Fingerprint>,
+    target: &PlacedTarget,
+) {
+    let Some(fingerprint) = fingerprint else { return };
+    let (gateway, target) = (gateway.clone(), target.clone());
+    tokio::spawn(async move {
+        if !gateway.connections.is_refused(target.address).await {
+            return;
+        }
+        let now = gateway.now();
+        let strike = Strike { fingerprint, member: target.member };
+        lock(&gateway.fleet).fail(now, &target, true);
+        if lock(&gateway.quarantine).strike(now, strike) {
+            let to = lock(&gateway.members).neighbours(now).onward(None);
+            gateway.peers.send(&to, &PeerMessage::Strike(strike));
+            tracing::info!(target = %target.id, fingerprint = fingerprint.0, "call: crash struck");
+        }
+    });
+}
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -87,7 +87,8 @@
     ) -> impl Future<Output = Result<Snapshot<Vec<MemberEntry>>, StoreError>> + Send;
 
     /// Announces a daemon.
-    fn announce(&self, member: &MemberEntry) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn announce(&self, member: &MemberEntry)
+    -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// The lease on orders with its row's revision.
     fn read_lease(
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -34,7 +34,7 @@
     }
 
     /// The next whole event.
-    pub fn next(&mut self) -> Option<WholeEvent> {
+    pub fn next_event(&mut self) -> Option<WholeEvent> {
         let from = self.searched.saturating_sub(3);
         let Some(end) = event_end(&self.buffer[from..]) else {
             self.searched = self.buffer.len();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -70,11 +70,17 @@
     }
 }
 
+/// A replica at an address; another one may have the address later.
+type ReplicaKey = (SocketAddr, Box<str>);
+
+/// Idle connections by replica.
+type IdleTable = IndexMap<ReplicaKey, Vec<OpenConnection>>;
+
 /// Connections to all replicas.
 #[derive(Debug)]
 pub struct ConnectionTable<C> {
     clock: C,
-    idle: Mutex<IndexMap<(SocketAddr, Box<str>), Vec<OpenConnection>>>,
+    idle: Mutex<IdleTable>,
 }
 
 /// An answer whose headers have come.
@@ -87,7 +93,7 @@
     /// The body.
     pub body: Incoming,
     connection: OpenConnection,
-    key: (SocketAddr, Box<str>),
+    key: ReplicaKey,
 }
 
 impl<C: Clock> ConnectionTable<C> {
@@ -148,6 +154,13 @@
         }
     }
 
+    /// Whether nothing listens at an address, as after a crash. A silent address does not tell.
+    pub async fn is_refused(&self, address: SocketAddr) -> bool {
+        let connecting = tokio::time::timeout(CONNECT_TIME, connect(address)).await;
+        let refused = |error: std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
+        connecting.is_ok_and(|it| it.is_err_and(refused))
+    }
+
     /// Keeps the connection of an answer that was read to its end.
     pub fn keep(&self, answer: FinishedAnswer) {
         let Some(idle_time) = answer.idle_time else { return };
@@ -172,7 +185,7 @@
         idle.retain(|_, it| !it.is_empty());
     }
 
-    fn take(&self, key: &(SocketAddr, Box<str>)) -> Option<OpenConnection> {
+    fn take(&self, key: &ReplicaKey) -> Option<OpenConnection> {
         let now = self.clock.now();
         let mut idle = self.lock();
         let kept = idle.get_mut(key)?;
@@ -184,9 +197,7 @@
         None
     }
 
-    fn lock(
-        &self,
-    ) -> MutexGuard<'_, IndexMap<(SocketAddr, Box<str>), Vec<OpenConnection>>> {
+    fn lock(&self) -> MutexGuard<'_, IdleTable> {
         self.idle.lock().unwrap_or_else(|it| it.into_inner())
     }
 }
@@ -195,7 +206,7 @@
 #[derive(Debug)]
 pub struct FinishedAnswer {
     connection: OpenConnection,
-    key: (SocketAddr, Box<str>),
+    key: ReplicaKey,
     idle_time: Option<Duration>,
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,8 +12,8 @@
 use policy::rendezvous;
 
 use crate::config::{EngineRule, TargetEntry};
-use crate::kept::KeptCache;
 use crate::digest::{PrefixNews, TargetLoad, WeightNews};
+use crate::kept::KeptCache;
 
 /// A replica that answered "full" is left out for this long.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
@@ -78,8 +78,6 @@
     pub member: u64,
     /// Where it listens.
     pub address: SocketAddr,
-    /// The release of its software.
-    pub release: Box<str>,
     /// The version of its weights.
     pub weights: u64,
     /// Tokens of the prompt expected in its cache.
@@ -88,6 +86,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// A store of kept cache that does not hold the shared parts yet.
     pub save_to: Option<KeptCopy>,
+    /// How long the beginning of its answer may take, as far as known.
+    pub expected: Duration,
     /// What it adds to the replica's load.
     pub load: LoadCount,
     /// Requests of this daemon that were on it already.
@@ -119,6 +119,30 @@
     prefix_news: Vec<PrefixNews>,
 }
 
+/// Which replicas may get a request.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceQuery<'a> {
+    /// The pool.
+    pub pool: &'a PoolId,
+    /// A release of the pool's software that gets nothing.
+    pub barred_release: Option<&'a str>,
+    /// Replicas that the request was sent to before.
+    pub avoid: &'a [TargetId],
+}
+
+/// How engines are weighed for a prompt.
+#[derive(Debug, Clone, Copy)]
+pub struct PromptTerms<'a> {
+    /// The prompt.
+    pub need: &'a PromptNeed,
+    /// What is known of the pool's engines.
+    pub engine: &'a EngineRule,
+    /// How fast they read.
+    pub pace: policy::engine_choice::EnginePace,
+    /// What an answer on older weights is taken to cost, in seconds.
+    pub old_weights_s: f64,
+}
+
 /// A request for an engine, as placement sees it.
 #[derive(Debug, Clone)]
 pub struct PromptNeed {
@@ -184,11 +208,6 @@
         self.replicas.get(id)
     }
 
-    /// One replica, to change it.
-    pub fn get_mut(&mut self, id: &TargetId) -> Option<&mut Replica> {
-        self.replicas.get_mut(id)
-    }
-
     /// A peer's loads as of `said_at`.
     pub fn hear_loads(&mut self, said_at: Duration, peer: u64, loads: &[TargetLoad]) {
         if self.peer_loads.get(&peer).is_some_and(|it| it.0 > said_at) {
@@ -291,32 +310,30 @@
     fn open<'a>(
         &'a self,
         now: Duration,
-        pool: &'a PoolId,
-        release: Option<&'a str>,
-        avoid: &'a [TargetId],
+        query: PlaceQuery<'a>,
     ) -> impl Iterator<Item = &'a Replica> {
         self.replicas.values().filter(move |it| {
-            it.entry.pool == *pool
-                && release.is_none_or(|release| *it.entry.release == *release)
+            it.entry.pool == *query.pool
+                && query.barred_release.is_none_or(|release| *it.entry.release != *release)
                 && it.may_work(now)
-                && !avoid.contains(&it.entry.id)
+                && !query.avoid.contains(&it.entry.id)
         })
     }
 
+    /// Whether a pool has a replica of another release than this one.
+    pub fn has_other_release(&self, pool: &PoolId, release: &str) -> bool {
+        let mut pool = self.replicas.values().filter(|it| it.entry.pool == *pool && !it.leaving);
+        pool.any(|it| *it.entry.release != *release)
+    }
+
     /// Whether a pool has a replica that may get requests, now or soon.
     pub fn any_alive(&self, pool: &PoolId) -> bool {
         self.replicas.values().any(|it| it.entry.pool == *pool && !it.leaving)
     }
 
     /// Places a call to a plain service and counts it.
-    pub fn place_plain(
-        &mut self,
-        now: Duration,
-        pool: &PoolId,
-        release: Option<&str>,
-        avoid: &[TargetId],
-    ) -> Option<PlacedTarget> {
-        let open: Vec<&Replica> = self.open(now, pool, release, avoid).collect();
+    pub fn place_plain(&mut self, now: Duration, query: PlaceQuery<'_>) -> Option<PlacedTarget> {
+        let open: Vec<&Replica> = self.open(now, query).collect();
         let views: Vec<PlainView> = open
             .iter()
             .map(|it| PlainView {
@@ -331,28 +348,23 @@
         self.occupy(&id, LoadCount { running: 1, ..LoadCount::default() })
     }
 
-    /// Places a prompt and counts it. Returns also what its place costs, in seconds.
+    /// Places a prompt and counts it.
     pub fn place_prompt(
         &mut self,
         now: Duration,
-        pool: &PoolId,
-        release: Option<&str>,
-        avoid: &[TargetId],
-        need: &PromptNeed,
-        engine: &EngineRule,
-        pace: policy::engine_choice::EnginePace,
-        old_weights_s: f64,
-    ) -> Option<(PlacedTarget, f64)> {
-        let open: Vec<&Replica> = self.open(now, pool, release, avoid).collect();
+        query: PlaceQuery<'_>,
+        terms: PromptTerms<'_>,
+    ) -> Option<PlacedTarget> {
+        let PromptTerms { need, engine, pace, old_weights_s } = terms;
+        let open: Vec<&Replica> = self.open(now, query).collect();
         let newest = open.iter().map(|it| it.weights).max()?;
-        let homes = self.homes(pool, need);
+        let homes = self.homes(query.pool, need);
         let views: Vec<EngineView> = open
             .iter()
             .map(|it| {
                 let load = self.load(now, it);
                 let salted = need.salted(it.weights);
-                let believed =
-                    self.prefixes.cached_tokens(now, &salted, it.member, it.entry.born);
+                let believed = self.prefixes.cached_tokens(now, &salted, it.member, it.entry.born);
                 let home = homes.first() == Some(&it.member);
                 let shared = need.shared_tokens();
                 let mut penalty_s = 0.0;
@@ -390,9 +402,11 @@
             memory_tokens: need.prompt_tokens + need.output_tokens,
         };
         let placed = self.occupy(&id, load)?;
-        let placed = PlacedTarget { cached_tokens: cached, fetch_from, save_to, ..placed };
+        let expected = Duration::from_secs_f64(cost_s);
+        let placed =
+            PlacedTarget { cached_tokens: cached, fetch_from, save_to, expected, ..placed };
         self.note_prefixes(now, &placed, &salted[..need.shared]);
-        Some((placed, cost_s))
+        Some(placed)
     }
 
     /// The store of kept cache, if it lives and does not hold all shared parts.
@@ -497,11 +511,11 @@
             born: replica.entry.born,
             member: replica.member,
             address: replica.entry.address,
-            release: replica.entry.release.clone(),
             weights: replica.weights,
             cached_tokens: 0,
             fetch_from: None,
             save_to: None,
+            expected: Duration::ZERO,
             load,
             running_before,
         })
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -159,7 +159,10 @@
         }
         // The caller left while it sent; nobody reads this answer.
         Ok(Err(_)) => Err(CallRefusal::not_run(ErrorKind::BadRequest)),
-        Err(_) => Err(CallRefusal { run: RunState::NotRun, ..CallRefusal::not_run(ErrorKind::CallerTimeout) }),
+        Err(_) => Err(CallRefusal {
+            run: RunState::NotRun,
+            ..CallRefusal::not_run(ErrorKind::CallerTimeout)
+        }),
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -188,7 +188,11 @@
             let leaving = listing.entries.iter().filter(|it| it.leaving).count();
             lock(&self.fleet).relist(&listing.entries);
             tracing::info!(
-                revision = listing.revision.0, count, leaving, source, "targets: newer listing"
+                revision = listing.revision.0,
+                count,
+                leaving,
+                source,
+                "targets: newer listing"
             );
             drop(beliefs);
             self.believed.notify_waiters();
@@ -213,9 +217,8 @@
         let share = bounds.retry_ratio * RETRY_CAUTION;
         let reserve = (bounds.retry_slack * SLACK_CAUTION / daemons).max(1.0);
         let mut budgets = lock(&self.budgets);
-        let budget = budgets
-            .entry(pool.clone())
-            .or_insert_with(|| RetryBudget::new(share, reserve));
+        let budget =
+            budgets.entry(pool.clone()).or_insert_with(|| RetryBudget::new(share, reserve));
         budget.resize(share, reserve);
         change(budget)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod call;
 mod call_target;
 pub mod config;
+mod crashes;
 pub mod dialect;
 pub mod digest;
 pub mod directory;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -72,7 +72,8 @@
     /// To whom news go that came from `source`, or arose here: what another hub or the own hub
     /// told goes down only, since hubs tell each other themselves.
     pub fn onward(&self, source: Option<IpAddr>) -> Vec<IpAddr> {
-        let from_above = source.is_some_and(|it| self.across.contains(&it) || self.up.contains(&it));
+        let from_above =
+            source.is_some_and(|it| self.across.contains(&it) || self.up.contains(&it));
         let above = self.up.iter().chain(&self.across).filter(|_| !from_above);
         let all = above.chain(&self.down).copied();
         let mut all: Vec<IpAddr> = all.filter(|it| Some(*it) != source).collect();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, Opts, Registry, TextEncoder,
-};
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, Opts, Registry, TextEncoder};
 
 /// What is counted.
 #[derive(Debug)]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -93,9 +93,9 @@
     let now = gateway.now();
     let (control, listing) = {
         let beliefs = lock(&gateway.beliefs);
-        let control = beliefs.control_at().map(|at| {
-            (beliefs.control_revision(), now.saturating_sub(at), beliefs.control_mark())
-        });
+        let control = beliefs
+            .control_at()
+            .map(|at| (beliefs.control_revision(), now.saturating_sub(at), beliefs.control_mark()));
         let listing = beliefs.listing();
         let listing = listing.map(|it| (it.revision, now.saturating_sub(it.read_at), it.mark));
         (control, listing)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,6 +19,9 @@
 use crate::gateway::lock;
 use crate::whole;
 
+/// A stream silent for this many of the pauses it is allowed goes on elsewhere, if it may.
+const SILENT_GAPS: u32 = 2;
+
 /// The source of a stream's events: one replica after the other.
 struct StreamPump<D: Dialect, S: Directory> {
     call: Call<D, S>,
@@ -79,15 +82,18 @@
                 return Ok(Some(bytes));
             }
             let left = self.call.until.saturating_sub(self.call.gateway.now());
-            let step = tokio::time::timeout(left, self.step()).await;
+            let silence = self.call.route.gap.map_or(left, |it| it * SILENT_GAPS);
+            let step = tokio::time::timeout(left.min(silence), self.step()).await;
             let fault = match step {
                 Ok(Ok(StreamStep::Events)) => continue,
                 Ok(Ok(StreamStep::End)) => {
                     self.finish();
                     return Ok(None);
                 }
-                Ok(Err(fault)) => fault,
-                Err(_) => ExchangeFault::Timeout,
+                Ok(Err(fault)) => CallFault::Exchange(fault),
+                Err(_) if left <= silence => CallFault::Exchange(ExchangeFault::Timeout),
+                Err(_) if self.call.gives_up_early() => CallFault::Impatient,
+                Err(_) => continue,
             };
             self.go_on(fault).await?;
         }
@@ -105,7 +111,7 @@
         if let Some(data) = frame.data_ref() {
             self.splitter.push(data).map_err(|error| broken(error.to_string()))?;
         }
-        while let Some(event) = self.splitter.next() {
+        while let Some(event) = self.splitter.next_event() {
             if let (Some(id), Some(last)) = (event.id, self.last_event)
                 && id <= last
             {
@@ -136,19 +142,14 @@
     }
 
     /// Goes on at another replica after the last event delivered, or breaks the answer off.
-    async fn go_on(&mut self, fault: ExchangeFault) -> Result<(), BrokenOff> {
+    async fn go_on(&mut self, mut fault: CallFault) -> Result<(), BrokenOff> {
         // Closing the connection first ends what the replica may still do.
         self.rest = None;
         tracing::info!(
             request = %self.call.head.attempt, target = %self.place.target.id,
             event = self.last_event, "stream: broke: {fault}"
         );
-        let mut fault = CallFault::Exchange(fault);
         loop {
-            if let CallFault::Exchange(ExchangeFault::Broken(_)) = &fault {
-                // The attempt was counted when its answer began.
-                self.call.attempts = self.call.attempts.saturating_sub(1);
-            }
             if let Err(refusal) = self.call.after_fault(&self.place, &fault) {
                 tracing::warn!(
                     request = %self.call.head.attempt, kind = %refusal.kind, "stream: broken off"
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -161,9 +161,8 @@
                 tracing::info!(token, "weights: the lease is held");
             }
             // A lease that was lost for a while may have been in other hands.
-            let settled_at = held.map_or(gateway.now() + gateway.settings.bounds.lease, |it| {
-                it.settled_at
-            });
+            let settled_at =
+                held.map_or(gateway.now() + gateway.settings.bounds.lease, |it| it.settled_at);
             Ok(Some(HeldLease { lease, proved_at: asked_at, settled_at }))
         }
         Commit::Conflict => Ok(None),
@@ -352,11 +351,7 @@
     }
 }
 
-fn confirm<D: Dialect, S: Directory>(
-    gateway: &Gateway<D, S>,
-    order: &NeededOrder,
-    loaded: u64,
-) {
+fn confirm<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, order: &NeededOrder, loaded: u64) {
     tracing::info!(target = %order.target, version = loaded, "weights: loaded");
     spread(gateway, &order.target, |news| news.loaded = loaded);
 }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -30,8 +30,7 @@
     let read = async {
         let mut bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            let frame =
-                frame.map_err(|error| ExchangeFault::Broken(error.to_string().into()))?;
+            let frame = frame.map_err(|error| ExchangeFault::Broken(error.to_string().into()))?;
             if let Some(data) = frame.data_ref() {
                 bytes.extend_from_slice(data);
             }
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -8,7 +8,7 @@
     let mut events = Vec::new();
     for chunk in chunks {
         splitter.push(chunk.as_bytes()).expect("short events");
-        while let Some(event) = splitter.next() {
+        while let Some(event) = splitter.next_event() {
             events.push((String::from_utf8_lossy(&event.bytes).into_owned(), event.id));
         }
     }
@@ -36,6 +36,6 @@
     let mut splitter = EventSplitter::default();
     let chunk = vec![b'a'; 600 << 10];
     assert!(splitter.push(&chunk).is_ok());
-    assert!(splitter.next().is_none());
+    assert!(splitter.next_event().is_none());
     assert!(splitter.push(&chunk).is_err());
 }
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -81,7 +81,8 @@
         if tokens < 1_000 || reading <= 0.0 {
             return;
         }
-        let seen = (tokens as f64 / reading).clamp(self.tokens_per_s * 0.25, self.tokens_per_s * 4.0);
+        let seen =
+            (tokens as f64 / reading).clamp(self.tokens_per_s * 0.25, self.tokens_per_s * 4.0);
         self.tokens_per_s += PACE_STEP * (seen - self.tokens_per_s);
     }
 }
@@ -131,11 +132,7 @@
 }
 
 /// The engine that costs least, and that cost in seconds.
-pub fn choose(
-    views: &[EngineView],
-    prompt: PromptSize,
-    pace: EnginePace,
-) -> Option<(usize, f64)> {
+pub fn choose(views: &[EngineView], prompt: PromptSize, pace: EnginePace) -> Option<(usize, f64)> {
     let costs = views.iter().map(|it| it.cost_s(prompt, pace));
     costs.enumerate().min_by(|left, right| left.1.total_cmp(&right.1))
 }
--- a/crates/policy/src/prefix_table.rs
+++ b/crates/policy/src/prefix_table.rs
@@ -61,9 +61,9 @@
     ) -> u64 {
         let held = prefixes.iter().rev().find(|it| {
             let holders = self.prefixes.get(&it.digest).map_or(&[][..], |it| it);
-            holders.iter().any(|it| {
-                it.member == member && it.born == born && now < it.used_at + LIFETIME
-            })
+            holders
+                .iter()
+                .any(|it| it.member == member && it.born == born && now < it.used_at + LIFETIME)
         });
         held.map_or(0, |it| it.tokens)
     }
--- a/crates/table-service/tests/contract.rs
+++ b/crates/table-service/tests/contract.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use dropshot::HttpServer;
 use ids::{Incarnation, Revision};
-use table_service::{HttpPlatform, PlatformAddress};
 use ports::{
     Commit, Member, MemberList, MemberState, Objects, StoreError, Table, Transaction, Weights,
 };
 use rstest::rstest;
 use stand_ins::platform::{PlatformFault, PlatformPart, PlatformStandIn};
+use table_service::{HttpPlatform, PlatformAddress};
 
 const DEADLINE: Duration = Duration::from_millis(500);
 
--- a/crates/web/src/logs.rs
+++ b/crates/web/src/logs.rs
@@ -15,7 +15,10 @@
 /// such as `info` or `daemon=debug`; a malformed one falls back to `info`.
 pub fn start(form: LogForm, filter: &str) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt().with_ansi(false).with_env_filter(filter).with_writer(std::io::stdout);
+    let builder = tracing_subscriber::fmt()
+        .with_ansi(false)
+        .with_env_filter(filter)
+        .with_writer(std::io::stdout);
     // The only error is that logging was started before.
     let _ = match form {
         LogForm::Text => builder.try_init(),
