Let a substitute stand in for a silent home with little; write logs from a thread; split files

Change: a hub asked in place of a silent home grants from a quarter of the burst at a tenth of the rate; behind hubs a daemon counts as silent after 2.5 s. Logs wait in a bounded queue. The gateway's replicas, places, prompt needs and described requests have modules of their own.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -68,7 +68,7 @@
         LogFormat::Text => LogForm::Text,
         LogFormat::Json => LogForm::Json,
     };
-    web::logs::start(form, &settings.log.filter);
+    let logs = web::logs::start(form, &settings.log.filter);
     let runtime = tokio::runtime::Runtime::new();
     let res = match runtime {
         Ok(it) => it.block_on(daemon::serve(settings)).map_err(|error| error.to_string()),
@@ -76,6 +76,7 @@
     };
     if let Err(error) = res {
         eprintln!("kingcupshiftd: {error}");
+        drop(logs);
         process::exit(1);
     }
 }
@@ -98,7 +99,7 @@
 }
 
 fn serve_on_platform(settings: PlatformSettings) {
-    web::logs::start(LogForm::Json, "info");
+    let logs = web::logs::start(LogForm::Json, "info");
     let workers = settings.gateway.workers;
     let runtime = if workers > 1 {
         runtime::Builder::new_multi_thread().worker_threads(workers).enable_all().build()
@@ -110,6 +111,7 @@
         .and_then(|it| it.block_on(gateway::serve(settings.gateway, PlatformDialect, store)));
     if let Err(error) = served {
         tracing::error!("daemon: {error}");
+        drop(logs);
         process::exit(1);
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,20 +6,19 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
-use ids::{CustomerId, ErrorKind, KeyDigest, PoolId, RunState, TargetId};
-use policy::prefix_table::PromptPrefix;
+use ids::{CustomerId, ErrorKind, PoolId, RunState, TargetId};
 use policy::quarantine::Fingerprint;
-use policy::rendezvous;
 use policy::retry::RetryReason;
-use xxhash_rust::xxh3;
 
-use crate::config::{CustomerRule, RouteKind, RouteRule, SiteConfig};
+use crate::config::{RouteKind, RouteRule, SiteConfig};
 use crate::crashes;
-use crate::dialect::{AnswerHead, CallHead, Dialect, Dispatch, EngineDispatch, HeadError};
+use crate::described::{self, CallerRequest};
+use crate::dialect::{AnswerHead, CallHead, Dialect, Dispatch, EngineDispatch};
 use crate::directory::Directory;
 use crate::exchange::{CallerResponse, ConnectionUse, ExchangeFault, OpenAnswer};
-use crate::fleet::{PlaceQuery, PlacedTarget, PromptNeed, PromptTerms};
 use crate::gateway::{Gateway, OpenRequest, lock};
+use crate::placing::{PlaceQuery, PlacedTarget, PromptTerms};
+use crate::prompt_need::PromptNeed;
 use crate::quota_desk;
 use crate::refusal::CallRefusal;
 use crate::stream;
@@ -74,16 +73,6 @@
     prompt_read: bool,
 }
 
-/// A caller's request as it was read.
-pub(crate) struct CallerRequest {
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) head: CallHead,
-    pub(crate) body: Bytes,
-    pub(crate) began: Duration,
-}
-
 /// Serves a request.
 pub(crate) async fn handle<D: Dialect, S: Directory>(
     gateway: &Arc<Gateway<D, S>>,
@@ -95,7 +84,7 @@
     let rule = customer.as_ref().and_then(|it| config.customers.get(it));
     let began = request.began;
     let wait = request.head.deadline.map_or(route.timeout, |it| it.min(route.timeout));
-    let fingerprint = fingerprint(customer.as_ref(), &request);
+    let fingerprint = described::fingerprint(customer.as_ref(), &request);
     if crashes::is_suspect(gateway, fingerprint) {
         return Err(CallRefusal::not_run(ErrorKind::CrashSuspect));
     }
@@ -103,9 +92,9 @@
         let tokens = request.head.tokens.map_or(rule.default_cost.0, |it| it.0.0 + it.1.0);
         quota_desk::take(gateway, id, rule, tokens).await?;
     }
-    let pool = choose_pool(&route).ok_or(CallRefusal::not_run(ErrorKind::NoTarget))?;
+    let pool = described::choose_pool(&route).ok_or(CallRefusal::not_run(ErrorKind::NoTarget))?;
     gateway.earn_retry(&pool);
-    let need = prompt_need(&config, &pool, customer.as_ref(), rule, &request.head);
+    let need = described::prompt_need(&config, &pool, customer.as_ref(), rule, &request.head);
     let call = Call {
         gateway: gateway.clone(),
         urgency: rule.and_then(|it| it.priority).unwrap_or(route.priority),
@@ -459,80 +448,3 @@
         self.gateway.freed.notify_one();
     }
 }
-
-/// The customer of a request's key, if the route asks for one.
-pub(crate) fn customer_of(
-    config: &SiteConfig,
-    route: &RouteRule,
-    head: &CallHead,
-) -> Result<Option<CustomerId>, CallRefusal> {
-    if config.customers.is_empty() {
-        return Ok(None);
-    }
-    let known = head.key.as_deref().and_then(|it| config.keys.get(&KeyDigest::of_secret(it)));
-    match (known, route.public) {
-        (Some(customer), _) => Ok(Some(customer.clone())),
-        (None, true) => Ok(None),
-        (None, false) if head.key.is_none() => Err(CallRefusal::not_run(ErrorKind::KeyMissing)),
-        (None, false) => Err(CallRefusal::not_run(ErrorKind::KeyRefused)),
-    }
-}
-
-/// What a request without a usable description is told.
-pub(crate) fn head_refusal(error: HeadError) -> CallRefusal {
-    tracing::info!("call: refused: {error}");
-    CallRefusal::not_run(ErrorKind::BadRequest)
-}
-
-fn choose_pool(route: &RouteRule) -> Option<PoolId> {
-    let total: u32 = route.pools.iter().map(|it| it.1).sum();
-    let mut drawn = rand::random_range(0..total.max(1));
-    for (pool, weight) in &route.pools {
-        if drawn < *weight {
-            return Some(pool.clone());
-        }
-        drawn -= weight;
-    }
-    route.pools.first().map(|it| it.0.clone())
-}
-
-fn prompt_need(
-    config: &SiteConfig,
-    pool: &PoolId,
-    customer: Option<&CustomerId>,
-    rule: Option<&CustomerRule>,
-    head: &CallHead,
-) -> Option<PromptNeed> {
-    let engine = config.pools.get(pool)?.engine.as_ref()?;
-    let model = head.model.clone().or_else(|| engine.models.first().cloned())?;
-    let mut digest = 0;
-    let mut tokens = 0;
-    let parts = head.parts.iter().map(|part| {
-        digest = xxh3::xxh3_64_with_seed(part.id.as_bytes(), digest);
-        tokens += u64::from(part.tokens);
-        PromptPrefix { digest, tokens }
-    });
-    let parts: Vec<PromptPrefix> = parts.collect();
-    let (prompt, output) = head.tokens.map_or((tokens, 0), |it| (it.0.0, it.1.0));
-    let wall = customer.filter(|_| rule.is_some_and(|it| it.isolated));
-    Some(PromptNeed {
-        model,
-        shared: parts.len().saturating_sub(1),
-        parts,
-        prompt_tokens: prompt,
-        output_tokens: output,
-        pause_s: config.shortest_gap(pool).map(|it| it.as_secs_f64()),
-        wall: wall.map(|it| it.as_str().into()),
-    })
-}
-
-/// What a request is recognised by when it comes again. A request without a body is like many
-/// others, and is not told from them.
-fn fingerprint(customer: Option<&CustomerId>, request: &CallerRequest) -> Option<Fingerprint> {
-    if request.body.is_empty() {
-        return None;
-    }
-    let seed = rendezvous::member_hash(customer.map_or("", |it| it.as_str()));
-    let seed = xxh3::xxh3_64_with_seed(request.uri.path().as_bytes(), seed);
-    Some(Fingerprint(xxh3::xxh3_64_with_seed(&request.body, seed)))
-}
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -7,8 +7,8 @@
 use crate::dialect::Dialect;
 use crate::digest::PeerMessage;
 use crate::directory::Directory;
-use crate::fleet::PlacedTarget;
 use crate::gateway::{Gateway, lock};
+use crate::placing::PlacedTarget;
 
 /// Replicas that crashed under a request before it is sent to no other. A crash strikes all that
 /// ran on the replica; by chance alone none meets this many.
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -10,7 +10,7 @@
 
 use crate::config::{ControlState, TargetEntry};
 use crate::directory::MemberEntry;
-use crate::fleet::LoadCount;
+use crate::replica::LoadCount;
 
 /// This daemon's requests on one replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -152,6 +152,8 @@
         customer: CustomerId,
         /// How many.
         tokens: u64,
+        /// The customer's home is silent, and the receiver is asked in its place.
+        substitute: bool,
     },
     /// The answer: granted, or how long to wait.
     Taken {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,7 +15,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::call::{self, CallerRequest};
+use crate::call;
+use crate::described::{self, CallerRequest};
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::exchange::CallerResponse;
@@ -106,7 +107,7 @@
 ) -> Result<CallerResponse, CallRefusal> {
     let began = gateway.now();
     let (parts, body) = request.into_parts();
-    let head = gateway.dialect.describe(&parts).map_err(call::head_refusal)?;
+    let head = gateway.dialect.describe(&parts).map_err(described::head_refusal)?;
     let attempt = head.attempt.clone();
     let refused = |refusal: CallRefusal| {
         gateway.metrics.refuse(refusal.kind.code());
@@ -126,7 +127,7 @@
         let config = gateway.config().unwrap_or(config);
         let route = config.route(&head.host, parts.uri.path()).cloned();
         let route = route.ok_or(CallRefusal::not_run(ErrorKind::RouteUnknown))?;
-        let customer = call::customer_of(&config, &route, &head)?;
+        let customer = described::customer_of(&config, &route, &head)?;
         let request = CallerRequest {
             method: parts.method,
             uri: parts.uri,
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -10,8 +10,10 @@
 
 use crate::directory::MemberEntry;
 
-/// A daemon not heard for this long is taken to be out of reach.
-const SILENT_AFTER: Duration = Duration::from_millis(1_000);
+/// A daemon not heard for this long is taken to be out of reach, where all tell each other.
+const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+/// The same where hubs pass on who runs: some of their digests get lost.
+const SILENT_BEHIND_HUBS: Duration = Duration::from_millis(2_500);
 /// A daemon not heard for this long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
 /// A daemon that was just named counts as reachable for this long, until it is heard.
@@ -151,7 +153,8 @@
 
     /// The daemons heard lately, by hash, and how long ago; not this one.
     pub fn heard(&self, now: Duration) -> impl Iterator<Item = (u64, Duration, bool)> {
-        let known = self.known.values().filter(move |it| it.is_near(now));
+        let silence = self.silence();
+        let known = self.known.values().filter(move |it| it.is_near(now, silence));
         known.filter_map(move |it| Some((it.member, now.saturating_sub(it.heard_at?), it.leaving)))
     }
 
@@ -162,7 +165,8 @@
 
     /// Whether any other daemon was heard.
     pub fn hears_any(&self, now: Duration) -> bool {
-        self.known.values().any(|it| it.is_near(now))
+        let silence = self.silence();
+        self.known.values().any(|it| it.is_near(now, silence))
     }
 
     /// To whom this daemon tells what now. Turns to another hub if its own is silent.
@@ -218,7 +222,8 @@
 
     /// The share of all daemons that this one reaches, with itself.
     pub fn reachable_share(&self, now: Duration) -> f64 {
-        let reached = self.known.values().filter(|it| it.is_near(now)).count() + 1;
+        let silence = self.silence();
+        let reached = self.known.values().filter(|it| it.is_near(now, silence)).count() + 1;
         reached as f64 / self.most() as f64
     }
 
@@ -265,22 +270,29 @@
             capacity: entry.capacity,
             near: entry.domain == self.own.domain,
         };
+        let silence = self.silence();
         let known = self.known.values().filter(|it| !it.leaving);
-        let known = known.filter(|it| it.is_near(now) || it.is_new(now));
+        let known = known.filter(|it| it.is_near(now, silence) || it.is_new(now));
         let known = known.map(|it| tree(&it.entry, it.member));
         std::iter::once(tree(&self.own, self.own_member)).chain(known).collect()
     }
 
+    /// How long a daemon may be silent before it is taken to be out of reach.
+    fn silence(&self) -> Duration {
+        let fleet = self.most();
+        if peer_tree::hub_count(fleet) < fleet { SILENT_BEHIND_HUBS } else { SILENT_AFTER }
+    }
+
     fn by_member(&self, member: u64) -> Option<&Known> {
         self.known.values().find(|it| it.member == member)
     }
 }
 
 impl Known {
-    fn is_near(&self, now: Duration) -> bool {
+    fn is_near(&self, now: Duration, silence: Duration) -> bool {
         let missed_at = self.missed_at;
         let heard = self.heard_at.filter(|at| missed_at.is_none_or(|it| it < *at));
-        heard.is_some_and(|it| now < it + SILENT_AFTER)
+        heard.is_some_and(|it| now < it + silence)
     }
 
     fn is_new(&self, now: Duration) -> bool {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -201,11 +201,12 @@
             }
         }
         PeerMessage::Weights(news) => spread_weights(gateway, &news, Some(from)),
-        PeerMessage::Take { ticket, customer, tokens } => {
+        PeerMessage::Take { ticket, customer, tokens, substitute } => {
             let Some(config) = gateway.config() else { return };
             let Some(rule) = config.customers.get(&customer) else { return };
             let share = lock(&gateway.members).reachable_share(now);
-            let source = QuotaSource::Home(share);
+            let source =
+                if substitute { QuotaSource::Substitute } else { QuotaSource::Home(share) };
             let taken = lock(&gateway.quotas).take(now, &customer, rule, tokens, source);
             gateway.peers.send(&[from], &PeerMessage::Taken { ticket, wait: taken.err() });
         }
--- /dev/null
+++ b/crates/gateway/src/placing.rs
@@ -0,0 +1,298 @@
+//! Places on replicas: which one gets a request, and where shared parts of its prompt come from.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ids::{PoolId, TargetId};
+use policy::engine_choice::{EnginePace, EngineView, PromptSize};
+use policy::health::HealthState;
+use policy::plain_choice::PlainView;
+use policy::prefix_table::PromptPrefix;
+use policy::rendezvous;
+
+use crate::config::EngineRule;
+use crate::digest::PrefixNews;
+use crate::fleet::FleetTable;
+use crate::kept::KeptCache;
+use crate::prompt_need::PromptNeed;
+use crate::replica::{LoadCount, Replica};
+
+/// Added to the expected time of a replica that has just failed, in seconds.
+const SUSPECT_S: f64 = 0.5;
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct PlacedTarget {
+    /// The replica.
+    pub id: TargetId,
+    /// Its start.
+    pub born: u64,
+    /// The hash of its id.
+    pub member: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The version of its weights.
+    pub weights: u64,
+    /// Tokens of the prompt expected in its cache.
+    pub cached_tokens: u64,
+    /// A replica that may hold more of the prompt.
+    pub fetch_from: Option<SocketAddr>,
+    /// A store of kept cache that does not hold the shared parts yet.
+    pub save_to: Option<KeptCopy>,
+    /// How long the beginning of its answer may take, as far as known.
+    pub expected: Duration,
+    /// What it adds to the replica's load.
+    pub load: LoadCount,
+    /// Requests of this daemon that were on it already.
+    pub running_before: u32,
+}
+
+/// A copy of a prompt for a store of kept cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeptCopy {
+    /// Where the store listens.
+    pub address: SocketAddr,
+    member: u64,
+    life: u64,
+}
+
+/// Which replicas may get a request.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceQuery<'a> {
+    /// The pool.
+    pub pool: &'a PoolId,
+    /// A release of the pool's software that gets nothing.
+    pub barred_release: Option<&'a str>,
+    /// Replicas that the request was sent to before.
+    pub avoid: &'a [TargetId],
+}
+
+/// How engines are weighed for a prompt.
+#[derive(Debug, Clone, Copy)]
+pub struct PromptTerms<'a> {
+    /// The prompt.
+    pub need: &'a PromptNeed,
+    /// What is known of the pool's engines.
+    pub engine: &'a EngineRule,
+    /// How fast they read.
+    pub pace: EnginePace,
+    /// What an answer on older weights is taken to cost, in seconds.
+    pub old_weights_s: f64,
+}
+
+impl FleetTable {
+    /// Replicas of a pool that may get a request now.
+    fn open<'a>(
+        &'a self,
+        now: Duration,
+        query: PlaceQuery<'a>,
+    ) -> impl Iterator<Item = &'a Replica> {
+        self.replicas.values().filter(move |it| {
+            it.entry.pool == *query.pool
+                && query.barred_release.is_none_or(|release| *it.entry.release != *release)
+                && it.may_work(now)
+                && !query.avoid.contains(&it.entry.id)
+        })
+    }
+
+    /// Whether a pool has a replica of another release than this one.
+    pub fn has_other_release(&self, pool: &PoolId, release: &str) -> bool {
+        let mut pool = self.replicas.values().filter(|it| it.entry.pool == *pool && !it.leaving);
+        pool.any(|it| *it.entry.release != *release)
+    }
+
+    /// Whether a pool has a replica that may get requests, now or soon.
+    pub fn any_alive(&self, pool: &PoolId) -> bool {
+        self.replicas.values().any(|it| it.entry.pool == *pool && !it.leaving)
+    }
+
+    /// Places a call to a plain service and counts it.
+    pub fn place_plain(&mut self, now: Duration, query: PlaceQuery<'_>) -> Option<PlacedTarget> {
+        let open: Vec<&Replica> = self.open(now, query).collect();
+        let views: Vec<PlainView> = open
+            .iter()
+            .map(|it| PlainView {
+                slots: it.entry.slots,
+                running: self.load(now, it).running,
+                near: it.entry.domain == self.domain,
+                penalty: f64::from(u8::from(it.health.state(now) != HealthState::Good)),
+            })
+            .collect();
+        let index = policy::plain_choice::choose(&views, rand::random())?;
+        let id = open[index].entry.id.clone();
+        self.occupy(&id, LoadCount { running: 1, ..LoadCount::default() })
+    }
+
+    /// Places a prompt and counts it.
+    pub fn place_prompt(
+        &mut self,
+        now: Duration,
+        query: PlaceQuery<'_>,
+        terms: PromptTerms<'_>,
+    ) -> Option<PlacedTarget> {
+        let PromptTerms { need, engine, pace, old_weights_s } = terms;
+        let open: Vec<&Replica> = self.open(now, query).collect();
+        let newest = open.iter().map(|it| it.weights).max()?;
+        let homes = self.homes(query.pool, need);
+        let views: Vec<EngineView> = open
+            .iter()
+            .map(|it| {
+                let load = self.load(now, it);
+                let salted = need.salted(it.weights);
+                let believed = self.prefixes.cached_tokens(now, &salted, it.member, it.entry.born);
+                let home = homes.first() == Some(&it.member);
+                let shared = need.shared_tokens();
+                let mut penalty_s = 0.0;
+                if it.health.state(now) != HealthState::Good {
+                    penalty_s += SUSPECT_S;
+                }
+                if it.weights < newest {
+                    penalty_s += old_weights_s;
+                }
+                EngineView {
+                    batch: engine.batch,
+                    running: load.running,
+                    unread_tokens: load.unread_tokens,
+                    memory_tokens: load.memory_tokens,
+                    memory_limit: engine.kv_tokens,
+                    lane: self.lane(it),
+                    // A home is where other daemons will have placed the same beginning.
+                    cached_tokens: if home { believed.max(shared / 2) } else { believed },
+                    near: it.entry.domain == self.domain,
+                    penalty_s,
+                }
+            })
+            .collect();
+        let size = PromptSize { tokens: need.prompt_tokens, pause_s: need.pause_s };
+        let (index, cost_s) = policy::engine_choice::choose(&views, size, pace)?;
+        let chosen = open[index];
+        let (id, weights) = (chosen.entry.id.clone(), chosen.weights);
+        let salted = need.salted(weights);
+        let cached = self.prefixes.cached_tokens(now, &salted, chosen.member, chosen.entry.born);
+        let fetch_from = self.fetch_source(now, chosen, &salted[..need.shared]);
+        let save_to = self.copy_wanted(now, &salted[..need.shared]);
+        let load = LoadCount {
+            running: 1,
+            unread_tokens: need.prompt_tokens.saturating_sub(views[index].cached_tokens),
+            memory_tokens: need.prompt_tokens + need.output_tokens,
+        };
+        let placed = self.occupy(&id, load)?;
+        let expected = Duration::from_secs_f64(cost_s);
+        let placed =
+            PlacedTarget { cached_tokens: cached, fetch_from, save_to, expected, ..placed };
+        self.note_prefixes(now, &placed, &salted[..need.shared]);
+        Some(placed)
+    }
+
+    /// The store of kept cache, if it lives and does not hold all shared parts.
+    fn copy_wanted(&self, now: Duration, shared: &[PromptPrefix]) -> Option<KeptCopy> {
+        let kept = self.kept?;
+        let life = kept.life(now)?;
+        let tokens = shared.last()?.tokens;
+        let held = self.prefixes.cached_tokens(now, shared, kept.member(), life);
+        let copy = KeptCopy { address: kept.address, member: kept.member(), life };
+        (held < tokens).then_some(copy)
+    }
+
+    /// A prompt was read and goes to the store.
+    pub fn note_copy(&mut self, now: Duration, copy: KeptCopy, shared: &[PromptPrefix]) {
+        self.note_holder(now, copy.member, copy.life, shared);
+    }
+
+    /// How the store of kept cache was seen, here or by a peer.
+    pub(crate) fn hear_kept(&mut self, seen: KeptCache) {
+        if self.kept.is_none_or(|it| it.seen_at < seen.seen_at || it.address != seen.address) {
+            self.kept = Some(seen);
+        }
+    }
+
+    /// A replica will hold these beginnings as soon as it has read the prompt placed on it.
+    fn note_prefixes(&mut self, now: Duration, placed: &PlacedTarget, shared: &[PromptPrefix]) {
+        self.note_holder(now, placed.member, placed.born, shared);
+    }
+
+    fn note_holder(&mut self, now: Duration, member: u64, born: u64, shared: &[PromptPrefix]) {
+        let digests: Vec<u64> = shared.iter().map(|it| it.digest).collect();
+        self.prefixes.learn(now, &digests, member, born);
+        let news = digests.iter().map(|prefix| PrefixNews { prefix: *prefix, member, born });
+        self.prefix_news.extend(news);
+    }
+
+    /// Beginnings placed since this was last asked, for peers.
+    pub fn take_prefix_news(&mut self) -> Vec<PrefixNews> {
+        std::mem::take(&mut self.prefix_news)
+    }
+
+    /// Beginnings that a peer placed.
+    pub fn hear_prefixes(&mut self, now: Duration, news: &[PrefixNews]) {
+        for it in news {
+            self.prefixes.learn(now, &[it.prefix], it.member, it.born);
+        }
+    }
+
+    /// Where the shared parts may be fetched from: the store, or the replica on the same weights
+    /// that used them last. The chosen replica may have evicted what it is believed to hold, and
+    /// fetches nothing if it has not.
+    fn fetch_source(
+        &self,
+        now: Duration,
+        chosen: &Replica,
+        shared: &[PromptPrefix],
+    ) -> Option<SocketAddr> {
+        let usable = |member: u64, born: u64| {
+            let same = |it: &&Replica| it.member == member && it.entry.born == born;
+            let replica = self.replicas.values().find(same)?;
+            let usable = replica.weights == chosen.weights
+                && replica.may_work(now)
+                && replica.health.state(now) == HealthState::Good;
+            usable.then_some(replica.entry.address)
+        };
+        let kept = self.kept.and_then(|it| Some((it.member(), it.life(now)?, it.address)));
+        shared.iter().rev().find_map(|prefix| {
+            let holders = self.prefixes.holders(now, prefix.digest);
+            let store = kept.filter(|it| holders.contains(&(it.0, it.1))).map(|it| it.2);
+            let mut others = holders.into_iter().filter(|it| it.0 != chosen.member);
+            store.or_else(|| others.find_map(|(member, born)| usable(member, born)))
+        })
+    }
+
+    /// A replica's place in an order that all daemons share, from 0 to 1.
+    fn lane(&self, replica: &Replica) -> f64 {
+        let others = self.replicas.values().filter(|it| it.entry.pool == replica.entry.pool);
+        let (before, all) = others.fold((0_u32, 0_u32), |(before, all), it| {
+            (before + u32::from(it.member < replica.member), all + 1)
+        });
+        f64::from(before) / f64::from(all.max(1))
+    }
+
+    /// The first replicas by rendezvous for the shared beginning of a prompt.
+    fn homes(&self, pool: &PoolId, need: &PromptNeed) -> Vec<u64> {
+        let Some(key) = need.home_key() else { return Vec::new() };
+        let members: Vec<u64> = self
+            .replicas
+            .values()
+            .filter(|it| it.entry.pool == *pool && !it.leaving)
+            .map(|it| it.member)
+            .collect();
+        rendezvous::homes(key, &members, 2).into_iter().map(|it| members[it]).collect()
+    }
+
+    fn occupy(&mut self, id: &TargetId, load: LoadCount) -> Option<PlacedTarget> {
+        let replica = self.replicas.get_mut(id)?;
+        let running_before = replica.own.running;
+        replica.own.add(&load);
+        Some(PlacedTarget {
+            id: id.clone(),
+            born: replica.entry.born,
+            member: replica.member,
+            address: replica.entry.address,
+            weights: replica.weights,
+            cached_tokens: 0,
+            fetch_from: None,
+            save_to: None,
+            expected: Duration::ZERO,
+            load,
+            running_before,
+        })
+    }
+}
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -15,10 +15,16 @@
 /// How full a home's bucket starts: a new home does not know what was spent before.
 const START_FILL: f64 = 0.25;
 
+/// Share of the burst that a substitute for a silent home holds.
+const SUBSTITUTE_FILL: f64 = 0.25;
+/// Share of the rate at which it fills: the home may be silent to some daemons only.
+const SUBSTITUTE_RATE: f64 = 0.1;
+
 /// Buckets of one daemon.
 #[derive(Debug, Default)]
 pub struct QuotaTable {
     home: IndexMap<CustomerId, PartBucket>,
+    substitute: IndexMap<CustomerId, PartBucket>,
     alone: IndexMap<CustomerId, PartBucket>,
 }
 
@@ -27,6 +33,8 @@
 pub enum QuotaSource {
     /// As the customer's home, for this share of all daemons.
     Home(f64),
+    /// In place of the customer's home, which some daemon found silent.
+    Substitute,
     /// Without the home, for this share of all daemons.
     Alone(f64),
 }
@@ -49,16 +57,17 @@
         if rule.rate.0 == 0 {
             return Ok(());
         }
-        let (buckets, share) = match source {
-            QuotaSource::Home(share) => (&mut self.home, share),
-            QuotaSource::Alone(share) => (&mut self.alone, share),
-        };
-        let capacity = rule.burst.0 as f64 * share;
-        let rate = rule.rate.0 as f64 * share;
-        let start = match source {
-            QuotaSource::Home(_) => capacity * START_FILL,
+        let (burst, rate) = (rule.burst.0 as f64, rule.rate.0 as f64);
+        let (buckets, capacity, rate, start) = match source {
+            QuotaSource::Home(share) => {
+                (&mut self.home, burst * share, rate * share, burst * share * START_FILL)
+            }
+            QuotaSource::Substitute => {
+                let capacity = burst * SUBSTITUTE_FILL;
+                (&mut self.substitute, capacity, rate * SUBSTITUTE_RATE, capacity)
+            }
             // The home may have granted all until a moment ago.
-            QuotaSource::Alone(_) => 0.0,
+            QuotaSource::Alone(share) => (&mut self.alone, burst * share, rate * share, 0.0),
         };
         let bucket = buckets.entry(customer.clone()).or_insert_with(|| {
             let mut bucket = PartBucket::empty(now, capacity, rate);
--- a/crates/gateway/src/quota_desk.rs
+++ b/crates/gateway/src/quota_desk.rs
@@ -31,8 +31,8 @@
         return Ok(());
     }
     let mut word = HomeWord::Silent;
-    for _ in 0..HOMES {
-        word = ask_home(gateway, customer, tokens).await;
+    for place in 0..HOMES {
+        word = ask_home(gateway, customer, tokens, place > 0).await;
         if !matches!(word, HomeWord::Silent) {
             break;
         }
@@ -43,9 +43,10 @@
             lock(&gateway.quotas).hear_home(customer);
             taken
         }
-        HomeWord::Own => {
+        HomeWord::Own(substitute) => {
             let share = lock(&gateway.members).reachable_share(now);
-            let source = QuotaSource::Home(share);
+            let source =
+                if substitute { QuotaSource::Substitute } else { QuotaSource::Home(share) };
             lock(&gateway.quotas).take(now, customer, rule, tokens, source)
         }
         HomeWord::Silent => {
@@ -62,7 +63,8 @@
 
 enum HomeWord {
     Said(Result<(), Duration>),
-    Own,
+    /// This daemon is the home, or is asked in its place.
+    Own(bool),
     Silent,
 }
 
@@ -70,11 +72,12 @@
     gateway: &Arc<Gateway<D, S>>,
     customer: &CustomerId,
     tokens: u64,
+    substitute: bool,
 ) -> HomeWord {
     let home = lock(&gateway.members).home(gateway.now(), customer);
-    let Some(home) = home else { return HomeWord::Own };
+    let Some(home) = home else { return HomeWord::Own(substitute) };
     let (ticket, receiver) = gateway.peers.ask();
-    let question = PeerMessage::Take { ticket, customer: customer.clone(), tokens };
+    let question = PeerMessage::Take { ticket, customer: customer.clone(), tokens, substitute };
     let mut receiver = receiver;
     for _ in 0..ASKED {
         gateway.peers.send(&[home.address], &question);
--- /dev/null
+++ b/crates/gateway/src/replica.rs
@@ -0,0 +1,110 @@
+//! One replica as this daemon sees it.
+
+use std::time::Duration;
+
+use policy::health::{HealthState, ReplicaHealth};
+use policy::rendezvous;
+
+use crate::config::TargetEntry;
+use crate::digest::WeightNews;
+
+/// A replica that answered "full" is left out for this long.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// How long news of an order keeps requests away from a replica that has not confirmed it.
+const ORDER_TIME: Duration = Duration::from_secs(3);
+
+/// Requests on a replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadCount {
+    /// How many.
+    pub running: u32,
+    /// Their prompt tokens that are still to be read.
+    pub unread_tokens: u64,
+    /// Their memory in tokens.
+    pub memory_tokens: u64,
+}
+
+/// One replica.
+#[derive(Debug)]
+pub struct Replica {
+    /// As listed.
+    pub entry: TargetEntry,
+    /// The hash of its id.
+    pub member: u64,
+    /// This daemon's requests on it.
+    pub own: LoadCount,
+    /// It is leaving: listed so, or it said so itself.
+    pub leaving: bool,
+    /// How it has answered.
+    pub health: ReplicaHealth,
+    /// It said that it is full, and gets nothing until then.
+    full_until: Duration,
+    /// The version of its weights, by what is newest.
+    pub weights: u64,
+    /// The version it was last ordered to load, and when this daemon heard so.
+    pub ordered: Option<(u64, Duration)>,
+    /// Orders that it is known to have accepted.
+    pub accepted: u64,
+    /// When this daemon last heard of an order to it.
+    pub last_order_at: Option<Duration>,
+}
+
+impl LoadCount {
+    /// Adds another count.
+    pub(crate) fn add(&mut self, other: &LoadCount) {
+        self.running += other.running;
+        self.unread_tokens += other.unread_tokens;
+        self.memory_tokens += other.memory_tokens;
+    }
+}
+
+impl Replica {
+    pub(crate) fn new(entry: TargetEntry) -> Replica {
+        Replica {
+            member: rendezvous::member_hash(entry.id.as_str()),
+            own: LoadCount::default(),
+            leaving: entry.leaving,
+            health: ReplicaHealth::default(),
+            full_until: Duration::ZERO,
+            weights: newest_weights(&entry),
+            ordered: None,
+            accepted: 0,
+            last_order_at: None,
+            entry,
+        }
+    }
+
+    /// What is known of its weights, for peers.
+    pub fn weight_news(&self) -> WeightNews {
+        WeightNews {
+            member: self.member,
+            born: self.entry.born,
+            loaded: self.weights,
+            ordered: self.ordered.map_or(0, |it| it.0),
+            accepted: self.accepted,
+        }
+    }
+
+    /// It said that it is full.
+    pub(crate) fn mark_full(&mut self, now: Duration) {
+        self.full_until = now + FULL_PAUSE;
+    }
+
+    /// Whether it may get a request now.
+    pub fn may_work(&self, now: Duration) -> bool {
+        !self.leaving
+            && now >= self.full_until
+            && self.health.state(now) != HealthState::Paused
+            && !self.is_loading(now)
+    }
+
+    /// Whether it was ordered to load weights that it does not have yet.
+    pub fn is_loading(&self, now: Duration) -> bool {
+        self.ordered.is_some_and(|it| it.0 > self.weights && now < it.1 + ORDER_TIME)
+    }
+}
+
+/// The newest version of weights that an entry names.
+pub(crate) fn newest_weights(entry: &TargetEntry) -> u64 {
+    entry.weights.values().copied().max().unwrap_or(0)
+}
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -259,3 +259,16 @@
         assert!(table.take(ms(at), &customer, &rule, 500, source).is_err());
     }
 }
+
+#[test]
+fn a_substitute_beside_a_home_that_still_grants_adds_little() {
+    let (customer, rule) = ("c1".parse().expect("an id"), rule(100_000));
+    let mut table = QuotaTable::default();
+    let mut sum = 0;
+    for at in (0..8_000).step_by(10) {
+        let taken = table.take(ms(at), &customer, &rule, 5_000, QuotaSource::Substitute);
+        sum += 5_000 * u64::from(taken.is_ok());
+    }
+    // The allowance beyond rate and burst over this window is 0.9 of the rate and more.
+    assert!(sum <= 110_000, "{sum}");
+}
--- a/crates/stand-ins/src/main.rs
+++ b/crates/stand-ins/src/main.rs
@@ -91,7 +91,7 @@
 #[tokio::main]
 async fn main() {
     let args: StandInArgs = argh::from_env();
-    web::logs::start(LogForm::Text, "warn");
+    let _logs = web::logs::start(LogForm::Text, "warn");
     if let Err(error) = run(args.part).await {
         eprintln!("stand-ins: {error}");
         process::exit(1);
--- a/crates/web/src/logs.rs
+++ b/crates/web/src/logs.rs
@@ -1,7 +1,16 @@
-//! Logs: text or JSON lines on standard output.
+//! Logs: text or JSON lines on standard output, written by a thread of their own.
+//!
+//! A reader of standard output that stops reading holds no request up: lines wait in a bounded
+//! queue, and those that do not fit are dropped.
 
+use std::io;
+
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
+/// Lines that may wait for standard output.
+const WAITING_LINES: usize = 8_192;
+
 /// The form of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogForm {
@@ -11,17 +20,27 @@
     Json,
 }
 
+/// Keeps the writer alive; dropping it writes what still waits.
+#[must_use]
+#[derive(Debug)]
+pub struct LogGuard {
+    _worker: WorkerGuard,
+}
+
 /// Starts logging for the process; a second call changes nothing. `filter` is a tracing filter
 /// such as `info` or `daemon=debug`; a malformed one falls back to `info`.
-pub fn start(form: LogForm, filter: &str) {
+pub fn start(form: LogForm, filter: &str) -> LogGuard {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt()
-        .with_ansi(false)
-        .with_env_filter(filter)
-        .with_writer(std::io::stdout);
+    let (writer, worker) = NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING_LINES)
+        .lossy(true)
+        .finish(io::stdout());
+    let builder =
+        tracing_subscriber::fmt().with_ansi(false).with_env_filter(filter).with_writer(writer);
     // The only error is that logging was started before.
     let _ = match form {
         LogForm::Text => builder.try_init(),
         LogForm::Json => builder.json().try_init(),
     };
+    LogGuard { _worker: worker }
 }
