--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -20,12 +20,14 @@
 const PLACE_PERIODS: f64 = 0.35;
 /// The last in line waits for this share of the bound.
 const LONGEST_SHARE: f64 = 0.6;
-/// The pause after a call that failed.
+/// The pause after a call that failed; it doubles with each further one.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
+/// The longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long a new daemon waits for its seeds before it turns to the store.
 const FIRST_WAIT: Duration = Duration::from_millis(800);
-/// The time between two announcements that failed.
-const ANNOUNCE_AGAIN: Duration = Duration::from_millis(500);
+/// The first pause before another announcement, or another look for daemons; it doubles.
+const ANNOUNCE_AGAIN: Duration = Duration::from_millis(250);
 /// The time between two readings of the daemons announced.
 const MEMBERS_PERIOD: Duration = Duration::from_secs(5);
 
@@ -47,14 +49,18 @@
 }
 
 async fn follow<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>, subject: Subject) {
+    let mut pause = FAILED_PAUSE;
     loop {
         let due = due_in(&gateway, subject);
         if !due.is_zero() {
             tokio::time::sleep(due).await;
             continue;
         }
-        if !read(&gateway, subject).await {
-            tokio::time::sleep(FAILED_PAUSE).await;
+        if read(&gateway, subject).await {
+            pause = FAILED_PAUSE;
+        } else {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
         }
     }
 }
@@ -124,6 +130,7 @@
     // Seeds tell a new daemon of the others; the store is for those whose seeds are gone.
     tokio::time::sleep(FIRST_WAIT).await;
     let mut announced = false;
+    let mut pause = ANNOUNCE_AGAIN;
     loop {
         let now = gateway.now();
         let (is_hub, rank, alone) = {
@@ -140,8 +147,8 @@
         if rank == 0 || alone {
             read_members(&gateway).await;
         }
-        let announced_late = is_hub && !announced;
-        let pause = if announced_late || alone { ANNOUNCE_AGAIN } else { MEMBERS_PERIOD };
+        let in_a_hurry = (is_hub && !announced) || alone;
+        pause = if in_a_hurry { (pause * 2).min(MEMBERS_PERIOD) } else { MEMBERS_PERIOD };
         tokio::time::sleep(pause).await;
     }
 }
