Grant as a customer's home only where a daemon takes itself for it

Ruled out: the herd restart (the window's sum with a quarter of a burst is 8.3 times the rate). Change: a daemon that takes another for the home answers as a substitute.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -204,9 +204,15 @@
         PeerMessage::Take { ticket, customer, tokens, substitute } => {
             let Some(config) = gateway.config() else { return };
             let Some(rule) = config.customers.get(&customer) else { return };
-            let share = lock(&gateway.members).reachable_share(now);
-            let source =
-                if substitute { QuotaSource::Substitute } else { QuotaSource::Home(share) };
+            let (share, home) = {
+                let members = lock(&gateway.members);
+                (members.reachable_share(now), members.home(now, &customer))
+            };
+            // Who asks may see another fleet than this daemon; two homes would grant twice.
+            let source = match home {
+                None if !substitute => QuotaSource::Home(share),
+                _ => QuotaSource::Substitute,
+            };
             let taken = lock(&gateway.quotas).take(now, &customer, rule, tokens, source);
             gateway.peers.send(&[from], &PeerMessage::Taken { ticket, wait: taken.err() });
         }
