--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use ids::{FailureDomain, Incarnation, InstanceId, PoolId, Revision};
+use ids::{FailureDomain, Incarnation, InstanceId, Revision};
 use ports::{Commit, StoreError};
 use serde::{Deserialize, Serialize};
 
@@ -47,28 +47,6 @@
     pub renewed_at: Duration,
 }
 
-/// How far a rollout is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RolloutState {
-    /// Both releases get traffic.
-    Running,
-    /// The new release has all traffic, and the old one may stop.
-    Completed,
-    /// The old release has all traffic, and the new one may stop.
-    RolledBack,
-}
-
-/// What operators are told of a rollout.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RolloutStatus {
-    /// The pool.
-    pub pool: PoolId,
-    /// The release that was ordered.
-    pub to: Box<str>,
-    /// How far it is.
-    pub state: RolloutState,
-}
-
 /// The users' store as this system needs it. A call either says what the store held, or why not.
 pub trait Directory: Send + Sync + 'static {
     /// What operators ordered.
@@ -101,15 +79,4 @@
         lease: &OrderLease,
         expected: Option<Revision>,
     ) -> impl Future<Output = Result<Commit, StoreError>> + Send;
-
-    /// What operators were last told of rollouts.
-    fn read_rollouts(
-        &self,
-    ) -> impl Future<Output = Result<Snapshot<Vec<RolloutStatus>>, StoreError>> + Send;
-
-    /// Tells operators how far a rollout is.
-    fn report_rollout(
-        &self,
-        status: &RolloutStatus,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
