Begin nothing on weights older than a version that is due; load the oldest engines first

Change: engines on the oldest weights are ordered first; from 0.7 of the bound on, engines without the version that is due get no requests. Tests: the_oldest_weights_first, weights_older_than_a_version_that_is_due_get_nothing.

--- a/crates/gateway/src/belief.rs
+++ b/crates/gateway/src/belief.rs
@@ -11,6 +11,9 @@
 use crate::config::{ControlState, RolloutOrder, SiteConfig, TargetEntry};
 use crate::directory::Snapshot;
 
+/// Versions of one model's weights that are remembered.
+const KEPT_VERSIONS: usize = 16;
+
 /// The replicas listed at one moment.
 #[derive(Debug, Clone)]
 pub struct TargetListing {
@@ -28,7 +31,8 @@
 #[derive(Debug, Default)]
 pub struct BeliefTable {
     config: Option<Arc<SiteConfig>>,
-    weights: IndexMap<Box<str>, (u64, Duration)>,
+    /// Versions of each model's weights and when this daemon first heard of them, in order.
+    weights: IndexMap<Box<str>, Vec<(u64, Duration)>>,
     rollouts: IndexMap<PoolId, (RolloutOrder, Duration)>,
     listing: Option<TargetListing>,
     control_revision: Revision,
@@ -64,7 +68,15 @@
 
     /// The newest version of a model's weights, and when this daemon first heard of it.
     pub fn wanted_weights(&self, model: &str) -> Option<(u64, Duration)> {
-        self.weights.get(model).copied()
+        self.weights.get(model)?.last().copied()
+    }
+
+    /// The oldest version of a model's weights that a request may still begin on, if newer ones
+    /// were heard of `age` ago.
+    pub fn least_weights(&self, model: &str, now: Duration, age: Duration) -> u64 {
+        let versions = self.weights.get(model).map_or(&[][..], |it| it);
+        let due = versions.iter().rev().find(|it| it.1 + age <= now);
+        due.map_or(0, |it| it.0)
     }
 
     /// The rollout ordered for a pool.
@@ -91,7 +103,7 @@
     pub fn control(&self) -> ControlState {
         ControlState {
             config: self.config.as_deref().cloned(),
-            weights: self.weights.iter().map(|(model, it)| (model.clone(), it.0)).collect(),
+            weights: self.newest_weights().map(|(model, it)| (model.clone(), it)).collect(),
             rollouts: self.rollouts.iter().map(|(id, it)| (id.clone(), it.0.clone())).collect(),
         }
     }
@@ -114,9 +126,12 @@
             }
         }
         for (model, version) in state.weights {
-            let known = self.weights.entry(model).or_insert((0, now));
-            if known.0 < version {
-                *known = (version, now);
+            let known = self.weights.entry(model).or_default();
+            if known.last().is_none_or(|it| it.0 < version) {
+                known.push((version, now));
+                if known.len() > KEPT_VERSIONS {
+                    known.remove(0);
+                }
                 change.weights = true;
             }
         }
@@ -138,9 +153,13 @@
         self.control_mark
     }
 
+    fn newest_weights(&self) -> impl Iterator<Item = (&Box<str>, u64)> {
+        self.weights.iter().filter_map(|(model, it)| Some((model, it.last()?.0)))
+    }
+
     fn new_control_mark(&self) -> u64 {
         let config = self.config.as_ref().map(|it| it.revision);
-        let weights: Vec<_> = self.weights.iter().map(|(model, it)| (model, it.0)).collect();
+        let weights: Vec<_> = self.newest_weights().collect();
         let rollouts: Vec<_> = self.rollouts.values().map(|it| it.0.revision).collect();
         digest_of(&(config, weights, rollouts))
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -28,6 +28,9 @@
 const MAX_UNSENT: u32 = 6;
 /// How long a request waits for a replica when none can take it, as a share of its objective.
 const WAIT_SHARE: f64 = 0.5;
+/// Share of the bound for new weights from which older ones get nothing: a request may wait on its
+/// replica before it begins.
+const OLDEST_WEIGHTS_SHARE: f64 = 0.7;
 /// Time kept for the way of a last answer to the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// How many times its objective the first event of a stream is waited for.
@@ -197,7 +200,12 @@
         let gateway = &self.gateway;
         let now = gateway.now();
         let pace = *lock(&gateway.pace);
-        let rollout = lock(&gateway.beliefs).rollout(&self.pool).cloned();
+        let (rollout, least_weights) = {
+            let beliefs = lock(&gateway.beliefs);
+            let age = gateway.settings.bounds.version.mul_f64(OLDEST_WEIGHTS_SHARE);
+            let least = |need: &PromptNeed| beliefs.least_weights(&need.model, now, age);
+            (beliefs.rollout(&self.pool).cloned(), self.need.as_ref().map_or(0, least))
+        };
         let mut fleet = lock(&gateway.fleet);
         // FIXME: a rollout is never tried; its release gets nothing while another one runs.
         let barred = rollout.filter(|it| fleet.has_other_release(&self.pool, &it.to));
@@ -205,6 +213,7 @@
             pool: &self.pool,
             barred_release: barred.as_ref().map(|it| &*it.to),
             avoid: &self.avoid,
+            least_weights,
         };
         let engine = self.config.pools.get(&self.pool).and_then(|it| it.engine.as_ref());
         let target = match (&self.need, engine) {
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -65,6 +65,8 @@
     pub barred_release: Option<&'a str>,
     /// Replicas that the request was sent to before.
     pub avoid: &'a [TargetId],
+    /// The oldest weights that it may begin on.
+    pub least_weights: u64,
 }
 
 /// How engines are weighed for a prompt.
@@ -91,6 +93,7 @@
             it.entry.pool == *query.pool
                 && query.barred_release.is_none_or(|release| *it.entry.release != *release)
                 && it.may_work(now)
+                && it.weights >= query.least_weights
                 && !query.avoid.contains(&it.entry.id)
         })
     }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -192,6 +192,7 @@
                     model: model.clone(),
                     version,
                     view: LaggingTarget {
+                        weights: replica.weights,
                         running: fleet.load(now, replica).running,
                         under_order: ordered && replica.is_loading(now),
                     },
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -272,3 +272,15 @@
     // The allowance beyond rate and burst over this window is 0.9 of the rate and more.
     assert!(sum <= 110_000, "{sum}");
 }
+
+#[rstest]
+#[case::before_any_is_due(6_000, 0)]
+#[case::the_first_is_due(7_000, 2)]
+#[case::the_second_is_due_though_a_third_is_new(10_500, 3)]
+fn weights_older_than_a_version_that_is_due_get_nothing(#[case] now: u64, #[case] least: u64) {
+    let mut beliefs = BeliefTable::default();
+    for (at, version) in [(1_000, 2), (4_200, 3), (10_400, 4)] {
+        beliefs.adopt_control(ms(at), ms(at), snapshot(at, control(1, version)));
+    }
+    assert_eq!(beliefs.least_weights("m", ms(now), ms(5_600)), least);
+}
--- a/crates/policy/src/weight_rounds.rs
+++ b/crates/policy/src/weight_rounds.rs
@@ -3,7 +3,8 @@
 //! An ordered engine takes no new requests, lets those on it end and then loads. Answers the
 //! pattern of weights that move under load: the first wave leaves enough engines serving; as
 //! soon as enough serve on the new weights, all others go, since requests go to the new ones.
-//! Engines with the least to finish go first.
+//! Engines on the oldest weights go first, so that none is passed over again and again when
+//! versions follow fast, and among them those with the least to finish.
 
 /// Share of the engines in the first wave.
 const FIRST_WAVE: f64 = 0.5;
@@ -13,6 +14,8 @@
 /// An engine whose weights are older than the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LaggingTarget {
+    /// The version that it has.
+    pub weights: u64,
     /// Requests on it.
     pub running: u32,
     /// It was ordered to load and has not confirmed.
@@ -27,7 +30,7 @@
     let out = lagging.iter().filter(|it| it.under_order).count();
     let mut idle: Vec<usize> =
         (0..lagging.len()).filter(|index| !lagging[*index].under_order).collect();
-    idle.sort_by_key(|index| lagging[*index].running);
+    idle.sort_by_key(|index| (lagging[*index].weights, lagging[*index].running));
     idle.truncate(most.saturating_sub(out));
     idle
 }
--- a/crates/policy/tests/gateway_decisions.rs
+++ b/crates/policy/tests/gateway_decisions.rs
@@ -44,13 +44,14 @@
 }
 
 fn lagging(running: u32, under_order: bool) -> LaggingTarget {
-    LaggingTarget { running, under_order }
+    LaggingTarget { weights: 1, running, under_order }
 }
 
 #[rstest]
 #[case::first_wave_is_half(&[lagging(3, false), lagging(1, false), lagging(2, false), lagging(0, false)], 0, &[3, 1])]
 #[case::those_under_order_count(&[lagging(3, true), lagging(1, true), lagging(2, false), lagging(0, false)], 0, &[])]
 #[case::all_once_enough_are_ready(&[lagging(3, false), lagging(1, false)], 2, &[1, 0])]
+#[case::the_oldest_weights_first(&[LaggingTarget { weights: 3, ..lagging(0, false) }, LaggingTarget { weights: 2, ..lagging(9, false) }], 0, &[1])]
 #[case::a_single_engine_goes(&[lagging(9, false)], 0, &[0])]
 fn waves_of_new_weights(
     #[case] engines: &[LaggingTarget],
