Pass a replica's own failure on if no other replica does better

Cause: read again: a 500 of a replica that may be repeated was dropped when it was sent to another one, and if that broke or was not to be had, the caller got a 502 of ours in place of an answer that was there. Change: the failure is kept and passed on when the further sendings bring nothing. Test: a_replica_s_own_failure_is_passed_on_if_no_other_replica_does_better, 502 before.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -22,7 +22,7 @@
 use crate::quota_desk;
 use crate::refusal::CallRefusal;
 use crate::stream;
-use crate::whole;
+use crate::whole::{self, WholeAnswer};
 
 /// Sendings of one request that no replica took, before it is refused.
 const MAX_UNSENT: u32 = 6;
@@ -124,20 +124,23 @@
 }
 
 impl<D: Dialect, S: Directory> Call<D, S> {
+    /// The answer of a replica, or why there is none. A failure of a replica's own stands if no
+    /// other replica does better.
     async fn answer(mut self) -> Result<CallerResponse, CallRefusal> {
-        loop {
-            let place = self.place().await?;
-            let answer = match self.exchange(&place, self.head.after_event).await {
-                Ok(answer) => answer,
-                Err(fault) => {
-                    self.after_fault(&place, &fault)?;
-                    continue;
+        let mut failure = None;
+        let refusal = loop {
+            let place = match self.place().await {
+                Ok(place) => place,
+                Err(refusal) => break refusal,
+            };
+            let exchanged = match self.exchange(&place, self.head.after_event).await {
+                Ok(answer) if self.is_stream() && answer.status.is_success() => {
+                    return Ok(stream::answer(self, place, answer));
                 }
+                Ok(answer) => whole::collect(&self, answer).await,
+                Err(fault) => Err(fault),
             };
-            if self.is_stream() && answer.status.is_success() {
-                return Ok(stream::answer(self, place, answer));
-            }
-            match whole::collect(&self, answer).await {
+            match exchanged {
                 Ok(whole) if self.is_worth_another(whole.status) => {
                     tracing::info!(
                         request = %self.head.attempt, target = %place.target.id,
@@ -145,17 +148,28 @@
                     );
                     self.gateway.metrics.retry(RetryReason::TargetError.code());
                     self.avoid.push(place.target.id.clone());
+                    failure = Some((place.target.clone(), whole));
                 }
-                Ok(whole) => {
-                    lock(&self.gateway.fleet).succeed(&place.target);
-                    self.log_answer(&place, whole.status);
-                    return Ok(whole.into_response());
+                Ok(whole) => return Ok(self.pass_on(&place.target, whole)),
+                Err(fault) => {
+                    if let Err(refusal) = self.after_fault(&place, &fault) {
+                        break refusal;
+                    }
                 }
-                Err(fault) => self.after_fault(&place, &fault)?,
             }
+        };
+        match failure {
+            Some((target, whole)) => Ok(self.pass_on(&target, whole)),
+            None => Err(refusal),
         }
     }
 
+    fn pass_on(&self, target: &PlacedTarget, whole: WholeAnswer) -> CallerResponse {
+        lock(&self.gateway.fleet).succeed(target);
+        self.log_answer(target, whole.status);
+        whole.into_response()
+    }
+
     fn is_stream(&self) -> bool {
         matches!(self.route.kind, RouteKind::Stream { .. })
     }
@@ -421,11 +435,11 @@
         }
     }
 
-    pub(crate) fn log_answer(&self, place: &Place<D, S>, status: StatusCode) {
+    pub(crate) fn log_answer(&self, target: &PlacedTarget, status: StatusCode) {
         let after = self.gateway.now().saturating_sub(self.began);
         self.gateway.metrics.answer(status.as_u16(), after);
         tracing::info!(
-            request = %self.head.attempt, route = %self.route.id, target = %place.target.id,
+            request = %self.head.attempt, route = %self.route.id, target = %target.id,
             status = status.as_u16(), ms = after.as_millis() as u64, "call: answered"
         );
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -48,7 +48,7 @@
     answer: OpenAnswer,
 ) -> CallerResponse {
     let (status, headers, body, rest) = answer.split();
-    call.log_answer(&place, status);
+    call.log_answer(&place.target, status);
     let pump = StreamPump {
         last_event: call.head.after_event,
         sent_at: call.gateway.now(),
