Keep shares of retries and rates small while cut off from most daemons

Cause: read again: a daemon forgot the others after 15 s of silence and then took the whole reserve of retries and the whole rate of each customer for its own, while the others had theirs; one that had just started took the whole reserve too, before it knew anybody. Change: only a daemon that reaches most of those it knows forgets the others after 15 s, else after ten minutes; seeds count from the start; a budget starts with one retry. Tests: only_a_daemon_that_reaches_most_forgets_the_others, a_daemon_that_has_just_started_counts_its_ seeds_among_those_that_spend; both fail on the code before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,6 +33,9 @@
 /// Share of the allowed retry slack that daemons spend together.
 const SLACK_CAUTION: f64 = 0.6;
 
+/// Retries that a daemon has at its start, before it knows how many share the allowance.
+const FIRST_RETRIES: f64 = 1.0;
+
 /// The shared state of one daemon.
 pub struct Gateway<D, S> {
     pub(crate) settings: GatewaySettings,
@@ -218,7 +221,7 @@
         let reserve = (bounds.retry_slack * SLACK_CAUTION / daemons).max(1.0);
         let mut budgets = lock(&self.budgets);
         let budget =
-            budgets.entry(pool.clone()).or_insert_with(|| RetryBudget::new(share, reserve));
+            budgets.entry(pool.clone()).or_insert_with(|| RetryBudget::new(share, FIRST_RETRIES));
         budget.resize(share, reserve);
         change(budget)
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -14,8 +14,11 @@
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 /// The same where hubs pass on who runs: some of their digests get lost.
 const SILENT_BEHIND_HUBS: Duration = Duration::from_millis(2_500);
-/// A daemon not heard for this long is forgotten.
+/// A daemon not heard for this long is forgotten by one that reaches most daemons.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
+/// The same by one that does not: it may be cut off itself, while the others still spend their
+/// shares of what all share.
+const FORGET_CUT_OFF: Duration = Duration::from_secs(600);
 /// A daemon that was just named counts as reachable for this long, until it is heard.
 const NEW_FOR: Duration = Duration::from_millis(1_500);
 /// A hub that does not answer for this long is left for the next one.
@@ -141,7 +144,8 @@
 
     /// Forgets daemons not heard for long.
     pub fn sweep(&mut self, now: Duration) {
-        self.known.retain(|_, it| now < it.heard_at.unwrap_or(it.added_at) + FORGET_AFTER);
+        let limit = if self.reachable_share(now) > 0.5 { FORGET_AFTER } else { FORGET_CUT_OFF };
+        self.known.retain(|_, it| now < it.heard_at.unwrap_or(it.added_at) + limit);
         self.silent_parents.retain(|_, until| now < *until);
     }
 
@@ -215,9 +219,10 @@
         Some(address)
     }
 
-    /// Daemons that may run, whether they can be reached or not, with this one.
+    /// Daemons that may run, whether they can be reached or not, with this one. A daemon that has
+    /// just started knows only its seeds.
     pub fn most(&self) -> usize {
-        self.known.len() + 1
+        (self.known.len() + 1).max(self.seeds.len())
     }
 
     /// The share of all daemons that this one reaches, with itself.
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -284,3 +284,22 @@
     }
     assert_eq!(beliefs.least_weights("m", ms(now), ms(5_600)), least);
 }
+
+#[rstest]
+#[case::most_are_heard(6, 7)]
+#[case::cut_off_from_most(2, 8)]
+fn only_a_daemon_that_reaches_most_forgets_the_others(#[case] heard: u8, #[case] most: usize) {
+    let mut table = fleet(0, 8, ms(10));
+    let later = ms(20_000);
+    for number in 1..=heard {
+        table.hear_of(hash(&member(number, 1)), later, false);
+    }
+    table.sweep(later);
+    assert_eq!(table.most(), most);
+}
+
+#[test]
+fn a_daemon_that_has_just_started_counts_its_seeds_among_those_that_spend() {
+    let seeds = (1..4).map(|it| member(it, 1).address).collect();
+    assert_eq!(MemberTable::new(member(0, 1), seeds).most(), 3);
+}
