--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,7 +33,7 @@
 /// Share of the allowed retry slack that daemons spend together.
 const SLACK_CAUTION: f64 = 0.6;
 
-/// Retries that a daemon has at its start, before it knows how many share the allowance.
+/// Retries of a daemon that does not know yet how many share the allowance.
 const FIRST_RETRIES: f64 = 1.0;
 
 /// The shared state of one daemon.
@@ -216,12 +216,16 @@
 
     fn with_budget<T>(&self, pool: &PoolId, change: impl Fn(&mut RetryBudget) -> T) -> T {
         let bounds = &self.settings.bounds;
-        let daemons = lock(&self.members).most() as f64;
+        let (daemons, known) = {
+            let members = lock(&self.members);
+            (members.most() as f64, members.knows_fleet(self.now()))
+        };
         let share = bounds.retry_ratio * RETRY_CAUTION;
         let reserve = (bounds.retry_slack * SLACK_CAUTION / daemons).max(1.0);
         let mut budgets = lock(&self.budgets);
-        let budget =
-            budgets.entry(pool.clone()).or_insert_with(|| RetryBudget::new(share, FIRST_RETRIES));
+        let budget = budgets.entry(pool.clone()).or_insert_with(|| {
+            RetryBudget::new(share, if known { reserve } else { FIRST_RETRIES })
+        });
         budget.resize(share, reserve);
         change(budget)
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -173,6 +173,11 @@
         self.known.values().any(|it| it.is_near(now, silence))
     }
 
+    /// Whether this daemon knows how many there are: it hears others, or nobody named any.
+    pub fn knows_fleet(&self, now: Duration) -> bool {
+        self.hears_any(now) || self.seeds.iter().all(|it| *it == self.own.address)
+    }
+
     /// To whom this daemon tells what now. Turns to another hub if its own is silent.
     pub fn neighbours(&mut self, now: Duration) -> NeighbourSet {
         let mut set = NeighbourSet::default();
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -303,3 +303,21 @@
     let seeds = (1..4).map(|it| member(it, 1).address).collect();
     assert_eq!(MemberTable::new(member(0, 1), seeds).most(), 3);
 }
+
+#[rstest]
+#[case::no_other_is_named(&[0], false, true)]
+#[case::others_are_named_and_not_heard(&[0, 1], false, false)]
+#[case::others_are_heard(&[0, 1], true, true)]
+fn a_daemon_knows_its_fleet_once_it_hears_others_or_none_are_named(
+    #[case] seeds: &[u8],
+    #[case] heard: bool,
+    #[case] known: bool,
+) {
+    let seeds = seeds.iter().map(|it| member(*it, 1).address).collect();
+    let mut table = MemberTable::new(member(0, 1), seeds);
+    if heard {
+        table.add(ms(10), &member(1, 1));
+        table.hear_of(hash(&member(1, 1)), ms(10), false);
+    }
+    assert_eq!(table.knows_fleet(ms(10)), known);
+}
