Leave a pausing stream with its replica; probe connections instead

Silence is no reason to end an answer; a replica that is gone shows by a connection that does not answer probes. Ruled out: the stop itself (the stream was sent 0.4 s after SIGTERM and had 7 s left). Change: only the beginning of an answer is waited for with patience; connections to replicas send keep-alive probes after a second and fail after two.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -292,7 +292,7 @@
 
     /// Whether the request goes to another replica though this one may still answer; if so, the
     /// retry is paid.
-    pub(crate) fn gives_up_early(&self) -> bool {
+    fn gives_up_early(&self) -> bool {
         let now = self.gateway.now();
         now < self.until && self.may_repeat() && self.gateway.spend_retry(&self.pool)
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -22,6 +22,11 @@
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Bytes that stay unacknowledged this long fail a connection.
 const SILENCE: Duration = Duration::from_millis(3_000);
+/// Idle time after which a connection is probed, and the time between two probes: a replica that
+/// is gone without a word says nothing while a stream is awaited.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+/// Probes without an answer that fail a connection.
+const PROBES: u32 = 2;
 /// A kept connection is not used once it was idle this long: a network may have lost track of it.
 const IDLE_TIME: Duration = Duration::from_millis(4_000);
 /// What a kept connection's announced idle time is shortened by, for the way of a request.
@@ -264,7 +269,11 @@
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
-    socket2::SockRef::from(&socket).set_tcp_user_timeout(Some(SILENCE))?;
+    let options = socket2::SockRef::from(&socket);
+    options.set_tcp_user_timeout(Some(SILENCE))?;
+    let probes = socket2::TcpKeepalive::new();
+    let probes = probes.with_time(PROBE_TIME).with_interval(PROBE_TIME).with_retries(PROBES);
+    options.set_tcp_keepalive(&probes)?;
     socket.set_nodelay(true)?;
     socket.connect(address).await
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,9 +19,6 @@
 use crate::gateway::lock;
 use crate::whole;
 
-/// A stream silent for this many of the pauses it is allowed goes on elsewhere, if it may.
-const SILENT_GAPS: u32 = 2;
-
 /// The source of a stream's events: one replica after the other.
 struct StreamPump<D: Dialect, S: Directory> {
     call: Call<D, S>,
@@ -82,8 +79,7 @@
                 return Ok(Some(bytes));
             }
             let left = self.call.until.saturating_sub(self.call.gateway.now());
-            let silence = self.call.route.gap.map_or(left, |it| it * SILENT_GAPS);
-            let step = tokio::time::timeout(left.min(silence), self.step()).await;
+            let step = tokio::time::timeout(left, self.step()).await;
             let fault = match step {
                 Ok(Ok(StreamStep::Events)) => continue,
                 Ok(Ok(StreamStep::End)) => {
@@ -91,9 +87,7 @@
                     return Ok(None);
                 }
                 Ok(Err(fault)) => CallFault::Exchange(fault),
-                Err(_) if left <= silence => CallFault::Exchange(ExchangeFault::Timeout),
-                Err(_) if self.call.gives_up_early() => CallFault::Impatient,
-                Err(_) => continue,
+                Err(_) => CallFault::Exchange(ExchangeFault::Timeout),
             };
             self.go_on(fault).await?;
         }
