--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,13 +9,14 @@
 use ids::{CustomerId, ErrorKind, PoolId, RunState, TargetId};
 use policy::quarantine::Fingerprint;
 use policy::retry::RetryReason;
+use web::client::{CallError, Connection};
 
 use crate::config::{RouteKind, RouteRule, SiteConfig};
 use crate::crashes;
 use crate::described::{self, CallerRequest};
 use crate::dialect::{AnswerHead, CallHead, Dialect, Dispatch, EngineDispatch};
 use crate::directory::Directory;
-use crate::exchange::{CallerResponse, ConnectionUse, ExchangeFault, OpenAnswer};
+use crate::exchange::{CallerResponse, OpenAnswer};
 use crate::gateway::{Gateway, OpenRequest, lock};
 use crate::placing::{PlaceQuery, PlacedTarget, PromptTerms};
 use crate::prompt_need::PromptNeed;
@@ -73,7 +74,7 @@
 pub(crate) struct Place<D: Dialect, S: Directory> {
     gateway: Arc<Gateway<D, S>>,
     pub(crate) target: PlacedTarget,
-    prompt_read: bool,
+    prefilled: bool,
 }
 
 /// Serves a request.
@@ -213,7 +214,7 @@
     fn try_place(&self) -> Option<Place<D, S>> {
         let gateway = &self.gateway;
         let now = gateway.now();
-        let pace = *lock(&gateway.pace);
+        let speed = *lock(&gateway.speed);
         let (rollout, least_weights) = {
             let beliefs = lock(&gateway.beliefs);
             let age = gateway.settings.bounds.version.mul_f64(OLDEST_WEIGHTS_SHARE);
@@ -233,13 +234,13 @@
         let target = match (&self.need, engine) {
             (Some(need), Some(engine)) => {
                 let old_weights_s = self.route.objective.as_secs_f64() * OLD_WEIGHTS_SHARE;
-                let terms = PromptTerms { need, engine, pace, old_weights_s };
+                let terms = PromptTerms { need, engine, speed, old_weights_s };
                 fleet.place_prompt(now, query, terms)?
             }
             _ => fleet.place_plain(now, query)?,
         };
         drop(fleet);
-        Some(Place { gateway: gateway.clone(), target, prompt_read: false })
+        Some(Place { gateway: gateway.clone(), target, prefilled: false })
     }
 
     /// Sends the request to a replica, after the event given if it is a stream that goes on.
@@ -253,8 +254,8 @@
         let target = &place.target;
         // A kept connection may have gone silent; what may not be repeated does not risk it.
         let which = match self.route.kind {
-            it if it.repeats() => ConnectionUse::Kept,
-            _ => ConnectionUse::New,
+            it if it.repeats() => Connection::Pooled,
+            _ => Connection::Fresh,
         };
         self.attempts += 1;
         let connections = &self.gateway.connections;
@@ -332,7 +333,7 @@
         fault: &CallFault,
     ) -> Result<(), CallRefusal> {
         let (reason, kind) = self.judge(place, fault);
-        if let CallFault::Exchange(ExchangeFault::Broken(_)) = fault {
+        if let CallFault::Exchange(CallError::Broken(_) | CallError::TooLong(_)) = fault {
             crashes::look_for_crash(&self.gateway, self.fingerprint, &place.target);
         }
         self.avoid.push(place.target.id.clone());
@@ -344,7 +345,7 @@
         let refusal = refusal.retry_after(self.route.objective / 2);
         let ended = self.gateway.now() >= self.until;
         let again = match fault {
-            CallFault::Exchange(ExchangeFault::NotSent(_)) => {
+            CallFault::Exchange(CallError::NotSent(_)) => {
                 self.unsent += 1;
                 self.unsent < MAX_UNSENT
             }
@@ -366,7 +367,7 @@
         let now = self.gateway.now();
         let mut fleet = lock(&self.gateway.fleet);
         match fault {
-            CallFault::Exchange(ExchangeFault::NotSent(_)) => {
+            CallFault::Exchange(CallError::NotSent(_)) => {
                 self.attempts -= 1;
                 fleet.fail(now, &place.target, true);
                 (RetryReason::ConnectFailed, ErrorKind::NoTarget)
@@ -385,12 +386,12 @@
                 }
                 (RetryReason::TargetBusy, ErrorKind::QueueFull)
             }
-            CallFault::Exchange(ExchangeFault::Timeout) | CallFault::Impatient => {
+            CallFault::Exchange(CallError::Timeout(_)) | CallFault::Impatient => {
                 self.run = RunState::MaybeRun;
                 fleet.fail(now, &place.target, false);
                 (RetryReason::FirstByteTimeout, ErrorKind::TargetTimeout)
             }
-            CallFault::Exchange(ExchangeFault::Broken(_)) => {
+            CallFault::Exchange(CallError::Broken(_) | CallError::TooLong(_)) => {
                 self.run = RunState::MaybeRun;
                 fleet.fail(now, &place.target, false);
                 (RetryReason::BrokeEarly, ErrorKind::TargetFailed)
@@ -413,14 +414,14 @@
         CallRefusal { kind, run: self.run, ..refusal }
     }
 
-    /// The first token came: what the replica read and now holds is known.
-    pub(crate) fn prompt_read(&self, place: &mut Place<D, S>, after: Duration) {
-        place.prompt_read = true;
+    /// The first token came: what the replica now holds is known.
+    pub(crate) fn prefilled(&self, place: &mut Place<D, S>, after: Duration) {
+        place.prefilled = true;
         let target = &place.target;
         let gateway = &self.gateway;
         let now = gateway.now();
         let mut fleet = lock(&gateway.fleet);
-        fleet.prompt_read(target);
+        fleet.prefilled(target);
         fleet.succeed(target);
         let Some(need) = &self.need else { return };
         let salted = need.salted(target.weights);
@@ -430,8 +431,8 @@
             fleet.note_copy(now, copy, &salted[..need.shared]);
         }
         if target.running_before == 0 && target.fetch_from.is_none() {
-            let unread = need.prompt_tokens.saturating_sub(target.cached_tokens);
-            lock(&gateway.pace).learn(unread, after.as_secs_f64());
+            let pending = need.prompt_tokens.saturating_sub(target.cached_tokens);
+            lock(&gateway.speed).learn(pending, after.as_secs_f64());
         }
     }
 
@@ -450,7 +451,7 @@
 pub(crate) enum CallFault {
     /// What happened on the connection.
     #[error(transparent)]
-    Exchange(#[from] ExchangeFault),
+    Exchange(#[from] CallError),
     /// The replica said that it did not run the request.
     #[error("not run, status {0}")]
     NotRun(StatusCode, AnswerHead),
@@ -467,7 +468,7 @@
 
 impl<D: Dialect, S: Directory> Drop for Place<D, S> {
     fn drop(&mut self) {
-        lock(&self.gateway.fleet).release(&self.target, self.prompt_read);
+        lock(&self.gateway.fleet).release(&self.target, self.prefilled);
         self.gateway.freed.notify_one();
     }
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -82,8 +82,8 @@
     pub max_connections: u32,
     /// Set if the replicas are model engines.
     pub engine: Option<EngineRule>,
-    /// Set if the pool is a store of kept KV cache.
-    pub kept_cache: Option<SocketAddr>,
+    /// Set if the pool is a KV store.
+    pub kv_store: Option<SocketAddr>,
 }
 
 /// What is known of a pool's engines.
@@ -194,9 +194,9 @@
         routes.filter_map(|it| it.gap).min()
     }
 
-    /// The store of kept cache, if there is one.
-    pub fn kept_cache(&self) -> Option<SocketAddr> {
-        self.pools.values().find_map(|it| it.kept_cache)
+    /// The KV store, if there is one.
+    pub fn kv_store(&self) -> Option<SocketAddr> {
+        self.pools.values().find_map(|it| it.kv_store)
     }
 
     /// Pools of engines.
--- a/crates/gateway/src/described.rs
+++ b/crates/gateway/src/described.rs
@@ -81,7 +81,7 @@
     });
     let parts: Vec<PromptPrefix> = parts.collect();
     let (prompt, output) = head.tokens.map_or((tokens, 0), |it| (it.0.0, it.1.0));
-    let wall = customer.filter(|_| rule.is_some_and(|it| it.isolated));
+    let cache_scope = customer.filter(|_| rule.is_some_and(|it| it.isolated));
     Some(PromptNeed {
         model,
         shared: parts.len().saturating_sub(1),
@@ -89,7 +89,7 @@
         prompt_tokens: prompt,
         output_tokens: output,
         pause_s: config.shortest_gap(pool).map(|it| it.as_secs_f64()),
-        wall: wall.map(|it| it.as_str().into()),
+        cache_scope: cache_scope.map(|it| it.as_str().into()),
     })
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -75,9 +75,9 @@
     pub salt: Box<str>,
     /// Rank of urgency, 0 is the most urgent.
     pub urgency: u8,
-    /// A replica or a store of kept cache that may hold parts of the prompt.
+    /// A replica or a KV store that may hold parts of the prompt.
     pub fetch_from: Option<SocketAddr>,
-    /// A store of kept cache that is to get the prompt once it is read.
+    /// A KV store that is to get the prompt once it is read.
     pub save_to: Option<SocketAddr>,
 }
 
@@ -96,7 +96,7 @@
     pub version: Option<u64>,
 }
 
-/// An order to a replica to load weights.
+/// An order to a replica to load weights once the requests on it have ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightOrder {
     /// The replica.
@@ -144,11 +144,11 @@
     /// The request for a replica's report on itself.
     fn ask_report(&self) -> Request<Bytes>;
 
-    /// The request that asks a store of kept cache whether it lives.
-    fn ask_kept(&self) -> Request<Bytes>;
+    /// The request that asks a KV store whether it lives.
+    fn ask_kv_store(&self) -> Request<Bytes>;
 
-    /// The life of a store of kept cache, by its answer.
-    fn read_kept(&self, body: &[u8]) -> Option<u64>;
+    /// The life of a KV store, by its answer.
+    fn read_kv_store(&self, body: &[u8]) -> Option<u64>;
 
     /// Reads a replica's report.
     fn read_report(&self, body: &[u8]) -> Option<TargetReport>;
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -18,8 +18,8 @@
     /// The hash of the replica's id.
     pub member: u64,
     running: u32,
-    unread_tokens: u32,
-    memory_tokens: u32,
+    pending_tokens: u32,
+    kv_tokens: u32,
 }
 
 impl TargetLoad {
@@ -29,8 +29,8 @@
         TargetLoad {
             member,
             running: load.running,
-            unread_tokens: clip(load.unread_tokens),
-            memory_tokens: clip(load.memory_tokens),
+            pending_tokens: clip(load.pending_tokens),
+            kv_tokens: clip(load.kv_tokens),
         }
     }
 
@@ -38,8 +38,8 @@
     pub fn load(&self) -> LoadCount {
         LoadCount {
             running: self.running,
-            unread_tokens: u64::from(self.unread_tokens),
-            memory_tokens: u64::from(self.memory_tokens),
+            pending_tokens: u64::from(self.pending_tokens),
+            kv_tokens: u64::from(self.kv_tokens),
         }
     }
 }
@@ -70,9 +70,9 @@
     pub born: u64,
 }
 
-/// How a store of kept cache was last seen.
+/// How a KV store was last seen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KeptNews {
+pub struct KvStoreNews {
     /// Where it listens.
     pub address: SocketAddr,
     /// Its life; `None` if it did not answer.
@@ -123,8 +123,8 @@
     pub origins: Vec<OriginState>,
     /// What it knows of weights; not in every digest.
     pub weights: Vec<WeightNews>,
-    /// The store of kept cache, as it saw it or heard of it.
-    pub kept: Option<KeptNews>,
+    /// The KV store, as it saw it or heard of it.
+    pub kv_store: Option<KvStoreNews>,
     /// Prompts placed since its last digest.
     pub prefixes: Vec<PrefixNews>,
     /// Replicas that it knows to be leaving, by the hashes of their ids.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ids::{FailureDomain, Incarnation, InstanceId, Revision};
+use policy::peer_tree::InstanceCapacity;
 use ports::{Commit, StoreError};
 use serde::{Deserialize, Serialize};
 
@@ -32,8 +33,8 @@
     pub address: IpAddr,
     /// Where it fails together with others.
     pub domain: FailureDomain,
-    /// How much it can carry beside others; only the order counts.
-    pub capacity: u32,
+    /// How much its instance can carry.
+    pub capacity: InstanceCapacity,
 }
 
 /// The lease on giving orders to replicas.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use ports::Clock;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
+use web::client::{CallError, Connection};
 
 /// Longest time for a connection to open.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
@@ -36,29 +37,6 @@
 /// Bytes read from a replica at once.
 const READ_BYTES: usize = 16 << 10;
 
-/// Why an exchange has no answer.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum ExchangeFault {
-    /// No byte of the request was sent.
-    #[error("not sent: {0}")]
-    NotSent(Box<str>),
-    /// It may have been sent, and the connection ended.
-    #[error("broken: {0}")]
-    Broken(Box<str>),
-    /// It was sent, and no answer came in time.
-    #[error("no answer in time")]
-    Timeout,
-}
-
-/// Which connection a request may use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ConnectionUse {
-    /// A kept one, if there is any.
-    Kept,
-    /// Only a new one.
-    New,
-}
-
 #[derive(Debug)]
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
@@ -114,11 +92,11 @@
         address: SocketAddr,
         id: &str,
         request: Request<Full<Bytes>>,
-        which: ConnectionUse,
+        which: Connection,
         time: Duration,
-    ) -> Result<OpenAnswer, ExchangeFault> {
+    ) -> Result<OpenAnswer, CallError> {
         let exchange = self.exchange(address, id, request, which);
-        tokio::time::timeout(time, exchange).await.unwrap_or(Err(ExchangeFault::Timeout))
+        tokio::time::timeout(time, exchange).await.unwrap_or(Err(CallError::Timeout(time)))
     }
 
     async fn exchange(
@@ -126,13 +104,13 @@
         address: SocketAddr,
         id: &str,
         mut request: Request<Full<Bytes>>,
-        which: ConnectionUse,
-    ) -> Result<OpenAnswer, ExchangeFault> {
+        which: Connection,
+    ) -> Result<OpenAnswer, CallError> {
         let key = (address, Box::from(id));
         loop {
             let kept = match which {
-                ConnectionUse::Kept => self.take(&key),
-                ConnectionUse::New => None,
+                Connection::Pooled => self.take(&key),
+                Connection::Fresh => None,
             };
             let mut connection = match kept {
                 Some(it) => it,
@@ -152,8 +130,8 @@
                 Err(mut error) => match error.take_message() {
                     // The kept connection had ended before the request went out.
                     Some(unsent) if connection.used => request = unsent,
-                    Some(_) => return Err(ExchangeFault::NotSent(text(error.error()))),
-                    None => return Err(ExchangeFault::Broken(text(error.error()))),
+                    Some(_) => return Err(CallError::NotSent(text(error.error()))),
+                    None => return Err(CallError::Broken(text(error.error()))),
                 },
             }
         }
@@ -247,18 +225,18 @@
         .any(|it| it.split(',').any(|one| one.trim().eq_ignore_ascii_case("close")))
 }
 
-async fn open(address: SocketAddr) -> Result<OpenConnection, ExchangeFault> {
-    let not_sent = |error: std::io::Error| ExchangeFault::NotSent(error.to_string().into());
+async fn open(address: SocketAddr) -> Result<OpenConnection, CallError> {
+    let not_sent = |error: std::io::Error| CallError::NotSent(error.to_string().into());
     let connecting = connect(address);
     let stream = match tokio::time::timeout(CONNECT_TIME, connecting).await {
         Ok(stream) => stream.map_err(not_sent)?,
-        Err(_) => return Err(ExchangeFault::NotSent("the connection did not open".into())),
+        Err(_) => return Err(CallError::NotSent("the connection did not open".into())),
     };
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BYTES)
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
         .await;
-    let (sender, connection) = handshake.map_err(|error| ExchangeFault::NotSent(text(&error)))?;
+    let (sender, connection) = handshake.map_err(|error| CallError::NotSent(text(&error)))?;
     // How a connection ended is told to the request that was on it.
     let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
     Ok(OpenConnection { sender, task, idle_until: Duration::MAX, used: false })
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::config::TargetEntry;
 use crate::digest::{PrefixNews, TargetLoad, WeightNews};
-use crate::kept::KeptCache;
+use crate::kv_store::KvStoreView;
 use crate::placing::PlacedTarget;
 use crate::replica::{self, LoadCount, Replica};
 
@@ -25,8 +25,8 @@
     told_weights: IndexMap<(u64, u64), WeightNews>,
     /// Which replicas hold which beginnings of prompts.
     pub prefixes: PrefixTable,
-    /// The store of kept cache, if one was looked at.
-    pub(crate) kept: Option<KeptCache>,
+    /// The KV store, if one was looked at.
+    pub(crate) kv_store: Option<KvStoreView>,
     /// Beginnings placed since peers were last told.
     pub(crate) prefix_news: Vec<PrefixNews>,
 }
@@ -40,7 +40,7 @@
             peer_loads: IndexMap::new(),
             told_weights: IndexMap::new(),
             prefixes: PrefixTable::default(),
-            kept: None,
+            kv_store: None,
             prefix_news: Vec::new(),
         }
     }
@@ -175,21 +175,22 @@
         sum
     }
 
-    /// The prompt of a request was read: its first token came.
-    pub fn prompt_read(&mut self, placed: &PlacedTarget) {
+    /// The prompt of a request is prefilled: its first token came.
+    pub fn prefilled(&mut self, placed: &PlacedTarget) {
         if let Some(it) = self.same_life(placed) {
-            it.own.unread_tokens = it.own.unread_tokens.saturating_sub(placed.load.unread_tokens);
+            it.own.pending_tokens =
+                it.own.pending_tokens.saturating_sub(placed.load.pending_tokens);
         }
     }
 
     /// A request has left a replica.
-    pub fn release(&mut self, placed: &PlacedTarget, prompt_read: bool) {
-        if !prompt_read {
-            self.prompt_read(placed);
+    pub fn release(&mut self, placed: &PlacedTarget, prefilled: bool) {
+        if !prefilled {
+            self.prefilled(placed);
         }
         if let Some(it) = self.same_life(placed) {
             it.own.running = it.own.running.saturating_sub(placed.load.running);
-            it.own.memory_tokens = it.own.memory_tokens.saturating_sub(placed.load.memory_tokens);
+            it.own.kv_tokens = it.own.kv_tokens.saturating_sub(placed.load.kv_tokens);
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! What all requests and tasks of one daemon share.
 //!
-//! Lock order, where two are held at once: beliefs, members, fleet, pace, quotas, budgets. No lock
+//! Lock order, where two are held at once: beliefs, members, fleet, speed, quotas, budgets. No lock
 //! is held across an await.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -10,7 +10,7 @@
 use ids::{Incarnation, PoolId};
 use indexmap::IndexMap;
 use policy::customer_quota::{QuotaAllowance, QuotaTable};
-use policy::engine_choice::EnginePace;
+use policy::engine_choice::PrefillSpeed;
 use policy::quarantine::QuarantineTable;
 use policy::retry::RetryBudget;
 use ports::{Clock, SystemClock};
@@ -58,7 +58,7 @@
     pub(crate) fleet: Mutex<FleetTable>,
     pub(crate) quotas: Mutex<QuotaTable>,
     pub(crate) quarantine: Mutex<QuarantineTable>,
-    pub(crate) pace: Mutex<EnginePace>,
+    pub(crate) speed: Mutex<PrefillSpeed>,
     budgets: Mutex<IndexMap<PoolId, RetryBudget>>,
     open: AtomicUsize,
     leaving: AtomicBool,
@@ -112,7 +112,7 @@
             fleet: Mutex::new(FleetTable::new(settings.domain.clone())),
             quotas: Mutex::new(QuotaTable::new(allowance)),
             quarantine: Mutex::default(),
-            pace: Mutex::default(),
+            speed: Mutex::default(),
             budgets: Mutex::default(),
             open: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kv_store.rs
@@ -1,4 +1,4 @@
-//! The store of kept KV cache: whether it lives, and which life it is in.
+//! The KV store: whether it lives, and which life it is in.
 //!
 //! Engines fetch from it what they have evicted. A fetch from a dead store holds a request up, so
 //! one daemon looks at the store and tells the others.
@@ -11,7 +11,7 @@
 
 use crate::call_target;
 use crate::dialect::Dialect;
-use crate::digest::KeptNews;
+use crate::digest::KvStoreNews;
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
 
@@ -24,26 +24,26 @@
 /// What was seen this long ago says nothing any more.
 const SEEN_AGE: Duration = Duration::from_millis(4_000);
 
-/// A store of kept cache as it was last seen.
+/// A KV store as it was last seen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct KeptCache {
+pub(crate) struct KvStoreView {
     pub(crate) address: SocketAddr,
     /// Its life; `None` if it did not answer.
     pub(crate) epoch: Option<u64>,
     pub(crate) seen_at: Duration,
 }
 
-impl KeptCache {
+impl KvStoreView {
     /// As a peer saw it.
-    pub(crate) fn heard(now: Duration, news: KeptNews) -> KeptCache {
-        let KeptNews { address, epoch, age } = news;
-        KeptCache { address, epoch, seen_at: now.saturating_sub(age) }
+    pub(crate) fn heard(now: Duration, news: KvStoreNews) -> KvStoreView {
+        let KvStoreNews { address, epoch, age } = news;
+        KvStoreView { address, epoch, seen_at: now.saturating_sub(age) }
     }
 
     /// For peers.
-    pub(crate) fn news(self, now: Duration) -> KeptNews {
-        let KeptCache { address, epoch, seen_at } = self;
-        KeptNews { address, epoch, age: now.saturating_sub(seen_at) }
+    pub(crate) fn news(self, now: Duration) -> KvStoreNews {
+        let KvStoreView { address, epoch, seen_at } = self;
+        KvStoreNews { address, epoch, age: now.saturating_sub(seen_at) }
     }
 
     /// Its life, if it is believed to live.
@@ -62,8 +62,8 @@
     loop {
         let now = gateway.now();
         let rank = lock(&gateway.members).rank(now) as u32;
-        let address = gateway.config().and_then(|it| it.kept_cache());
-        let seen_at = lock(&gateway.fleet).kept.map(|it| it.seen_at);
+        let address = gateway.config().and_then(|it| it.kv_store());
+        let seen_at = lock(&gateway.fleet).kv_store.map(|it| it.seen_at);
         let due = seen_at.map_or(now, |it| it + LOOK_PERIOD + PLACE_WAIT * rank);
         let Some(address) = address else {
             tokio::time::sleep(LOOK_PERIOD).await;
@@ -78,16 +78,16 @@
 }
 
 async fn look<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, address: SocketAddr) {
-    let request = gateway.dialect.ask_kept();
-    let answer = call_target::call(gateway, address, "kept-cache", request, LOOK_TIME).await;
+    let request = gateway.dialect.ask_kv_store();
+    let answer = call_target::call(gateway, address, "kv-store", request, LOOK_TIME).await;
     let epoch = match &answer {
-        Ok((status, body)) if status.is_success() => gateway.dialect.read_kept(body),
+        Ok((status, body)) if status.is_success() => gateway.dialect.read_kv_store(body),
         _ => None,
     };
-    let before = lock(&gateway.fleet).kept.and_then(|it| it.epoch);
+    let before = lock(&gateway.fleet).kv_store.and_then(|it| it.epoch);
     if before != epoch {
-        tracing::info!(%address, epoch, before, "kept cache: seen in another life");
+        tracing::info!(%address, epoch, before, "kv store: seen in another life");
     }
     let seen_at = gateway.now();
-    lock(&gateway.fleet).hear_kept(KeptCache { address, epoch, seen_at });
+    lock(&gateway.fleet).hear_kv_store(KvStoreView { address, epoch, seen_at });
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod fleet;
 mod front;
 mod gateway;
-mod kept;
+mod kv_store;
 pub mod members;
 mod metrics;
 mod peer_link;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,7 +12,7 @@
 use crate::digest::{Digest, DigestWay, OriginState, PeerMessage, PrefixNews, WeightNews};
 use crate::directory::{Directory, Snapshot};
 use crate::gateway::{Gateway, lock};
-use crate::kept::KeptCache;
+use crate::kv_store::KvStoreView;
 
 /// The time between two digests.
 const DIGEST_PERIOD: Duration = Duration::from_millis(250);
@@ -130,7 +130,7 @@
         listing,
         origins,
         weights: if seldom { fleet.weight_news() } else { Vec::new() },
-        kept: fleet.kept.map(|it| it.news(now)),
+        kv_store: fleet.kv_store.map(|it| it.news(now)),
         prefixes: prefixes.to_vec(),
         leaving_targets: fleet.leaving_members(),
         members: if seldom { members.entries() } else { Vec::new() },
@@ -255,8 +255,8 @@
             }
         }
         fleet.hear_leaving(&digest.leaving_targets);
-        if let Some(news) = digest.kept {
-            fleet.hear_kept(KeptCache::heard(now, news));
+        if let Some(news) = digest.kv_store {
+            fleet.hear_kv_store(KvStoreView::heard(now, news));
         }
         fleet.hear_prefixes(now, &digest.prefixes);
     }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ids::{PoolId, TargetId};
-use policy::engine_choice::{EnginePace, EngineView, PromptSize};
+use policy::engine_choice::{EngineView, PrefillSpeed, PromptSize};
 use policy::health::HealthState;
 use policy::plain_choice::PlainView;
 use policy::prefix_table::PromptPrefix;
@@ -13,7 +13,7 @@
 use crate::config::EngineRule;
 use crate::digest::PrefixNews;
 use crate::fleet::FleetTable;
-use crate::kept::KeptCache;
+use crate::kv_store::KvStoreView;
 use crate::prompt_need::PromptNeed;
 use crate::replica::{LoadCount, Replica};
 
@@ -37,8 +37,8 @@
     pub cached_tokens: u64,
     /// A replica that may hold more of the prompt.
     pub fetch_from: Option<SocketAddr>,
-    /// A store of kept cache that does not hold the shared parts yet.
-    pub save_to: Option<KeptCopy>,
+    /// A KV store that does not hold the shared parts yet.
+    pub save_to: Option<KvStoreCopy>,
     /// How long the beginning of its answer may take, as far as known.
     pub expected: Duration,
     /// What it adds to the replica's load.
@@ -47,9 +47,9 @@
     pub running_before: u32,
 }
 
-/// A copy of a prompt for a store of kept cache.
+/// A copy of a prompt for a KV store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct KeptCopy {
+pub struct KvStoreCopy {
     /// Where the store listens.
     pub address: SocketAddr,
     member: u64,
@@ -76,8 +76,8 @@
     pub need: &'a PromptNeed,
     /// What is known of the pool's engines.
     pub engine: &'a EngineRule,
-    /// How fast they read.
-    pub pace: EnginePace,
+    /// How fast they prefill.
+    pub speed: PrefillSpeed,
     /// What an answer on older weights is taken to cost, in seconds.
     pub old_weights_s: f64,
 }
@@ -133,7 +133,7 @@
         query: PlaceQuery<'_>,
         terms: PromptTerms<'_>,
     ) -> Option<PlacedTarget> {
-        let PromptTerms { need, engine, pace, old_weights_s } = terms;
+        let PromptTerms { need, engine, speed, old_weights_s } = terms;
         let open: Vec<&Replica> = self.open(now, query).collect();
         let newest = open.iter().map(|it| it.weights).max()?;
         let homes = self.homes(query.pool, need);
@@ -155,9 +155,9 @@
                 EngineView {
                     batch: engine.batch,
                     running: load.running,
-                    unread_tokens: load.unread_tokens,
-                    memory_tokens: load.memory_tokens,
-                    memory_limit: engine.kv_tokens,
+                    pending_tokens: load.pending_tokens,
+                    kv_tokens: load.kv_tokens,
+                    kv_limit: engine.kv_tokens,
                     lane: self.lane(it),
                     // A home is where other daemons will have placed the same beginning.
                     cached_tokens: if home { believed.max(shared / 2) } else { believed },
@@ -167,7 +167,7 @@
             })
             .collect();
         let size = PromptSize { tokens: need.prompt_tokens, pause_s: need.pause_s };
-        let (index, cost_s) = policy::engine_choice::choose(&views, size, pace)?;
+        let (index, cost_s) = policy::engine_choice::choose(&views, size, speed)?;
         let chosen = open[index];
         let (id, weights) = (chosen.entry.id.clone(), chosen.weights);
         let salted = need.salted(weights);
@@ -176,8 +176,8 @@
         let save_to = self.copy_wanted(now, &salted[..need.shared]);
         let load = LoadCount {
             running: 1,
-            unread_tokens: need.prompt_tokens.saturating_sub(views[index].cached_tokens),
-            memory_tokens: need.prompt_tokens + need.output_tokens,
+            pending_tokens: need.prompt_tokens.saturating_sub(views[index].cached_tokens),
+            kv_tokens: need.prompt_tokens + need.output_tokens,
         };
         let placed = self.occupy(&id, load)?;
         let expected = Duration::from_secs_f64(cost_s);
@@ -187,29 +187,29 @@
         Some(placed)
     }
 
-    /// The store of kept cache, if it lives and does not hold all shared parts.
-    fn copy_wanted(&self, now: Duration, shared: &[PromptPrefix]) -> Option<KeptCopy> {
-        let kept = self.kept?;
-        let life = kept.life(now)?;
+    /// The KV store, if it lives and does not hold all shared parts.
+    fn copy_wanted(&self, now: Duration, shared: &[PromptPrefix]) -> Option<KvStoreCopy> {
+        let store = self.kv_store?;
+        let life = store.life(now)?;
         let tokens = shared.last()?.tokens;
-        let held = self.prefixes.cached_tokens(now, shared, kept.member(), life);
-        let copy = KeptCopy { address: kept.address, member: kept.member(), life };
+        let held = self.prefixes.cached_tokens(now, shared, store.member(), life);
+        let copy = KvStoreCopy { address: store.address, member: store.member(), life };
         (held < tokens).then_some(copy)
     }
 
-    /// A prompt was read and goes to the store.
-    pub fn note_copy(&mut self, now: Duration, copy: KeptCopy, shared: &[PromptPrefix]) {
+    /// A prompt is prefilled and goes to the store.
+    pub fn note_copy(&mut self, now: Duration, copy: KvStoreCopy, shared: &[PromptPrefix]) {
         self.note_holder(now, copy.member, copy.life, shared);
     }
 
-    /// How the store of kept cache was seen, here or by a peer.
-    pub(crate) fn hear_kept(&mut self, seen: KeptCache) {
-        if self.kept.is_none_or(|it| it.seen_at < seen.seen_at || it.address != seen.address) {
-            self.kept = Some(seen);
+    /// How the KV store was seen, here or by a peer.
+    pub(crate) fn hear_kv_store(&mut self, seen: KvStoreView) {
+        if self.kv_store.is_none_or(|it| it.seen_at < seen.seen_at || it.address != seen.address) {
+            self.kv_store = Some(seen);
         }
     }
 
-    /// A replica will hold these beginnings as soon as it has read the prompt placed on it.
+    /// A replica will hold these beginnings as soon as it has prefilled the prompt placed on it.
     fn note_prefixes(&mut self, now: Duration, placed: &PlacedTarget, shared: &[PromptPrefix]) {
         self.note_holder(now, placed.member, placed.born, shared);
     }
@@ -250,10 +250,10 @@
                 && replica.health.state(now) == HealthState::Good;
             usable.then_some(replica.entry.address)
         };
-        let kept = self.kept.and_then(|it| Some((it.member(), it.life(now)?, it.address)));
+        let alive = self.kv_store.and_then(|it| Some((it.member(), it.life(now)?, it.address)));
         shared.iter().rev().find_map(|prefix| {
             let holders = self.prefixes.holders(now, prefix.digest);
-            let store = kept.filter(|it| holders.contains(&(it.0, it.1))).map(|it| it.2);
+            let store = alive.filter(|it| holders.contains(&(it.0, it.1))).map(|it| it.2);
             let mut others = holders.into_iter().filter(|it| it.0 != chosen.member);
             store.or_else(|| others.find_map(|(member, born)| usable(member, born)))
         })
--- a/crates/gateway/src/prompt_need.rs
+++ b/crates/gateway/src/prompt_need.rs
@@ -19,7 +19,7 @@
     /// The shortest pause that streams of the pool are allowed, in seconds.
     pub pause_s: Option<f64>,
     /// The customer whose cache is kept apart, if it is.
-    pub wall: Option<Box<str>>,
+    pub cache_scope: Option<Box<str>>,
 }
 
 impl PromptNeed {
@@ -30,7 +30,7 @@
 
     /// The salt under which the parts lie on a replica with this version of the weights.
     pub fn salt(&self, version: u64) -> Box<str> {
-        match &self.wall {
+        match &self.cache_scope {
             Some(customer) => format!("{version}/{customer}").into(),
             None => format!("{version}").into(),
         }
@@ -39,7 +39,7 @@
     /// The beginnings of the prompt as they lie under a version's salt.
     pub fn salted(&self, version: u64) -> Vec<PromptPrefix> {
         let mut seed = rendezvous::weight(version, self.home_seed());
-        if let Some(customer) = &self.wall {
+        if let Some(customer) = &self.cache_scope {
             seed ^= rendezvous::member_hash(customer);
         }
         let salt = |it: &PromptPrefix| PromptPrefix {
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -1,25 +1,18 @@
 //! Who reads the store, and when.
 //!
-//! One daemon reads and tells the others. Each reads by itself as soon as what it knows is older
-//! than its own limit, and limits grow with a daemon's place among those it reaches: so the next
-//! in line takes over when the reader is gone or cut off, from the store or from its peers.
+//! One daemon reads and tells the others; the next in line takes over when the reader is gone or
+//! cut off, from the store or from its peers (`policy::reader_turn`).
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use policy::reader_turn;
+
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
 use crate::peers;
 
-/// The reader reads this many times within the bound of what it reads.
-const READS_IN_BOUND: u32 = 5;
-/// The next daemon in line waits for this many periods of the reader.
-const TAKE_OVER_PERIODS: f64 = 1.7;
-/// Each further place in line waits for this many periods more.
-const PLACE_PERIODS: f64 = 0.35;
-/// The last in line waits for this share of the bound.
-const LONGEST_SHARE: f64 = 0.6;
 /// The pause after a call that failed; it doubles with each further one.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// The longest such pause.
@@ -81,15 +74,8 @@
         let wait = if gateway.is_seed() { Duration::ZERO } else { FIRST_WAIT };
         return (gateway.started_at + wait).saturating_sub(now);
     };
-    let period = bound / READS_IN_BOUND;
-    let rank = lock(&gateway.members).rank(now);
-    let limit = match rank {
-        0 => period,
-        rank => {
-            let limit = period.mul_f64(TAKE_OVER_PERIODS + PLACE_PERIODS * (rank - 1) as f64);
-            limit.min(bound.mul_f64(LONGEST_SHARE))
-        }
-    };
+    let place = lock(&gateway.members).rank(now);
+    let limit = reader_turn::age_limit(bound, place);
     (known_at + limit).saturating_sub(now)
 }
 
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -18,10 +18,10 @@
 pub struct LoadCount {
     /// How many.
     pub running: u32,
-    /// Their prompt tokens that are still to be read.
-    pub unread_tokens: u64,
-    /// Their memory in tokens.
-    pub memory_tokens: u64,
+    /// Their prompt tokens whose prefill is pending.
+    pub pending_tokens: u64,
+    /// Their KV memory in tokens.
+    pub kv_tokens: u64,
 }
 
 /// One replica.
@@ -53,8 +53,8 @@
     /// Adds another count.
     pub(crate) fn add(&mut self, other: &LoadCount) {
         self.running += other.running;
-        self.unread_tokens += other.unread_tokens;
-        self.memory_tokens += other.memory_tokens;
+        self.pending_tokens += other.pending_tokens;
+        self.kv_tokens += other.kv_tokens;
     }
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,7 +14,7 @@
 use crate::gateway::Gateway;
 use crate::peer_link::PeerLink;
 use crate::settings::GatewaySettings;
-use crate::{front, kept, peers, reader, readiness, weights};
+use crate::{front, kv_store, peers, reader, readiness, weights};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -48,7 +48,7 @@
     tokio::spawn(reader::follow_targets(gateway.clone()));
     tokio::spawn(reader::announce(gateway.clone()));
     tokio::spawn(weights::drive(gateway.clone()));
-    tokio::spawn(kept::watch(gateway.clone()));
+    tokio::spawn(kv_store::watch(gateway.clone()));
     tokio::spawn(readiness::serve(gateway.clone(), readiness));
     tokio::spawn(front::serve(gateway.clone(), callers, stopped));
     loop {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ids::{FailureDomain, InstanceId};
+use policy::peer_tree::InstanceCapacity;
 
 /// The settings of one daemon.
 #[derive(Debug, Clone)]
@@ -22,8 +23,8 @@
     pub peer_port: u16,
     /// Daemons that may know others.
     pub seeds: Vec<IpAddr>,
-    /// How much this instance can carry beside others; only the order counts.
-    pub capacity: u32,
+    /// How much its instance can carry.
+    pub capacity: InstanceCapacity,
     /// Threads that serve.
     pub workers: usize,
     /// File descriptors for sockets.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,13 +9,14 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use policy::retry::RetryReason;
+use web::client::CallError;
 
 use crate::body::{BrokenOff, CallerBody};
 use crate::call::{Call, CallFault, Place};
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::events::EventSplitter;
-use crate::exchange::{CallerResponse, ExchangeFault, FinishedAnswer, OpenAnswer};
+use crate::exchange::{CallerResponse, FinishedAnswer, OpenAnswer};
 use crate::gateway::lock;
 use crate::whole;
 
@@ -87,14 +88,14 @@
                     return Ok(None);
                 }
                 Ok(Err(fault)) => CallFault::Exchange(fault),
-                Err(_) => CallFault::Exchange(ExchangeFault::Timeout),
+                Err(_) => CallFault::Exchange(CallError::Timeout(left)),
             };
             self.go_on(fault).await?;
         }
     }
 
-    async fn step(&mut self) -> Result<StreamStep, ExchangeFault> {
-        let broken = |text: String| ExchangeFault::Broken(text.into());
+    async fn step(&mut self) -> Result<StreamStep, CallError> {
+        let broken = |text: String| CallError::Broken(text.into());
         let Some(frame) = self.body.frame().await else {
             return match self.splitter.is_clean() {
                 true => Ok(StreamStep::End),
@@ -123,7 +124,7 @@
         if !self.begun {
             self.begun = true;
             let after = self.call.gateway.now().saturating_sub(self.sent_at);
-            self.call.prompt_read(&mut self.place, after);
+            self.call.prefilled(&mut self.place, after);
         }
     }
 
@@ -166,7 +167,7 @@
                 }
                 Ok(answer) => {
                     let text = format!("status {}", answer.status);
-                    CallFault::Exchange(ExchangeFault::Broken(text.into()))
+                    CallFault::Exchange(CallError::Broken(text.into()))
                 }
                 Err(fault) => fault,
             };
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -13,12 +13,12 @@
 use indexmap::IndexMap;
 use policy::weight_rounds::{self, LaggingTarget};
 use ports::{Commit, StoreError};
+use web::client::CallError;
 
 use crate::call_target;
 use crate::dialect::{Dialect, TargetReport, WeightOrder};
 use crate::digest::WeightNews;
 use crate::directory::{Directory, OrderLease};
-use crate::exchange::ExchangeFault;
 use crate::gateway::{Gateway, lock};
 use crate::peers;
 
@@ -76,10 +76,11 @@
     let mut needed_since: Option<Duration> = None;
     let book = Arc::new(OrderBook::default());
     loop {
+        // Made before the look, so that nothing learned after it is missed.
+        let believed = gateway.believed.notified();
         let needed = needed_orders(&gateway);
         if needed.is_empty() || gateway.is_leaving() {
             needed_since = None;
-            let believed = gateway.believed.notified();
             let _ = tokio::time::timeout(IDLE_ROUND, believed).await;
             continue;
         }
@@ -91,7 +92,7 @@
             tokio::time::sleep(ROUND).await;
             continue;
         }
-        if !is_proven(&gateway, held.as_ref(), 2) {
+        if held.as_ref().is_none_or(|it| is_due(&gateway, it)) {
             held = match take_lease(&gateway, held.take()).await {
                 Ok(it) => it,
                 Err(error) => {
@@ -117,13 +118,14 @@
     gateway.settings.bounds.lease / LEASE_PART
 }
 
-/// Whether the lease holds for the rest of its time, or for that part of it.
-fn is_proven<D: Dialect, S: Directory>(
-    gateway: &Gateway<D, S>,
-    held: Option<&HeldLease>,
-    part: u32,
-) -> bool {
-    held.is_some_and(|it| gateway.now() < it.proved_at + lease_time(gateway) / part)
+/// Whether the lease surely holds now.
+fn is_proven<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, held: &HeldLease) -> bool {
+    gateway.now() < held.proved_at + lease_time(gateway)
+}
+
+/// Whether the lease is to be renewed: half of its time has passed.
+fn is_due<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, held: &HeldLease) -> bool {
+    gateway.now() >= held.proved_at + lease_time(gateway) / 2
 }
 
 /// Renews the lease or takes a lapsed one; `None` if another daemon holds it.
@@ -283,7 +285,7 @@
             return true;
         }
         if !report.busy && !sent && is_settled(gateway, held, &order.target, report.accepted) {
-            if !is_proven(gateway, Some(held), 1) {
+            if !is_proven(gateway, held) {
                 return false;
             }
             sent = send_order(gateway, held, order, report.accepted).await;
@@ -340,7 +342,7 @@
             tracing::warn!(%target, version, %status, token, "weights: order refused");
             false
         }
-        Err(ExchangeFault::NotSent(error)) => {
+        Err(CallError::NotSent(error)) => {
             tracing::warn!(%target, version, token, "weights: order not sent: {error}");
             false
         }
@@ -373,8 +375,8 @@
     gateway: &Gateway<D, S>,
     target: &TargetId,
     request: Request<bytes::Bytes>,
-) -> Result<(StatusCode, bytes::Bytes), ExchangeFault> {
+) -> Result<(StatusCode, bytes::Bytes), CallError> {
     let address = lock(&gateway.fleet).get(target).map(|it| it.entry.address);
-    let address = address.ok_or(ExchangeFault::NotSent("the replica is not listed".into()))?;
+    let address = address.ok_or(CallError::NotSent("the replica is not listed".into()))?;
     call_target::call(gateway, address, target.as_str(), request, CALL_TIME).await
 }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -3,12 +3,13 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
+use web::client::CallError;
 
 use crate::body::CallerBody;
 use crate::call::{Call, CallFault};
 use crate::dialect::Dialect;
 use crate::directory::Directory;
-use crate::exchange::{CallerResponse, ExchangeFault, OpenAnswer};
+use crate::exchange::{CallerResponse, OpenAnswer};
 
 /// Longest answer that is read whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -30,17 +31,17 @@
     let read = async {
         let mut bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| ExchangeFault::Broken(error.to_string().into()))?;
+            let frame = frame.map_err(|error| CallError::Broken(error.to_string().into()))?;
             if let Some(data) = frame.data_ref() {
                 bytes.extend_from_slice(data);
             }
             if bytes.len() > MAX_ANSWER_BYTES {
-                return Err(ExchangeFault::Broken("the answer is too long".into()));
+                return Err(CallError::TooLong(MAX_ANSWER_BYTES));
             }
         }
         Ok(bytes.freeze())
     };
-    let body = tokio::time::timeout(left, read).await.unwrap_or(Err(ExchangeFault::Timeout))?;
+    let body = tokio::time::timeout(left, read).await.unwrap_or(Err(CallError::Timeout(left)))?;
     // A replica that answered a failure may not have read the whole request.
     if status.is_success() {
         call.gateway.connections.keep(rest);
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -95,13 +95,13 @@
     assert!(beliefs.listing().is_some_and(|it| it.entries[0].leaving && it.read_at == ms(10)));
 }
 
-fn member(number: u8, capacity: u32) -> MemberEntry {
+fn member(number: u8) -> MemberEntry {
     MemberEntry {
         id: format!("d{number}").parse().expect("an id"),
         incarnation: Incarnation(1),
         address: IpAddr::V4(Ipv4Addr::new(127, 0, 1, number)),
         domain: "a".parse().expect("an id"),
-        capacity,
+        capacity: Default::default(),
     }
 }
 
@@ -111,9 +111,9 @@
 
 /// The table of daemon `own` in a fleet where all run and are heard at `now`.
 fn fleet(own: u8, count: u8, now: Duration) -> MemberTable {
-    let mut table = MemberTable::new(member(own, 1), Vec::new());
+    let mut table = MemberTable::new(member(own), Vec::new());
     for number in (0..count).filter(|it| *it != own) {
-        let entry = member(number, 1);
+        let entry = member(number);
         table.add(now, &entry);
         table.hear_of(hash(&entry), now, false);
     }
@@ -150,7 +150,7 @@
     assert_eq!(table.neighbours(ms(500)).up, first);
     let later = ms(900);
     for number in (0..90).filter(|it| *it != own) {
-        table.hear_of(hash(&member(number, 1)), later, false);
+        table.hear_of(hash(&member(number)), later, false);
     }
     assert_ne!(table.neighbours(later).up, first);
 }
@@ -159,7 +159,7 @@
 fn news_of_another_hub_go_down_only() {
     let own = (0..90).find(|it| fleet(*it, 90, ms(10)).is_hub(ms(10))).expect("some hub");
     let mut table = fleet(own, 90, ms(10));
-    let child = (0..90).map(|it| member(it, 1)).find(|it| {
+    let child = (0..90).map(member).find(|it| {
         let number = it.id.as_str()[1..].parse().unwrap_or(0);
         number != own && !fleet(number, 90, ms(10)).is_hub(ms(10))
     });
@@ -174,7 +174,7 @@
 #[test]
 fn a_daemon_that_did_not_answer_is_not_near_until_it_is_heard_later() {
     let mut table = fleet(0, 3, ms(10));
-    let entry = member(1, 1);
+    let entry = member(1);
     table.miss(ms(20), &entry.id);
     table.hear_of(hash(&entry), ms(15), false);
     assert_eq!(table.heard(ms(20)).count(), 1);
@@ -213,7 +213,7 @@
     let mut table = fleet(0, 8, ms(10));
     let later = ms(20_000);
     for number in 1..=heard {
-        table.hear_of(hash(&member(number, 1)), later, false);
+        table.hear_of(hash(&member(number)), later, false);
     }
     table.sweep(later);
     assert_eq!(table.most(), most);
@@ -221,8 +221,8 @@
 
 #[test]
 fn a_daemon_that_has_just_started_counts_its_seeds_among_those_that_spend() {
-    let seeds = (1..4).map(|it| member(it, 1).address).collect();
-    assert_eq!(MemberTable::new(member(0, 1), seeds).most(), 3);
+    let seeds = (1..4).map(|it| member(it).address).collect();
+    assert_eq!(MemberTable::new(member(0), seeds).most(), 3);
 }
 
 #[rstest]
@@ -234,11 +234,11 @@
     #[case] heard: bool,
     #[case] known: bool,
 ) {
-    let seeds = seeds.iter().map(|it| member(*it, 1).address).collect();
-    let mut table = MemberTable::new(member(0, 1), seeds);
+    let seeds = seeds.iter().map(|it| member(*it).address).collect();
+    let mut table = MemberTable::new(member(0), seeds);
     if heard {
-        table.add(ms(10), &member(1, 1));
-        table.hear_of(hash(&member(1, 1)), ms(10), false);
+        table.add(ms(10), &member(1));
+        table.hear_of(hash(&member(1)), ms(10), false);
     }
     assert_eq!(table.knows_fleet(ms(10)), known);
 }
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -1,32 +1,32 @@
-//! Which engine gets a prompt: the one with the earliest expected first token, unless reading
-//! the prompt there would hold up the streams of others.
+//! Which engine gets a prompt: the one with the earliest expected first token, unless its prefill
+//! would hold up the streams of others.
 //!
-//! Answers two load patterns. Long shared prompts: what counts is the prompt that is still to be
-//! read on a replica, its own and that of requests before it. Short prompts with long answers
-//! beside them: an engine makes one token for each piece of a prompt that it reads, so a long
-//! prompt delays every stream on the engine. Long prompts keep to one end of a fixed order of
-//! engines and short ones to the other, as far as load allows.
+//! Answers two load patterns. Long shared prompts: what counts is the prefill still pending on a
+//! replica, the prompt's own and that of requests before it. Short prompts with long answers beside
+//! them: an engine decodes one token for each chunk that it prefills, so a long prompt delays every
+//! stream on the engine. Long prompts keep to one end of a fixed order of engines and short ones to
+//! the other, as far as load allows.
 
-/// Share of a batch's free time that a full batch takes from reading prompts.
+/// Share of a batch's free time that a full batch takes from prefill.
 const BATCH_DRAG: f64 = 0.5;
 /// Added for a replica whose memory the prompt would overfill, in seconds.
 const OVERFULL_S: f64 = 1.0;
-/// What a second of reading costs per stream that it holds up, in seconds.
+/// What a second of prefill costs per stream that it holds up, in seconds.
 const HOLD_UP: f64 = 0.1;
-/// Added per stream when unread prompts would hold it up beyond the pause allowed, in seconds.
+/// Added per stream when pending prefill would hold it up beyond the pause allowed, in seconds.
 const LATE_PAUSE_S: f64 = 0.2;
-/// Share of the pause allowed that unread prompts may take.
+/// Share of the pause allowed that pending prefill may take.
 const PAUSE_SHARE: f64 = 0.8;
 /// The pause allowed where no stream states one, in seconds.
 const ANY_PAUSE_S: f64 = 1.0;
-/// Share of the pause allowed from whose reading time on a prompt is long.
+/// Share of the pause allowed from whose prefill time on a prompt is long.
 const LONG_SHARE: f64 = 0.15;
 /// How much an engine at the other end of the order is disliked, in seconds.
 const LANE_S: f64 = 0.06;
 /// Added for a replica in another failure domain, in seconds.
 const FAR_S: f64 = 0.004;
-/// Smoothing of the learned reading speed.
-const PACE_STEP: f64 = 0.05;
+/// Smoothing of the learned speed.
+const SPEED_STEP: f64 = 0.05;
 
 /// What is known of one engine when a prompt is placed.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -35,12 +35,12 @@
     pub batch: u32,
     /// Requests on it, of all daemons.
     pub running: u32,
-    /// Prompt tokens of them that are still to be read.
-    pub unread_tokens: u64,
-    /// Memory of the requests on it, in tokens.
-    pub memory_tokens: u64,
-    /// Its whole memory, in tokens.
-    pub memory_limit: u64,
+    /// Prompt tokens of them whose prefill is pending.
+    pub pending_tokens: u64,
+    /// KV memory of the requests on it, in tokens.
+    pub kv_tokens: u64,
+    /// Its whole KV memory, in tokens.
+    pub kv_limit: u64,
     /// Tokens of the prompt expected in its cache.
     pub cached_tokens: u64,
     /// Its place in an order that all daemons share, from 0 to 1.
@@ -51,39 +51,39 @@
     pub penalty_s: f64,
 }
 
-/// How fast engines read prompts.
+/// How fast engines prefill.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct EnginePace {
+pub struct PrefillSpeed {
     tokens_per_s: f64,
     overhead_s: f64,
 }
 
-impl Default for EnginePace {
-    fn default() -> EnginePace {
-        EnginePace { tokens_per_s: 30_000.0, overhead_s: 0.04 }
+impl Default for PrefillSpeed {
+    fn default() -> PrefillSpeed {
+        PrefillSpeed { tokens_per_s: 30_000.0, overhead_s: 0.04 }
     }
 }
 
-impl EnginePace {
-    /// Seconds to the first token when `tokens` are to be read.
+impl PrefillSpeed {
+    /// Seconds to the first token when `tokens` are to be prefilled.
     pub fn first_token_s(&self, tokens: u64) -> f64 {
         self.overhead_s + tokens as f64 / self.tokens_per_s
     }
 
-    /// Seconds to read `tokens`.
-    pub fn reading_s(&self, tokens: u64) -> f64 {
+    /// Seconds to prefill `tokens`.
+    pub fn prefill_s(&self, tokens: u64) -> f64 {
         tokens as f64 / self.tokens_per_s
     }
 
     /// Learns from a first token that came after `seconds` on an idle engine.
     pub fn learn(&mut self, tokens: u64, seconds: f64) {
-        let reading = seconds - self.overhead_s;
-        if tokens < 1_000 || reading <= 0.0 {
+        let prefill_s = seconds - self.overhead_s;
+        if tokens < 1_000 || prefill_s <= 0.0 {
             return;
         }
         let seen =
-            (tokens as f64 / reading).clamp(self.tokens_per_s * 0.25, self.tokens_per_s * 4.0);
-        self.tokens_per_s += PACE_STEP * (seen - self.tokens_per_s);
+            (tokens as f64 / prefill_s).clamp(self.tokens_per_s * 0.25, self.tokens_per_s * 4.0);
+        self.tokens_per_s += SPEED_STEP * (seen - self.tokens_per_s);
     }
 }
 
@@ -97,31 +97,31 @@
 }
 
 impl PromptSize {
-    /// Whether reading it holds up streams for a good part of the pause they are allowed.
-    pub fn is_long(self, pace: EnginePace) -> bool {
+    /// Whether its prefill holds up streams for a good part of the pause they are allowed.
+    pub fn is_long(self, speed: PrefillSpeed) -> bool {
         let pause_s = self.pause_s.unwrap_or(ANY_PAUSE_S);
-        pace.reading_s(self.tokens) > pause_s * LONG_SHARE
+        speed.prefill_s(self.tokens) > pause_s * LONG_SHARE
     }
 }
 
 impl EngineView {
     /// What placing a prompt here costs: expected seconds to its first token, and what it does
     /// to others.
-    pub fn cost_s(&self, prompt: PromptSize, pace: EnginePace) -> f64 {
-        let own_unread = prompt.tokens.saturating_sub(self.cached_tokens);
-        let unread = self.unread_tokens + own_unread;
+    pub fn cost_s(&self, prompt: PromptSize, speed: PrefillSpeed) -> f64 {
+        let own_pending = prompt.tokens.saturating_sub(self.cached_tokens);
+        let pending = self.pending_tokens + own_pending;
         let fill = f64::from(self.running) / f64::from(self.batch.max(1));
         let queue = (fill - 1.0).max(0.0);
-        let mut cost = pace.first_token_s(unread) * (1.0 + BATCH_DRAG * fill) + queue;
+        let mut cost = speed.first_token_s(pending) * (1.0 + BATCH_DRAG * fill) + queue;
         let streams = f64::from(self.running);
-        cost += HOLD_UP * streams * pace.reading_s(own_unread);
+        cost += HOLD_UP * streams * speed.prefill_s(own_pending);
         let pause_s = prompt.pause_s.unwrap_or(ANY_PAUSE_S) * PAUSE_SHARE;
-        if pace.reading_s(unread) > pause_s {
+        if speed.prefill_s(pending) > pause_s {
             cost += LATE_PAUSE_S * streams.max(1.0);
         }
-        let lane = if prompt.is_long(pace) { 1.0 - self.lane } else { self.lane };
+        let lane = if prompt.is_long(speed) { 1.0 - self.lane } else { self.lane };
         cost += LANE_S * lane;
-        if self.memory_tokens + prompt.tokens > self.memory_limit {
+        if self.kv_tokens + prompt.tokens > self.kv_limit {
             cost += OVERFULL_S;
         }
         if !self.near {
@@ -132,7 +132,11 @@
 }
 
 /// The engine that costs least, and that cost in seconds.
-pub fn choose(views: &[EngineView], prompt: PromptSize, pace: EnginePace) -> Option<(usize, f64)> {
-    let costs = views.iter().map(|it| it.cost_s(prompt, pace));
+pub fn choose(
+    views: &[EngineView],
+    prompt: PromptSize,
+    speed: PrefillSpeed,
+) -> Option<(usize, f64)> {
+    let costs = views.iter().map(|it| it.cost_s(prompt, speed));
     costs.enumerate().min_by(|left, right| left.1.total_cmp(&right.1))
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod plain_choice;
 pub mod prefix_table;
 pub mod quarantine;
+pub mod reader_turn;
 pub mod rendezvous;
 pub mod retry;
 pub mod spend_guard;
--- a/crates/policy/src/peer_tree.rs
+++ b/crates/policy/src/peer_tree.rs
@@ -3,18 +3,31 @@
 //! A daemon sends a number of messages that does not grow with the fleet, a hub one that grows
 //! with its square root. Small fleets are all hubs. The most capable daemons become hubs.
 
+use serde::{Deserialize, Serialize};
+
 use crate::rendezvous;
 
 /// Fleets up to this size are all hubs.
 const FLAT_FLEET: usize = 12;
 
+/// How much a daemon's instance can carry; the greater one becomes a hub first.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct InstanceCapacity {
+    /// Thousandths of a core.
+    pub millicores: u32,
+    /// Megabits a second of its link.
+    pub link_mbps: u32,
+}
+
 /// A daemon that may become a hub.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TreeMember {
     /// The hash of its id.
     pub member: u64,
-    /// How much it can carry; only the order counts.
-    pub capacity: u32,
+    /// How much its instance can carry.
+    pub capacity: InstanceCapacity,
     /// It is in the failure domain of the daemon that asks.
     pub near: bool,
 }
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -1,14 +1,14 @@
 //! Which engine gets a prompt.
 
-use policy::engine_choice::{self, EnginePace, EngineView, PromptSize};
+use policy::engine_choice::{self, EngineView, PrefillSpeed, PromptSize};
 use rstest::rstest;
 
 const IDLE: EngineView = EngineView {
     batch: 48,
     running: 0,
-    unread_tokens: 0,
-    memory_tokens: 0,
-    memory_limit: 70_000,
+    pending_tokens: 0,
+    kv_tokens: 0,
+    kv_limit: 70_000,
     cached_tokens: 0,
     lane: 0.5,
     near: true,
@@ -20,9 +20,9 @@
 
 #[rstest]
 #[case::cached_part(LONG, IDLE, EngineView { cached_tokens: 6_000, ..IDLE })]
-#[case::less_to_read_before_it(SHORT, EngineView { unread_tokens: 9_000, ..IDLE }, IDLE)]
+#[case::less_to_read_before_it(SHORT, EngineView { pending_tokens: 9_000, ..IDLE }, IDLE)]
 #[case::own_failure_domain(SHORT, EngineView { near: false, ..IDLE }, IDLE)]
-#[case::room_in_memory(LONG, EngineView { memory_tokens: 65_000, ..IDLE }, IDLE)]
+#[case::room_in_memory(LONG, EngineView { kv_tokens: 65_000, ..IDLE }, IDLE)]
 #[case::a_free_place_in_the_batch(SHORT, EngineView { running: 96, ..IDLE }, IDLE)]
 #[case::no_streams_to_hold_up(LONG, EngineView { running: 12, ..IDLE }, IDLE)]
 #[case::not_suspected(SHORT, EngineView { penalty_s: 0.5, ..IDLE }, IDLE)]
@@ -41,36 +41,36 @@
     #[case] worse: EngineView,
     #[case] better: EngineView,
 ) {
-    let pace = EnginePace::default();
+    let speed = PrefillSpeed::default();
     for (views, index) in [([worse, better], 1), ([better, worse], 0)] {
-        assert_eq!(engine_choice::choose(&views, prompt, pace).map(|it| it.0), Some(index));
+        assert_eq!(engine_choice::choose(&views, prompt, speed).map(|it| it.0), Some(index));
     }
 }
 
 #[test]
 fn streams_are_not_stretched_beyond_their_pause_while_an_engine_is_free() {
-    // Two long prompts are unread beside six streams: a third would make all of them late.
-    let busy = EngineView { running: 6, unread_tokens: 12_000, cached_tokens: 6_000, ..IDLE };
-    let chosen = engine_choice::choose(&[busy, IDLE], LONG, EnginePace::default());
+    // Two long prompts are pending beside six streams: a third would make all of them late.
+    let busy = EngineView { running: 6, pending_tokens: 12_000, cached_tokens: 6_000, ..IDLE };
+    let chosen = engine_choice::choose(&[busy, IDLE], LONG, PrefillSpeed::default());
     assert_eq!(chosen.map(|it| it.0), Some(1));
 }
 
 #[test]
 fn no_engine_gives_no_choice() {
-    assert_eq!(engine_choice::choose(&[], SHORT, EnginePace::default()), None);
+    assert_eq!(engine_choice::choose(&[], SHORT, PrefillSpeed::default()), None);
 }
 
 #[test]
 fn pace_follows_what_engines_show() {
-    let mut pace = EnginePace::default();
-    let before = pace.reading_s(10_000);
+    let mut speed = PrefillSpeed::default();
+    let before = speed.prefill_s(10_000);
     for _ in 0..200 {
-        pace.learn(10_000, 0.04 + 1.0);
+        speed.learn(10_000, 0.04 + 1.0);
     }
-    assert!(before < 0.4 && (0.9..1.1).contains(&pace.reading_s(10_000)));
+    assert!(before < 0.4 && (0.9..1.1).contains(&speed.prefill_s(10_000)));
     // Prompts too short to tell, and times that cannot be, change nothing.
-    let same = pace;
-    pace.learn(10, 1.0);
-    pace.learn(10_000, 0.01);
-    assert_eq!(pace, same);
+    let same = speed;
+    speed.learn(10, 1.0);
+    speed.learn(10_000, 0.01);
+    assert_eq!(speed, same);
 }
--- a/crates/policy/tests/gateway_decisions.rs
+++ b/crates/policy/tests/gateway_decisions.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use policy::peer_tree::{self, TreeMember};
+use policy::peer_tree::{self, InstanceCapacity, TreeMember};
 use policy::plain_choice::{self, PlainView};
 use policy::prefix_table::{PrefixTable, PromptPrefix};
+use policy::reader_turn;
 use policy::retry::RetryBudget;
 use policy::weight_rounds::{self, LaggingTarget};
 use rstest::rstest;
@@ -61,8 +62,14 @@
     assert_eq!(weight_rounds::next_orders(engines, ready), expected);
 }
 
+fn capacity(millicores: u32) -> InstanceCapacity {
+    InstanceCapacity { millicores, link_mbps: 10 }
+}
+
 fn members(count: u64) -> Vec<TreeMember> {
-    (0..count).map(|it| TreeMember { member: it * 7_919, capacity: 1, near: it % 2 == 0 }).collect()
+    (0..count)
+        .map(|it| TreeMember { member: it * 7_919, capacity: capacity(100), near: it % 2 == 0 })
+        .collect()
 }
 
 #[rstest]
@@ -78,7 +85,7 @@
 #[test]
 fn the_most_capable_daemons_come_first_whoever_asks() {
     let mut fleet = members(20);
-    fleet[13].capacity = 9;
+    fleet[13].capacity = capacity(500);
     let order = peer_tree::order(&fleet);
     assert_eq!(order[0], 13);
     fleet.reverse();
@@ -117,3 +124,16 @@
     budget.earn();
     assert!(budget.spend());
 }
+
+#[rstest]
+#[case::of_two_seconds(2_000)]
+#[case::of_eighteen_seconds(18_000)]
+fn readers_take_over_in_turn_and_well_within_the_bound(#[case] bound_ms: u64) {
+    let bound = Duration::from_millis(bound_ms);
+    let limits: Vec<Duration> =
+        (0..400).map(|place| reader_turn::age_limit(bound, place)).collect();
+    assert!(limits.windows(2).all(|it| it[0] <= it[1]));
+    // The second does not read beside the first, whose news take a moment.
+    assert!(limits[1] > limits[0].mul_f64(1.5));
+    assert!(limits[399] < bound.mul_f64(0.7));
+}
