Go on serving with an engine that must not be ordered yet

Change: the order book tells an order under way from one that must wait. An engine that waits serves and takes no place; it is marked when the order is sent. A holder keeps no distance from its own orders, and looks again as soon as an order ends.

--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -50,8 +50,24 @@
     settled_at: Duration,
 }
 
-/// Orders under way, by replica: none is sent twice at once.
-type OrderBook = Mutex<IndexMap<TargetId, Duration>>;
+/// What this daemon does about a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderState {
+    /// Orders it, until then at most.
+    UnderWay(Duration),
+    /// Must not order it before then.
+    Deferred(Duration),
+}
+
+/// Replicas that this daemon orders or must not order yet.
+#[derive(Debug, Default)]
+struct OrderTable {
+    states: IndexMap<TargetId, OrderState>,
+    /// Replicas that it has ordered, and under which fencing token last.
+    ordered: IndexMap<TargetId, u64>,
+}
+
+type OrderBook = Mutex<OrderTable>;
 
 /// A replica whose weights are older than the newest, with the order it needs.
 #[derive(Debug, Clone)]
@@ -78,7 +94,7 @@
     loop {
         // Made before the look, so that nothing learned after it is missed.
         let believed = gateway.believed.notified();
-        let needed = needed_orders(&gateway);
+        let needed = needed_orders(&gateway, &book);
         if needed.is_empty() || gateway.is_leaving() {
             needed_since = None;
             let _ = tokio::time::timeout(IDLE_ROUND, believed).await;
@@ -172,8 +188,12 @@
 }
 
 /// Replicas that are to load newer weights, by pool.
-fn needed_orders<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) -> Vec<LaggingPool> {
+fn needed_orders<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    book: &OrderBook,
+) -> Vec<LaggingPool> {
     let now = gateway.now();
+    let book = lock(book).states.clone();
     let beliefs = lock(&gateway.beliefs);
     let Some(config) = beliefs.config() else { return Vec::new() };
     let fleet = lock(&gateway.fleet);
@@ -189,6 +209,8 @@
                     continue;
                 }
                 let ordered = replica.ordered.is_some_and(|it| it.0 >= version);
+                let state = book.get(&replica.entry.id);
+                let under_way = matches!(state, Some(OrderState::UnderWay(it)) if now < *it);
                 needed.push(NeededOrder {
                     target: replica.entry.id.clone(),
                     model: model.clone(),
@@ -196,7 +218,8 @@
                     view: LaggingTarget {
                         weights: replica.weights,
                         running: fleet.load(now, replica).running,
-                        under_order: ordered && replica.is_loading(now),
+                        under_order: under_way || (ordered && replica.is_loading(now)),
+                        deferred: matches!(state, Some(OrderState::Deferred(it)) if now < *it),
                     },
                 });
             }
@@ -216,27 +239,25 @@
 ) {
     let views: Vec<LaggingTarget> = pool.needed.iter().map(|it| it.view).collect();
     let chosen = weight_rounds::next_orders(&views, pool.ready);
-    for index in &chosen {
-        let order = pool.needed[*index].clone();
-        let now = gateway.now();
-        {
-            let mut book = lock(book);
-            if book.get(&order.target).is_some_and(|until| now < *until) {
-                continue;
-            }
-            book.insert(order.target.clone(), now + ORDER_TIME);
-        }
-        mark_ordered(gateway, &order);
+    for index in chosen {
+        let order = pool.needed[index].clone();
+        let until = gateway.now() + ORDER_TIME;
+        lock(book).states.insert(order.target.clone(), OrderState::UnderWay(until));
         let (gateway, book, held) = (gateway.clone(), book.clone(), held.clone());
         tokio::spawn(async move {
-            let done = carry_out(&gateway, &held, &order).await;
-            let again = gateway.now() + if done { Duration::ZERO } else { AGAIN_PAUSE };
-            lock(&book).insert(order.target, again);
+            let deferred = match carry_out(&gateway, &book, &held, &order).await {
+                OrderEnd::Loaded => gateway.now(),
+                OrderEnd::Unknown => gateway.now() + AGAIN_PAUSE,
+                OrderEnd::TooEarly => held.settled_at,
+            };
+            lock(&book).states.insert(order.target, OrderState::Deferred(deferred));
+            gateway.believed.notify_waiters();
         });
     }
 }
 
-/// Tells peers that an order goes out, so that the next holder keeps its distance.
+/// Tells peers that an order goes out: they keep requests away from the replica, and the next
+/// holder its distance.
 fn mark_sent<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     order: &NeededOrder,
@@ -261,17 +282,24 @@
     }
 }
 
-/// Keeps requests away from a replica that is about to load.
-fn mark_ordered<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, order: &NeededOrder) {
-    spread(gateway, &order.target, |news| news.ordered = order.version);
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderEnd {
+    /// The replica has the weights.
+    Loaded,
+    /// Whether it has them is not known.
+    Unknown,
+    /// It may have been ordered by the holder before, too short a time ago.
+    TooEarly,
 }
 
-/// Orders one replica to load and waits until it has; false if that is not known.
+/// Orders one replica to load and waits until it has.
 async fn carry_out<D: Dialect, S: Directory>(
     gateway: &Arc<Gateway<D, S>>,
+    book: &OrderBook,
     held: &HeldLease,
     order: &NeededOrder,
-) -> bool {
+) -> OrderEnd {
     let until = gateway.now() + ORDER_TIME;
     let mut sent = false;
     while gateway.now() < until {
@@ -282,17 +310,23 @@
         let loaded = report.weights.iter().find(|it| it.0 == order.model).map_or(0, |it| it.1);
         if loaded >= order.version {
             confirm(gateway, order, loaded);
-            return true;
+            return OrderEnd::Loaded;
+        }
+        let token = held.lease.fencing_token;
+        let own = lock(book).ordered.get(&order.target) == Some(&token);
+        if !sent && !own && !is_settled(gateway, held, &order.target, report.accepted) {
+            return OrderEnd::TooEarly;
         }
-        if !report.busy && !sent && is_settled(gateway, held, &order.target, report.accepted) {
+        if !report.busy && !sent {
             if !is_proven(gateway, held) {
-                return false;
+                return OrderEnd::Unknown;
             }
+            lock(book).ordered.insert(order.target.clone(), token);
             sent = send_order(gateway, held, order, report.accepted).await;
         }
         tokio::time::sleep(REPORT_PAUSE).await;
     }
-    false
+    OrderEnd::Unknown
 }
 
 /// Whether no earlier holder has ordered a replica within the distance between holders.
--- a/crates/policy/src/weight_rounds.rs
+++ b/crates/policy/src/weight_rounds.rs
@@ -20,6 +20,8 @@
     pub running: u32,
     /// It was ordered to load and has not confirmed.
     pub under_order: bool,
+    /// It serves, and must not be ordered yet.
+    pub deferred: bool,
 }
 
 /// Indices of the engines to order now; `ready` engines have the newest weights.
@@ -28,8 +30,8 @@
     let share = if ready as f64 >= total * ENOUGH_READY { 1.0 } else { FIRST_WAVE };
     let most = ((total * share) as usize).max(1);
     let out = lagging.iter().filter(|it| it.under_order).count();
-    let mut idle: Vec<usize> =
-        (0..lagging.len()).filter(|index| !lagging[*index].under_order).collect();
+    let free = |it: &LaggingTarget| !it.under_order && !it.deferred;
+    let mut idle: Vec<usize> = (0..lagging.len()).filter(|index| free(&lagging[*index])).collect();
     idle.sort_by_key(|index| (lagging[*index].weights, lagging[*index].running));
     idle.truncate(most.saturating_sub(out));
     idle
--- a/crates/policy/tests/gateway_decisions.rs
+++ b/crates/policy/tests/gateway_decisions.rs
@@ -45,7 +45,7 @@
 }
 
 fn lagging(running: u32, under_order: bool) -> LaggingTarget {
-    LaggingTarget { weights: 1, running, under_order }
+    LaggingTarget { weights: 1, running, under_order, deferred: false }
 }
 
 #[rstest]
@@ -53,6 +53,7 @@
 #[case::those_under_order_count(&[lagging(3, true), lagging(1, true), lagging(2, false), lagging(0, false)], 0, &[])]
 #[case::all_once_enough_are_ready(&[lagging(3, false), lagging(1, false)], 2, &[1, 0])]
 #[case::the_oldest_weights_first(&[LaggingTarget { weights: 3, ..lagging(0, false) }, LaggingTarget { weights: 2, ..lagging(9, false) }], 0, &[1])]
+#[case::a_deferred_one_takes_no_place(&[LaggingTarget { deferred: true, ..lagging(0, false) }, lagging(5, false)], 0, &[1])]
 #[case::a_single_engine_goes(&[lagging(9, false)], 0, &[0])]
 fn waves_of_new_weights(
     #[case] engines: &[LaggingTarget],
