--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod fleet;
+mod known_red;
 mod measure;
 mod mutant_table;
 mod mutants;
