Learn the speed of prefill from the sending on; log placements

Cause: logs of first tokens showed that an answer's headers come with its first token ("answered" and "first" within 1 ms), and the time learned from began at the headers.

Change: the time begins when the request is sent, on an engine that no daemon is known to use. A first token that comes sooner than expected counts more than one that comes later, which may have waited behind prompts not known here. One log line for each placement says what decided (prompt, cached, loads of all daemons and their age, source of a fetch, expected time), and the end of a stream says when its first event came.

Conclusion: kept for deployments whose engines are slower or faster.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -52,6 +52,8 @@
     pub(crate) began: Duration,
     /// When the caller must have its answer, on the daemon's clock.
     pub(crate) until: Duration,
+    /// When it was last sent to a replica.
+    pub(crate) sent_at: Duration,
     /// What is known of whether it ran.
     pub(crate) run: RunState,
     /// Replicas it was sent to and that may have run it.
@@ -107,6 +109,7 @@
         config,
         began,
         until: began + wait.saturating_sub(ANSWER_MARGIN),
+        sent_at: began,
         run: RunState::NotRun,
         attempts: 0,
         method: request.method,
@@ -239,7 +242,9 @@
             }
             _ => fleet.place_plain(now, query)?,
         };
+        let load_age = fleet.load_age(now);
         drop(fleet);
+        self.log_place(&target, load_age);
         Some(Place { gateway: gateway.clone(), target, prefilled: false })
     }
 
@@ -249,7 +254,8 @@
         place: &Place<D, S>,
         after_event: Option<u64>,
     ) -> Result<OpenAnswer, CallFault> {
-        let left = self.until.saturating_sub(self.gateway.now());
+        self.sent_at = self.gateway.now();
+        let left = self.until.saturating_sub(self.sent_at);
         let request = self.target_request(place, after_event, left);
         let target = &place.target;
         // A kept connection may have gone silent; what may not be repeated does not risk it.
@@ -430,12 +436,25 @@
         if let Some(copy) = target.save_to {
             fleet.note_copy(now, copy, &salted[..need.shared]);
         }
-        if target.running_before == 0 && target.fetch_from.is_none() {
+        if target.load_before.running == 0 && target.fetch_from.is_none() {
             let pending = need.prompt_tokens.saturating_sub(target.cached_tokens);
             lock(&gateway.speed).learn(pending, after.as_secs_f64());
         }
     }
 
+    /// What decided on a place: loads of all daemons and how old the peers' part may be.
+    fn log_place(&self, target: &PlacedTarget, load_age: Duration) {
+        tracing::info!(
+            request = %self.head.attempt, target = %target.id, weights = target.weights,
+            prompt = self.need.as_ref().map(|it| it.prompt_tokens),
+            prefix = self.need.as_ref().and_then(PromptNeed::home_key),
+            cached = target.cached_tokens, fetch_from = target.fetch_from.map(tracing::field::display),
+            running = target.load_before.running, pending = target.load_before.pending_tokens,
+            load_age_ms = load_age.as_millis() as u64,
+            expected_ms = target.expected.as_millis() as u64, "call: placed"
+        );
+    }
+
     pub(crate) fn log_answer(&self, target: &PlacedTarget, status: StatusCode) {
         let after = self.gateway.now().saturating_sub(self.began);
         self.gateway.metrics.answer(status.as_u16(), after);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -175,6 +175,12 @@
         sum
     }
 
+    /// The age of the oldest report of a peer that counts.
+    pub fn load_age(&self, now: Duration) -> Duration {
+        let ages = self.peer_loads.values().map(|it| now.saturating_sub(it.0));
+        ages.filter(|it| *it < LOAD_AGE).max().unwrap_or_default()
+    }
+
     /// The prompt of a request is prefilled: its first token came.
     pub fn prefilled(&mut self, placed: &PlacedTarget) {
         if let Some(it) = self.same_life(placed) {
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -44,8 +44,8 @@
     pub expected: Duration,
     /// What it adds to the replica's load.
     pub load: LoadCount,
-    /// Requests of this daemon that were on it already.
-    pub running_before: u32,
+    /// Requests of all daemons on it, as far as known, and what their prompts have pending.
+    pub load_before: LoadCount,
 }
 
 /// A copy of a prompt for a KV store.
@@ -123,8 +123,9 @@
             })
             .collect();
         let index = policy::plain_choice::choose(&views, rand::random())?;
-        let id = open[index].entry.id.clone();
-        self.occupy(&id, LoadCount { running: 1, ..LoadCount::default() })
+        let (id, load_before) = (open[index].entry.id.clone(), self.load(now, open[index]));
+        let placed = self.occupy(&id, LoadCount { running: 1, ..LoadCount::default() })?;
+        Some(PlacedTarget { load_before, ..placed })
     }
 
     /// Places a prompt and counts it.
@@ -137,14 +138,14 @@
         let PromptTerms { need, engine, speed, old_weights_s } = terms;
         let open: Vec<&Replica> = self.open(now, query).collect();
         let newest = open.iter().map(|it| it.weights).max()?;
-        let homes = self.homes(query.pool, need);
+        let home = self.home(query.pool, need);
         let views: Vec<EngineView> = open
             .iter()
             .map(|it| {
                 let load = self.load(now, it);
                 let salted = need.salted(it.weights);
                 let believed = self.prefixes.cached_tokens(now, &salted, it.member, it.entry.born);
-                let home = homes.first() == Some(&it.member);
+                let is_home = home == Some(it.member);
                 let shared = need.shared_tokens();
                 let mut penalty_s = 0.0;
                 if it.health.state(now) != HealthState::Good {
@@ -162,7 +163,7 @@
                     lane: self.lane(it),
                     // A home is where other daemons will have placed the same beginning, and where
                     // the next prompt will find it.
-                    cached_tokens: if home { shared.max(believed) } else { believed },
+                    cached_tokens: if is_home { shared.max(believed) } else { believed },
                     near: it.entry.domain == self.domain,
                     penalty_s,
                 }
@@ -181,10 +182,17 @@
             pending_tokens: need.prompt_tokens.saturating_sub(cached),
             kv_tokens: need.prompt_tokens + need.output_tokens,
         };
+        let load_before = self.load(now, chosen);
         let placed = self.occupy(&id, load)?;
         let expected = Duration::from_secs_f64(cost_s);
-        let placed =
-            PlacedTarget { cached_tokens: cached, fetch_from, save_to, expected, ..placed };
+        let placed = PlacedTarget {
+            cached_tokens: cached,
+            fetch_from,
+            save_to,
+            expected,
+            load_before,
+            ..placed
+        };
         self.note_prefixes(now, &placed, &salted[..need.shared]);
         Some(placed)
     }
@@ -282,21 +290,20 @@
         f64::from(before) / f64::from(all.max(1))
     }
 
-    /// The first replicas by rendezvous for the shared beginning of a prompt.
-    fn homes(&self, pool: &PoolId, need: &PromptNeed) -> Vec<u64> {
-        let Some(key) = need.home_key() else { return Vec::new() };
+    /// The first replica by rendezvous for the shared beginning of a prompt.
+    fn home(&self, pool: &PoolId, need: &PromptNeed) -> Option<u64> {
+        let key = need.home_key()?;
         let members: Vec<u64> = self
             .replicas
             .values()
             .filter(|it| it.entry.pool == *pool && !it.leaving)
             .map(|it| it.member)
             .collect();
-        rendezvous::homes(key, &members, 2).into_iter().map(|it| members[it]).collect()
+        rendezvous::homes(key, &members, 1).first().map(|it| members[*it])
     }
 
     fn occupy(&mut self, id: &TargetId, load: LoadCount) -> Option<PlacedTarget> {
         let replica = self.replicas.get_mut(id)?;
-        let running_before = replica.own.running;
         replica.own.add(&load);
         Some(PlacedTarget {
             id: id.clone(),
@@ -309,7 +316,7 @@
             save_to: None,
             expected: Duration::ZERO,
             load,
-            running_before,
+            load_before: LoadCount::default(),
         })
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -29,8 +29,9 @@
     splitter: EventSplitter,
     ready: VecDeque<Bytes>,
     last_event: Option<u64>,
-    sent_at: Duration,
     begun: bool,
+    /// When the caller's first event came, since the request began.
+    first_after: Option<Duration>,
 }
 
 /// What the replica's stream gave.
@@ -49,7 +50,6 @@
     call.log_answer(&place.target, status);
     let pump = StreamPump {
         last_event: call.head.after_event,
-        sent_at: call.gateway.now(),
         call,
         place,
         body,
@@ -57,6 +57,7 @@
         splitter: EventSplitter::default(),
         ready: VecDeque::new(),
         begun: false,
+        first_after: None,
     };
     let pieces = stream::unfold(Some(pump), |pump| async move {
         let mut pump = pump?;
@@ -123,7 +124,9 @@
     fn begin(&mut self) {
         if !self.begun {
             self.begun = true;
-            let after = self.call.gateway.now().saturating_sub(self.sent_at);
+            let now = self.call.gateway.now();
+            let after = now.saturating_sub(self.call.sent_at);
+            self.first_after.get_or_insert(now.saturating_sub(self.call.began));
             self.call.prefilled(&mut self.place, after);
         }
     }
@@ -133,7 +136,11 @@
             self.call.gateway.connections.keep(rest);
         }
         let ms = self.call.gateway.now().saturating_sub(self.call.began).as_millis() as u64;
-        tracing::info!(request = %self.call.head.attempt, ms, "stream: ended");
+        let first_ms = self.first_after.map(|it| it.as_millis() as u64);
+        tracing::info!(
+            request = %self.call.head.attempt, target = %self.place.target.id, first_ms, ms,
+            "stream: ended"
+        );
     }
 
     /// Goes on at another replica after the last event delivered, or breaks the answer off.
@@ -159,7 +166,6 @@
                 BrokenOff
             })?;
             self.place = place;
-            self.sent_at = self.call.gateway.now();
             fault = match self.call.exchange(&self.place, self.last_event).await {
                 Ok(answer) if answer.status == StatusCode::OK => {
                     self.take_over(answer);
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -25,8 +25,11 @@
 const LANE_S: f64 = 0.06;
 /// Added for a replica in another failure domain, in seconds.
 const FAR_S: f64 = 0.004;
-/// Smoothing of the learned speed.
-const SPEED_STEP: f64 = 0.05;
+/// Smoothing of the learned speed, for a first token that came sooner than expected.
+const FASTER_STEP: f64 = 0.1;
+/// The same for one that came later: it may have waited for prompts of other daemons, so that
+/// the fast ones say more of the engine.
+const SLOWER_STEP: f64 = 0.02;
 
 /// What is known of one engine when a prompt is placed.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -83,7 +86,8 @@
         }
         let seen =
             (tokens as f64 / prefill_s).clamp(self.tokens_per_s * 0.25, self.tokens_per_s * 4.0);
-        self.tokens_per_s += SPEED_STEP * (seen - self.tokens_per_s);
+        let step = if seen > self.tokens_per_s { FASTER_STEP } else { SLOWER_STEP };
+        self.tokens_per_s += step * (seen - self.tokens_per_s);
     }
 }
 
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -74,3 +74,13 @@
     speed.learn(10_000, 0.01);
     assert_eq!(speed, same);
 }
+
+#[test]
+fn waiting_for_other_daemons_prompts_is_not_taken_for_a_slow_engine() {
+    let mut speed = PrefillSpeed::default();
+    for number in 0..400 {
+        let waited = if number % 2 == 0 { 0.0 } else { 0.5 };
+        speed.learn(10_000, 0.04 + 0.5 + waited);
+    }
+    assert!(speed.prefill_s(10_000) < 0.6, "{} s", speed.prefill_s(10_000));
+}
