--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -190,6 +190,14 @@
 
     /// Takes a place on a replica, waiting for one shortly if need be.
     pub(crate) async fn place(&mut self) -> Result<Place<D, S>, CallRefusal> {
+        let asked_at = self.gateway.now();
+        let placed = self.wait_for_place().await;
+        let waited = self.gateway.now().saturating_sub(asked_at);
+        self.gateway.metrics.placement_wait(waited);
+        placed
+    }
+
+    async fn wait_for_place(&mut self) -> Result<Place<D, S>, CallRefusal> {
         let patience = self.gateway.now() + self.route.objective.mul_f64(WAIT_SHARE);
         loop {
             let freed = self.gateway.freed.notified();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 use crate::exchange::ConnectionTable;
 use crate::fleet::FleetTable;
 use crate::members::MemberTable;
-use crate::metrics::Metrics;
+use crate::metrics::{BeliefSample, Metrics};
 use crate::peer_link::PeerLink;
 use crate::peers::PrefixRelay;
 use crate::settings::GatewaySettings;
@@ -161,6 +161,30 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// What this daemon believes now, for its metrics.
+    pub(crate) fn sample(&self) -> BeliefSample {
+        let now = self.now();
+        let (replicas, replicas_open) = {
+            let fleet = lock(&self.fleet);
+            let open = fleet.replicas().filter(|it| it.may_work(now)).count();
+            (fleet.replicas().count(), open)
+        };
+        let members = lock(&self.members).heard(now).count() + 1;
+        let prefill_speed = lock(&self.speed).tokens_per_s();
+        let beliefs = lock(&self.beliefs);
+        let age = |at: Duration| now.saturating_sub(at);
+        BeliefSample {
+            open: self.open_count(),
+            config_revision: beliefs.config().map_or(0, |it| it.revision.0),
+            config_age: beliefs.config().and(beliefs.control_at()).map(age),
+            listing_age: beliefs.listing().map(|it| age(it.read_at)),
+            members,
+            replicas_open,
+            replicas_closed: replicas - replicas_open,
+            prefill_speed,
+        }
+    }
+
     /// Takes what operators ordered, as of `read_at`.
     pub(crate) fn adopt_control(
         &self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,7 @@
 mod gateway;
 mod kv_store;
 pub mod members;
-mod metrics;
+pub mod metrics;
 mod peer_link;
 mod peers;
 mod placing;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,37 +1,164 @@
-//! Counters and histograms.
+//! Counters, histograms and gauges; docs/operators/platform.md lists them.
 
+use std::cell::RefCell;
 use std::time::Duration;
 
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of the histograms' buckets, in seconds.
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
 
 /// What is counted.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    names: Vec<Box<str>>,
     answers: IntCounterVec,
     refusals: IntCounterVec,
     retries: IntCounterVec,
     store_calls: IntCounterVec,
+    store_errors: IntCounterVec,
     first_byte: Histogram,
+    first_event: Histogram,
+    placement_wait: Histogram,
+    store_seconds: HistogramVec,
+    order_seconds: Histogram,
+    gauges: BeliefGauges,
+}
+
+/// What the daemon believes when it is asked.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BeliefSample {
+    /// Requests under way.
+    pub open: usize,
+    /// Revision of the configuration in force; 0 if none is.
+    pub config_revision: u64,
+    /// Since the configuration was last confirmed; `None` if none is known.
+    pub config_age: Option<Duration>,
+    /// Since the list of replicas was last confirmed; `None` if none is known.
+    pub listing_age: Option<Duration>,
+    /// Daemons that are heard, this one among them.
+    pub members: usize,
+    /// Replicas that may get requests.
+    pub replicas_open: usize,
+    /// Replicas that are listed and may not: leaving, loading weights or suspected.
+    pub replicas_closed: usize,
+    /// Learned speed of prefill, in tokens per second.
+    pub prefill_speed: f64,
+}
+
+#[derive(Debug)]
+struct BeliefGauges {
+    open: Gauge,
+    config_revision: Gauge,
+    age: GaugeVec,
+    members: Gauge,
+    replicas: GaugeVec,
+    prefill_speed: Gauge,
+    dropped_lines: Gauge,
+}
+
+/// Registers metrics under names that are all different and valid.
+#[derive(Default)]
+struct MetricNames {
+    registry: Registry,
+    names: RefCell<Vec<Box<str>>>,
+}
+
+impl MetricNames {
+    fn register(&self, name: &str, collector: impl Collector + 'static) {
+        self.registry.register(Box::new(collector)).expect("a name of its own");
+        self.names.borrow_mut().push(name.into());
+    }
+
+    fn counter(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
+        let counter = IntCounterVec::new(Opts::new(name, help), &[label]).expect("a valid name");
+        self.register(name, counter.clone());
+        counter
+    }
+
+    fn histogram(&self, name: &str, help: &str) -> Histogram {
+        let options = HistogramOpts::new(name, help).buckets(BUCKETS.into());
+        let histogram = Histogram::with_opts(options).expect("a valid name");
+        self.register(name, histogram.clone());
+        histogram
+    }
+
+    fn histograms(&self, name: &str, help: &str, label: &str) -> HistogramVec {
+        let options = HistogramOpts::new(name, help).buckets(BUCKETS.into());
+        let histograms = HistogramVec::new(options, &[label]).expect("a valid name");
+        self.register(name, histograms.clone());
+        histograms
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> Gauge {
+        let gauge = Gauge::new(name, help).expect("a valid name");
+        self.register(name, gauge.clone());
+        gauge
+    }
+
+    fn gauges(&self, name: &str, help: &str, label: &str) -> GaugeVec {
+        let gauges = GaugeVec::new(Opts::new(name, help), &[label]).expect("a valid name");
+        self.register(name, gauges.clone());
+        gauges
+    }
 }
 
 impl Metrics {
     /// All at zero.
     pub fn new() -> Metrics {
-        let registry = Registry::new();
-        let counter = |name: &str, help: &str, label: &str| {
-            let vector = IntCounterVec::new(Opts::new(name, help), &[label]).expect("a valid name");
-            registry.register(Box::new(vector.clone())).expect("a name of its own");
-            vector
+        let names = MetricNames::default();
+        let gauges = BeliefGauges {
+            open: names.gauge("kingcupshift_requests_in_flight", "Requests under way"),
+            config_revision: names
+                .gauge("kingcupshift_config_revision", "Revision of the configuration in force"),
+            age: names.gauges("kingcupshift_belief_age_seconds", "Since it was confirmed", "what"),
+            members: names.gauge("kingcupshift_members", "Daemons heard, this one among them"),
+            replicas: names.gauges("kingcupshift_replicas", "Replicas by state", "state"),
+            prefill_speed: names
+                .gauge("kingcupshift_prefill_tokens_per_second", "Learned speed of prefill"),
+            dropped_lines: names
+                .gauge("kingcupshift_log_lines_dropped", "Log lines dropped since the start"),
         };
-        let answers = counter("kingcupshift_answers_total", "Answers of replicas", "status");
-        let refusals = counter("kingcupshift_refusals_total", "Refusals and failures", "kind");
-        let retries = counter("kingcupshift_retries_total", "Requests sent again", "reason");
-        let store_calls = counter("kingcupshift_store_calls_total", "Calls to the store", "call");
-        let options = HistogramOpts::new("kingcupshift_first_byte_seconds", "Time to an answer");
-        let first_byte = Histogram::with_opts(options).expect("a valid name");
-        registry.register(Box::new(first_byte.clone())).expect("a name of its own");
-        Metrics { registry, answers, refusals, retries, store_calls, first_byte }
+        Metrics {
+            answers: names.counter("kingcupshift_answers_total", "Answers of replicas", "status"),
+            refusals: names.counter("kingcupshift_refusals_total", "Refusals and failures", "kind"),
+            retries: names.counter("kingcupshift_retries_total", "Requests sent again", "reason"),
+            store_calls: names.counter(
+                "kingcupshift_store_calls_total",
+                "Calls to the store",
+                "call",
+            ),
+            store_errors: names.counter(
+                "kingcupshift_store_errors_total",
+                "Calls that failed",
+                "call",
+            ),
+            first_byte: names.histogram("kingcupshift_first_byte_seconds", "Time to an answer"),
+            first_event: names
+                .histogram("kingcupshift_first_event_seconds", "Time to a stream's first event"),
+            placement_wait: names
+                .histogram("kingcupshift_placement_wait_seconds", "Waiting for a replica"),
+            store_seconds: names.histograms(
+                "kingcupshift_store_call_seconds",
+                "Time of a call",
+                "call",
+            ),
+            order_seconds: names
+                .histogram("kingcupshift_order_seconds", "From an order to weights in place"),
+            gauges,
+            registry: names.registry,
+            names: names.names.into_inner(),
+        }
+    }
+
+    /// The names of all metrics.
+    pub fn names(&self) -> &[Box<str>] {
+        &self.names
     }
 
     /// A replica's answer was passed on.
@@ -40,6 +167,16 @@
         self.first_byte.observe(after.as_secs_f64());
     }
 
+    /// A stream's first event came.
+    pub fn first_event(&self, after: Duration) {
+        self.first_event.observe(after.as_secs_f64());
+    }
+
+    /// A request has got a replica, or none.
+    pub fn placement_wait(&self, waited: Duration) {
+        self.placement_wait.observe(waited.as_secs_f64());
+    }
+
     /// A request was refused or failed.
     pub fn refuse(&self, kind: &str) {
         self.refusals.with_label_values(&[kind]).inc();
@@ -50,13 +187,37 @@
         self.retries.with_label_values(&[reason]).inc();
     }
 
-    /// The store was called.
-    pub fn store_call(&self, call: &str) {
+    /// A call to the store has ended.
+    pub fn store_call(&self, call: &str, took: Duration, failed: bool) {
         self.store_calls.with_label_values(&[call]).inc();
+        self.store_seconds.with_label_values(&[call]).observe(took.as_secs_f64());
+        if failed {
+            self.store_errors.with_label_values(&[call]).inc();
+        }
+    }
+
+    /// A replica that was ordered to load weights has them.
+    pub fn order(&self, took: Duration) {
+        self.order_seconds.observe(took.as_secs_f64());
     }
 
-    /// All as text.
-    pub fn text(&self) -> Vec<u8> {
+    /// All as text, with gauges as of now.
+    pub fn text(&self, sample: BeliefSample, dropped_lines: usize) -> Vec<u8> {
+        let gauges = &self.gauges;
+        gauges.open.set(sample.open as f64);
+        gauges.config_revision.set(sample.config_revision as f64);
+        for (what, age) in [("config", sample.config_age), ("replicas", sample.listing_age)] {
+            match age {
+                Some(age) => gauges.age.with_label_values(&[what]).set(age.as_secs_f64()),
+                // The only error is that there is none to be removed.
+                None => drop(gauges.age.remove_label_values(&[what])),
+            }
+        }
+        gauges.members.set(sample.members as f64);
+        gauges.replicas.with_label_values(&["open"]).set(sample.replicas_open as f64);
+        gauges.replicas.with_label_values(&["closed"]).set(sample.replicas_closed as f64);
+        gauges.prefill_speed.set(sample.prefill_speed);
+        gauges.dropped_lines.set(dropped_lines as f64);
         let mut text = Vec::new();
         // Writing to memory does not fail.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -82,7 +82,6 @@
 /// Reads and tells the peers what is new; false if the store did not answer.
 async fn read<D: Dialect, S: Directory>(gateway: &Arc<Gateway<D, S>>, subject: Subject) -> bool {
     let asked_at = gateway.now();
-    gateway.metrics.store_call(subject.name());
     let failed = match subject {
         Subject::Control => match gateway.directory.read_control().await {
             Ok(snapshot) => {
@@ -105,6 +104,8 @@
             Err(error) => Some(error),
         },
     };
+    let took = gateway.now().saturating_sub(asked_at);
+    gateway.metrics.store_call(subject.name(), took, failed.is_some());
     if let Some(error) = &failed {
         tracing::warn!(subject = subject.name(), "store: not read: {error}");
     }
@@ -124,8 +125,10 @@
             (members.is_hub(now), members.rank(now), !members.hears_any(now))
         };
         if is_hub && !announced {
-            gateway.metrics.store_call("announce");
-            match gateway.directory.announce(&gateway.own).await {
+            let done = gateway.directory.announce(&gateway.own).await;
+            let took = gateway.now().saturating_sub(now);
+            gateway.metrics.store_call("announce", took, done.is_err());
+            match done {
                 Ok(()) => announced = true,
                 Err(error) => tracing::warn!("members: not announced: {error}"),
             }
@@ -140,10 +143,12 @@
 }
 
 async fn read_members<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) {
-    gateway.metrics.store_call("members");
-    match gateway.directory.read_members().await {
+    let asked_at = gateway.now();
+    let read = gateway.directory.read_members().await;
+    let now = gateway.now();
+    gateway.metrics.store_call("members", now.saturating_sub(asked_at), read.is_err());
+    match read {
         Ok(snapshot) => {
-            let now = gateway.now();
             let mut members = lock(&gateway.members);
             for it in &snapshot.value {
                 members.add(now, it);
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -11,6 +11,7 @@
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use web::logs;
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
@@ -45,7 +46,8 @@
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == "/metrics" {
-        return Response::new(Full::new(gateway.metrics.text().into()));
+        let text = gateway.metrics.text(gateway.sample(), logs::dropped_lines());
+        return Response::new(Full::new(text.into()));
     }
     let mut response = Response::new(Full::new(Bytes::new()));
     if !gateway.is_ready() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -126,7 +126,11 @@
             self.begun = true;
             let now = self.call.gateway.now();
             let after = now.saturating_sub(self.call.sent_at);
-            self.first_after.get_or_insert(now.saturating_sub(self.call.began));
+            if self.first_after.is_none() {
+                let after = now.saturating_sub(self.call.began);
+                self.call.gateway.metrics.first_event(after);
+                self.first_after = Some(after);
+            }
             self.call.prefilled(&mut self.place, after);
         }
     }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -149,8 +149,11 @@
     gateway: &Gateway<D, S>,
     held: Option<HeldLease>,
 ) -> Result<Option<HeldLease>, StoreError> {
-    gateway.metrics.store_call("lease");
-    let snapshot = gateway.directory.read_lease().await?;
+    let asked_at = gateway.now();
+    let read = gateway.directory.read_lease().await;
+    let took = gateway.now().saturating_sub(asked_at);
+    gateway.metrics.store_call("lease", took, read.is_err());
+    let snapshot = read?;
     let lapse = lease_time(gateway) + lease_time(gateway) / LAPSE_MARGIN;
     let (token, expected) = match &snapshot.value {
         None => (1, None),
@@ -173,7 +176,10 @@
         renewed_at: snapshot.store_now,
     };
     let asked_at = gateway.now();
-    match gateway.directory.write_lease(&lease, expected).await? {
+    let written = gateway.directory.write_lease(&lease, expected).await;
+    let took = gateway.now().saturating_sub(asked_at);
+    gateway.metrics.store_call("lease-write", took, written.is_err());
+    match written? {
         Commit::Done(_) => {
             if held.is_none() {
                 tracing::info!(token, "weights: the lease is held");
@@ -300,7 +306,8 @@
     held: &HeldLease,
     order: &NeededOrder,
 ) -> OrderEnd {
-    let until = gateway.now() + ORDER_TIME;
+    let began = gateway.now();
+    let until = began + ORDER_TIME;
     let mut sent = false;
     while gateway.now() < until {
         let Some(report) = ask_report(gateway, &order.target).await else {
@@ -309,6 +316,9 @@
         };
         let loaded = report.weights.iter().find(|it| it.0 == order.model).map_or(0, |it| it.1);
         if loaded >= order.version {
+            if sent {
+                gateway.metrics.order(gateway.now().saturating_sub(began));
+            }
             confirm(gateway, order, loaded);
             return OrderEnd::Loaded;
         }
--- /dev/null
+++ b/crates/gateway/tests/metrics.rs
@@ -0,0 +1,54 @@
+//! The metrics and the operators' list of them.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::time::Duration;
+
+use gateway::metrics::{BeliefSample, Metrics};
+
+const SAMPLE: BeliefSample = BeliefSample {
+    open: 3,
+    config_revision: 7,
+    config_age: Some(Duration::from_millis(250)),
+    listing_age: None,
+    members: 5,
+    replicas_open: 17,
+    replicas_closed: 1,
+    prefill_speed: 30_000.0,
+};
+
+#[test]
+fn the_operators_list_names_all_metrics_and_no_other() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operators/platform.md");
+    let page = fs::read_to_string(page).unwrap();
+    let rows = page.lines().filter_map(|it| it.strip_prefix("| `kingcupshift_"));
+    let name = |row: &str| row.split(['`', '{']).next().map(|it| format!("kingcupshift_{it}"));
+    let listed: BTreeSet<String> = rows.filter_map(name).collect();
+    let metrics = Metrics::new();
+    let served: BTreeSet<String> = metrics.names().iter().map(|it| it.to_string()).collect();
+    assert_eq!(listed, served);
+}
+
+#[test]
+fn the_text_holds_counts_times_and_beliefs() {
+    let metrics = Metrics::new();
+    metrics.answer(200, Duration::from_millis(40));
+    metrics.refuse("no_target");
+    metrics.store_call("lease", Duration::from_millis(5), true);
+    let text = String::from_utf8(metrics.text(SAMPLE, 2)).unwrap();
+    for line in [
+        "kingcupshift_answers_total{status=\"200\"} 1",
+        "kingcupshift_refusals_total{kind=\"no_target\"} 1",
+        "kingcupshift_first_byte_seconds_count 1",
+        "kingcupshift_store_errors_total{call=\"lease\"} 1",
+        "kingcupshift_store_call_seconds_count{call=\"lease\"} 1",
+        "kingcupshift_config_revision 7",
+        "kingcupshift_belief_age_seconds{what=\"config\"} 0.25",
+        "kingcupshift_replicas{state=\"closed\"} 1",
+        "kingcupshift_log_lines_dropped 2",
+    ] {
+        assert!(text.lines().any(|it| it == line), "no line {line} in\n{text}");
+    }
+    // What is not known has no age.
+    assert!(!text.contains("kingcupshift_belief_age_seconds{what=\"replicas\"}"));
+}
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -73,6 +73,11 @@
         self.overhead_s + tokens as f64 / self.tokens_per_s
     }
 
+    /// Tokens per second.
+    pub fn tokens_per_s(&self) -> f64 {
+        self.tokens_per_s
+    }
+
     /// Seconds to prefill `tokens`.
     pub fn prefill_s(&self, tokens: u64) -> f64 {
         tokens as f64 / self.tokens_per_s
--- a/crates/web/src/logs.rs
+++ b/crates/web/src/logs.rs
@@ -4,13 +4,17 @@
 //! queue, and those that do not fit are dropped.
 
 use std::io;
+use std::sync::OnceLock;
 
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 /// Lines that may wait for standard output.
 const WAITING_LINES: usize = 8_192;
 
+/// Counts the lines dropped; the log of a process is started once.
+static DROPPED_LINES: OnceLock<ErrorCounter> = OnceLock::new();
+
 /// The form of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogForm {
@@ -35,6 +39,7 @@
         .buffered_lines_limit(WAITING_LINES)
         .lossy(true)
         .finish(io::stdout());
+    let _ = DROPPED_LINES.set(writer.error_counter());
     let builder =
         tracing_subscriber::fmt().with_ansi(false).with_env_filter(filter).with_writer(writer);
     // The only error is that logging was started before.
@@ -44,3 +49,8 @@
     };
     LogGuard { _worker: worker }
 }
+
+/// Lines dropped since the start because standard output was not read fast enough.
+pub fn dropped_lines() -> usize {
+    DROPPED_LINES.get().map_or(0, ErrorCounter::dropped_lines)
+}
