Explain a request from the logs of several daemons

Cause: docs/OPERATIONS.md led from an id to its lines with grep and sort, which leaves the reader to order and read JSON by hand.

Change: `kingcupshift explain REQUEST-ID FILE...` prints the lines that name the request, of all files, in the order of time, as a table or as JSON. It reads the daemons' lines as they are and after words that a collector puts before them. An id that is nowhere, a file that cannot be read and lines of another form are said so.

--- a/crates/cli/src/admin_client.rs
+++ b/crates/cli/src/admin_client.rs
@@ -1,5 +1,6 @@
 //! Calls of the administration API.
 
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -26,6 +27,12 @@
     /// A file cannot be read as what it should be.
     #[error("{}:{line}: {fault}", path.display())]
     File { path: PathBuf, line: usize, fault: String },
+    /// A log cannot be read.
+    #[error("{}: {cause}", path.display())]
+    Log { path: PathBuf, cause: io::Error },
+    /// What was asked for is not there.
+    #[error("{0}")]
+    NotFound(String),
     /// The daemon refused.
     #[error("refused: {0}")]
     Refused(String),
@@ -40,7 +47,7 @@
 impl ToolError {
     pub(crate) fn exit_code(&self) -> i32 {
         match self {
-            ToolError::Usage(_) | ToolError::File { .. } => 2,
+            ToolError::Usage(_) | ToolError::File { .. } | ToolError::Log { .. } => 2,
             _ => 1,
         }
     }
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -44,6 +44,7 @@
     Status(StatusArgs),
     Instances(InstancesArgs),
     Targets(TargetsArgs),
+    Explain(ExplainArgs),
 }
 
 /// Customers and their shares.
@@ -414,6 +415,18 @@
     pub(crate) file: PathBuf,
 }
 
+/// Print a request's story from the log files of daemons, in the order of time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct ExplainArgs {
+    /// the request's id, as callers know it
+    #[argh(positional)]
+    pub(crate) request: String,
+    /// log files; `-` is standard input
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// The state of the daemon that answers.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,9 @@
 //! What the commands do.
 
 use std::env;
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use catalog::{
@@ -19,6 +22,7 @@
 };
 use crate::document_file;
 use crate::output::{print_done, print_json, print_line, print_list};
+use crate::story::LogSearch;
 
 /// The time between two looks at a move.
 const WATCH_PERIOD: Duration = Duration::from_millis(500);
@@ -56,9 +60,39 @@
         ToolCommand::Status(_) => session.status().await,
         ToolCommand::Instances(_) => session.instances().await,
         ToolCommand::Targets(_) => session.targets().await,
+        ToolCommand::Explain(it) => explain(&it.request, &it.files, session.json),
     }
 }
 
+/// Prints what the logs say of a request. No daemon is asked.
+fn explain(request: &str, files: &[PathBuf], json: bool) -> Result<i32, ToolError> {
+    if files.is_empty() {
+        return Err(ToolError::Usage("explain: name the log files to be read".into()));
+    }
+    let mut search = LogSearch::default();
+    for path in files {
+        let failed = |cause| ToolError::Log { path: path.clone(), cause };
+        let origin = path.file_stem().unwrap_or(path.as_os_str()).to_string_lossy();
+        if path.as_os_str() == "-" {
+            search.add(io::stdin().lock(), &origin, request).map_err(failed)?;
+        } else {
+            let file = File::open(path).map_err(failed)?;
+            search.add(BufReader::new(file), &origin, request).map_err(failed)?;
+        }
+    }
+    let LogSearch { read, foreign, .. } = search;
+    let story = search.story();
+    if story.is_empty() {
+        let fault = format!(
+            "request {request:?} is in none of {read} lines ({foreign} of them in another form)"
+        );
+        return Err(ToolError::NotFound(fault));
+    }
+    let records: Vec<Value> = story.iter().map(|it| it.record(!json)).collect();
+    print_list(json, &["time", "daemon", "what", "details"], &records);
+    Ok(0)
+}
+
 impl Session {
     async fn customer(&self, command: CustomerCommand) -> Result<i32, ToolError> {
         match command {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,4 +1,5 @@
-//! `kingcupshift`: the operators' tool. It speaks to one daemon's administration API.
+//! `kingcupshift`: the operators' tool. It speaks to one daemon's administration API, and reads
+//! daemons' logs.
 //!
 //! Exit codes: 0 done, 1 refused or failed, 2 wrong use, 3 differences found by `diff`.
 
@@ -7,6 +8,7 @@
 mod commands;
 mod document_file;
 mod output;
+mod story;
 
 use std::process;
 
