Pause replicas that answer no daemon

Cause: on the grown sites a quarter of the engines went dark (silent connections) and each of 90 daemons learned it alone, by three requests each that waited for their whole patience. Ruled out by the log: that the list of replicas tells in time (it did after 4 s).

Change: daemons tell, beside their requests on a replica, what requests came to in the last second. A replica with three failures and no answer, of all daemons together, is paused by each that hears it, with the pauses known already.

The log shows what binds in these seconds: engines that are believed idle (0 running) answer after 2 to 4 s, so many daemons chose the same ones.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -169,7 +169,7 @@
     }
 
     fn pass_on(&self, target: &PlacedTarget, whole: WholeAnswer) -> CallerResponse {
-        lock(&self.gateway.fleet).succeed(target);
+        lock(&self.gateway.fleet).succeed(self.gateway.now(), target);
         self.log_answer(target, whole.status);
         whole.into_response()
     }
@@ -436,7 +436,7 @@
         let now = gateway.now();
         let mut fleet = lock(&gateway.fleet);
         fleet.prefilled(target);
-        fleet.succeed(target);
+        fleet.succeed(now, target);
         let Some(need) = &self.need else { return };
         let salted = need.salted(target.weights);
         let digests: Vec<u64> = salted.iter().map(|it| it.digest).collect();
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -6,6 +6,7 @@
 
 use ids::{CustomerId, Revision};
 use policy::quarantine::Strike;
+use policy::silence::AnswerCount;
 use serde::{Deserialize, Serialize};
 
 use crate::config::{ControlState, TargetEntry};
@@ -20,6 +21,8 @@
     running: u32,
     pending_tokens: u32,
     kv_tokens: u32,
+    answered: u32,
+    failed: u32,
 }
 
 impl TargetLoad {
@@ -31,6 +34,8 @@
             running: load.running,
             pending_tokens: clip(load.pending_tokens),
             kv_tokens: clip(load.kv_tokens),
+            answered: load.answers.answered,
+            failed: load.answers.failed,
         }
     }
 
@@ -40,6 +45,7 @@
             running: self.running,
             pending_tokens: u64::from(self.pending_tokens),
             kv_tokens: u64::from(self.kv_tokens),
+            answers: AnswerCount { answered: self.answered, failed: self.failed },
         }
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use ids::{FailureDomain, TargetId};
 use indexmap::IndexMap;
+use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
 
 use crate::config::TargetEntry;
@@ -95,8 +96,8 @@
     pub fn loads_without(&self, now: Duration, peer: u64) -> Vec<TargetLoad> {
         let mut sums: IndexMap<u64, LoadCount> = IndexMap::new();
         let mut add = |member: u64, load: &LoadCount| sums.entry(member).or_default().add(load);
-        for replica in self.replicas.values().filter(|it| it.own.running > 0) {
-            add(replica.member, &replica.own);
+        for load in self.own_loads(now) {
+            add(load.member, &load.load());
         }
         let others = self.peer_loads.iter().filter(|it| *it.0 != peer);
         for (_, (_, loads)) in others.filter(|it| now < it.1.0 + LOAD_AGE) {
@@ -113,9 +114,28 @@
     }
 
     /// This daemon's loads, for peers.
-    pub fn own_loads(&self) -> Vec<TargetLoad> {
-        let busy = self.replicas.values().filter(|it| it.own.running > 0);
-        busy.map(|it| TargetLoad::new(it.member, it.own)).collect()
+    pub fn own_loads(&self, now: Duration) -> Vec<TargetLoad> {
+        let loads = self.replicas.values().map(|it| (it.member, it.own_load(now)));
+        let busy = loads.filter(|it| it.1 != LoadCount::default());
+        busy.map(|(member, load)| TargetLoad::new(member, load)).collect()
+    }
+
+    /// Pauses replicas that answer no daemon any more.
+    pub fn pause_silent(&mut self, now: Duration) {
+        let silent: Vec<(TargetId, LoadCount)> = self
+            .replicas
+            .values()
+            .filter(|it| it.health.state(now) == HealthState::Good)
+            .map(|it| (it.entry.id.clone(), self.load(now, it)))
+            .filter(|it| it.1.answers.is_silent())
+            .collect();
+        for (target, load) in silent {
+            let failed = load.answers.failed;
+            tracing::info!(%target, failed, "targets: one answers no daemon, paused");
+            if let Some(it) = self.replicas.get_mut(&target) {
+                it.health.fail(now, true);
+            }
+        }
     }
 
     /// Replicas that peers know to be leaving.
@@ -165,7 +185,7 @@
 
     /// Requests on a replica, of all daemons.
     pub fn load(&self, now: Duration, replica: &Replica) -> LoadCount {
-        let mut sum = replica.own;
+        let mut sum = replica.own_load(now);
         for (at, loads) in self.peer_loads.values() {
             let load = loads.get(&replica.member).filter(|_| now < *at + LOAD_AGE);
             if let Some(load) = load {
@@ -203,6 +223,7 @@
     /// A replica said that it is full.
     pub fn mark_full(&mut self, now: Duration, placed: &PlacedTarget) {
         if let Some(it) = self.same_life(placed) {
+            it.recent.note(now, true);
             it.mark_full(now);
         }
     }
@@ -224,13 +245,15 @@
     /// A request on a replica failed. `hard`: it surely does not listen.
     pub fn fail(&mut self, now: Duration, placed: &PlacedTarget, hard: bool) {
         if let Some(it) = self.same_life(placed) {
+            it.recent.note(now, false);
             it.health.fail(now, hard);
         }
     }
 
     /// A replica answered well.
-    pub fn succeed(&mut self, placed: &PlacedTarget) {
+    pub fn succeed(&mut self, now: Duration, placed: &PlacedTarget) {
         if let Some(it) = self.same_life(placed) {
+            it.recent.note(now, true);
             it.health.succeed(None);
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -108,7 +108,7 @@
         leaving: gateway.is_leaving(),
         loads: match way {
             DigestWay::Down(child) => fleet.loads_without(now, child),
-            DigestWay::Up | DigestWay::Across => fleet.own_loads(),
+            DigestWay::Up | DigestWay::Across => fleet.own_loads(now),
         },
     }];
     let children = members.children(now);
@@ -259,6 +259,7 @@
             fleet.hear_kv_store(KvStoreView::heard(now, news));
         }
         fleet.hear_prefixes(now, &digest.prefixes);
+        fleet.pause_silent(now);
     }
     let relay = match digest.way {
         DigestWay::Up => Some(&gateway.prefix_relay.below),
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -181,6 +181,7 @@
             running: 1,
             pending_tokens: need.prompt_tokens.saturating_sub(cached),
             kv_tokens: need.prompt_tokens + need.output_tokens,
+            ..LoadCount::default()
         };
         let load_before = self.load(now, chosen);
         let placed = self.occupy(&id, load)?;
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -4,6 +4,7 @@
 
 use policy::health::{HealthState, ReplicaHealth};
 use policy::rendezvous;
+use policy::silence::{AnswerCount, RecentAnswers};
 
 use crate::config::TargetEntry;
 use crate::digest::WeightNews;
@@ -22,6 +23,8 @@
     pub pending_tokens: u64,
     /// Their KV memory in tokens.
     pub kv_tokens: u64,
+    /// What requests came to lately.
+    pub answers: AnswerCount,
 }
 
 /// One replica.
@@ -37,6 +40,8 @@
     pub leaving: bool,
     /// How it has answered.
     pub health: ReplicaHealth,
+    /// How it has answered this daemon lately.
+    pub recent: RecentAnswers,
     /// It said that it is full, and gets nothing until then.
     full_until: Duration,
     /// The version of its weights, by what is newest.
@@ -55,6 +60,7 @@
         self.running += other.running;
         self.pending_tokens += other.pending_tokens;
         self.kv_tokens += other.kv_tokens;
+        self.answers.add(other.answers);
     }
 }
 
@@ -65,6 +71,7 @@
             own: LoadCount::default(),
             leaving: entry.leaving,
             health: ReplicaHealth::default(),
+            recent: RecentAnswers::default(),
             full_until: Duration::ZERO,
             weights: newest_weights(&entry),
             ordered: None,
@@ -85,6 +92,11 @@
         }
     }
 
+    /// This daemon's requests on it, with what they came to lately.
+    pub(crate) fn own_load(&self, now: Duration) -> LoadCount {
+        LoadCount { answers: self.recent.count(now), ..self.own }
+    }
+
     /// It said that it is full.
     pub(crate) fn mark_full(&mut self, now: Duration) {
         self.full_until = now + FULL_PAUSE;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -191,7 +191,8 @@
         self.splitter = EventSplitter::default();
         self.begun = false;
         self.call.gateway.metrics.retry(RetryReason::StreamReplayed.code());
-        lock(&self.call.gateway.fleet).succeed(&self.place.target);
+        let now = self.call.gateway.now();
+        lock(&self.call.gateway.fleet).succeed(now, &self.place.target);
         tracing::info!(
             request = %self.call.head.attempt, target = %self.place.target.id,
             event = self.last_event, "stream: goes on"
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod reader_turn;
 pub mod rendezvous;
 pub mod retry;
+pub mod silence;
 pub mod spend_guard;
 pub mod stream_order;
 pub mod version_trial;
