--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,10 +11,11 @@
 use policy::retry::RetryReason;
 use web::client::{CallError, Connection};
 
+use crate::call_fault::CallFault;
 use crate::config::{RouteKind, RouteRule, SiteConfig};
 use crate::crashes;
 use crate::described::{self, CallerRequest};
-use crate::dialect::{AnswerHead, CallHead, Dialect, Dispatch, EngineDispatch};
+use crate::dialect::{CallHead, Dialect, Dispatch, EngineDispatch};
 use crate::directory::Directory;
 use crate::exchange::{CallerResponse, OpenAnswer};
 use crate::gateway::{Gateway, OpenRequest, lock};
@@ -473,26 +474,6 @@
     }
 }
 
-/// Why a sending brought no answer.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum CallFault {
-    /// What happened on the connection.
-    #[error(transparent)]
-    Exchange(#[from] CallError),
-    /// The replica said that it did not run the request.
-    #[error("not run, status {0}")]
-    NotRun(StatusCode, AnswerHead),
-    /// It takes so long that another replica is tried.
-    #[error("it takes too long")]
-    Impatient,
-    /// The answer belongs to another request.
-    #[error("the answer belongs to another request")]
-    Crossed,
-    /// A success without the replica's seal.
-    #[error("the answer bears no seal")]
-    Unsealed,
-}
-
 impl<D: Dialect, S: Directory> Drop for Place<D, S> {
     fn drop(&mut self) {
         lock(&self.gateway.fleet).release(&self.target, self.prefilled);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod belief;
 mod body;
 mod call;
+mod call_fault;
 mod call_target;
 pub mod config;
 mod crashes;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,7 +12,8 @@
 use web::client::CallError;
 
 use crate::body::{BrokenOff, CallerBody};
-use crate::call::{Call, CallFault, Place};
+use crate::call::{Call, Place};
+use crate::call_fault::CallFault;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::events::EventSplitter;
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -6,7 +6,8 @@
 use web::client::CallError;
 
 use crate::body::CallerBody;
-use crate::call::{Call, CallFault};
+use crate::call::Call;
+use crate::call_fault::CallFault;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::exchange::{CallerResponse, OpenAnswer};
