Count daemons that peers know in the share of a rate

Ruled out: what homes start with (at most 28 thousand tokens together), and substitutes (under 20 thousand).

Change: a digest says how many daemons its sender knows, and the greatest number heard counts in the share that a home grants. A peer that knows less than half of the daemons known here is told of all at once, instead of every eighth digest.

--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -121,6 +121,8 @@
     pub way: DigestWay,
     /// The sender hears nobody yet and asks for an answer.
     pub alone: bool,
+    /// Daemons that the sender knows itself, with itself.
+    pub known: u32,
     /// Its orders: the store's revision, how long ago that was the newest, and their digest.
     pub control: Option<(Revision, Duration, u64)>,
     /// Its listing: the store's revision, how long ago that was the newest, and its digest.
@@ -148,6 +150,8 @@
     Control(Revision, Duration, Box<ControlState>),
     /// The replicas listed, at this revision of the store and this old.
     Listing(Revision, Duration, Vec<TargetEntry>),
+    /// Daemons, for a peer that knows few of them.
+    Members(Vec<MemberEntry>),
     /// News of weights, passed on at once.
     Weights(Vec<WeightNews>),
     /// Asks the home of a customer for tokens.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -39,6 +39,8 @@
     added_at: Duration,
     /// When it last failed to answer this daemon.
     missed_at: Option<Duration>,
+    /// Daemons that it said it knows.
+    knows: usize,
     leaving: bool,
 }
 
@@ -118,6 +120,7 @@
                     child_at: None,
                     added_at: now,
                     missed_at: None,
+                    knows: 0,
                     leaving: false,
                 };
                 self.known.insert(entry.id.clone(), known);
@@ -125,10 +128,11 @@
         }
     }
 
-    /// A daemon spoke; `to_hub`: as to its hub.
-    pub fn hear(&mut self, now: Duration, entry: &MemberEntry, to_hub: bool) {
+    /// A daemon spoke, which knows so many daemons; `to_hub`: as to its hub.
+    pub fn hear(&mut self, now: Duration, entry: &MemberEntry, knows: usize, to_hub: bool) {
         self.add(now, entry);
         let Some(it) = self.known.get_mut(&entry.id) else { return };
+        it.knows = knows;
         it.spoke_at = Some(now);
         it.child_at = if to_hub { Some(now) } else { None };
     }
@@ -224,10 +228,16 @@
         Some(address)
     }
 
+    /// Daemons that this one knows itself, with itself.
+    pub fn known(&self) -> usize {
+        self.known.len() + 1
+    }
+
     /// Daemons that may run, whether they can be reached or not, with this one. A daemon that has
-    /// just started knows only its seeds.
+    /// just started knows few of them: its seeds and what its peers know count too.
     pub fn most(&self) -> usize {
-        (self.known.len() + 1).max(self.seeds.len())
+        let told = self.known.values().map(|it| it.knows).max().unwrap_or(0);
+        self.known().max(told).max(self.seeds.len())
     }
 
     /// The share of all daemons that this one reaches, with itself.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,8 @@
 const SUM_OF_HUB: u64 = 0;
 /// What changes seldom goes into one digest of this many.
 const SELDOM: u32 = 8;
+/// A peer that knows less than this part of the daemons known here is told of all at once.
+const LAGGING_PART: usize = 2;
 
 /// Beginnings of prompts to pass on with the next digests.
 #[derive(Debug, Default)]
@@ -126,6 +128,7 @@
         from: gateway.own.clone(),
         way,
         alone: !members.hears_any(now),
+        known: u32::try_from(members.known()).unwrap_or(u32::MAX),
         control,
         listing,
         origins,
@@ -200,6 +203,10 @@
                 push_listing(gateway, Some(from));
             }
         }
+        PeerMessage::Members(entries) => {
+            let mut members = lock(&gateway.members);
+            entries.iter().for_each(|it| members.add(now, it));
+        }
         PeerMessage::Weights(news) => spread_weights(gateway, &news, Some(from)),
         PeerMessage::Take { ticket, customer, tokens, substitute } => {
             let Some(config) = gateway.config() else { return };
@@ -234,16 +241,19 @@
     if digest.from.id == gateway.own.id {
         return;
     }
-    {
+    let unknown_to_peer = {
         let mut members = lock(&gateway.members);
-        members.hear(now, &digest.from, digest.way == DigestWay::Up);
+        let known = digest.known as usize;
+        members.hear(now, &digest.from, known, digest.way == DigestWay::Up);
         for it in &digest.members {
             members.add(now, it);
         }
         for it in &digest.origins {
             members.hear_of(it.origin, now.saturating_sub(it.age), it.leaving);
         }
-    }
+        let lags = known < members.known() / LAGGING_PART;
+        if lags { members.entries() } else { Vec::new() }
+    };
     let behind = compare(gateway, digest);
     {
         let mut fleet = lock(&gateway.fleet);
@@ -274,6 +284,9 @@
         let member = rendezvous::member_hash(digest.from.id.as_str());
         send_digest(gateway, &[from], DigestWay::Down(member), &[], true);
     }
+    if !unknown_to_peer.is_empty() {
+        gateway.peers.send(&[from], &PeerMessage::Members(unknown_to_peer));
+    }
     if behind.control {
         send_control(gateway, &[from]);
     }
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -164,7 +164,7 @@
         number != own && !fleet(number, 90, ms(10)).is_hub(ms(10))
     });
     let child = child.expect("some daemon is no hub");
-    table.hear(ms(10), &child, true);
+    table.hear(ms(10), &child, 1, true);
     let set = table.neighbours(ms(10));
     assert_eq!(set.onward(Some(set.across[0])), [child.address]);
     assert_eq!(set.onward(Some(child.address)).len(), 9);
@@ -225,6 +225,19 @@
     assert_eq!(MemberTable::new(member(0), seeds).most(), 3);
 }
 
+#[test]
+fn a_daemon_that_knows_few_counts_those_that_its_peers_know() {
+    let mut table = fleet(0, 3, ms(10));
+    assert_eq!(table.reachable_share(ms(10)), 1.0);
+    table.hear(ms(10), &member(1), 90, false);
+    table.hear(ms(10), &member(2), 12, false);
+    assert_eq!((table.known(), table.most()), (3, 90));
+    // It grants a customer's rate for the daemons that it reaches, not for those that it knows.
+    assert_eq!(table.reachable_share(ms(10)), 3.0 / 90.0);
+    table.hear(ms(20), &member(1), 3, false);
+    assert_eq!(table.most(), 12);
+}
+
 #[rstest]
 #[case::no_other_is_named(&[0], false, true)]
 #[case::others_are_named_and_not_heard(&[0, 1], false, false)]
