Tell which life of a replica leaves

Cause: found by reading. Digests named leaving replicas by id alone, and whoever heard one marked the replica it lists now. A replica that has come back under its id was kept from all requests by a peer that had not heard of its new start. The existing tests let it pass since the listing and the peer agreed in them.

Change: digests carry the start beside the id. Tests: the replica that came back (fails with ids alone), and that a hub's sum leaves out what its receiver told. The entry that two test files built stands in one fixture.

--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -135,8 +135,9 @@
     pub kv_store: Option<KvStoreNews>,
     /// Prompts placed since its last digest.
     pub prefixes: Vec<PrefixNews>,
-    /// Replicas that it knows to be leaving, by the hashes of their ids.
-    pub leaving_targets: Vec<u64>,
+    /// Replicas that it knows to be leaving: the hashes of their ids, and their starts. One that
+    /// comes back under its id does not leave.
+    pub leaving_targets: Vec<(u64, u64)>,
     /// The daemons it knows; not in every digest.
     pub members: Vec<MemberEntry>,
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -139,15 +139,16 @@
     }
 
     /// Replicas that peers know to be leaving.
-    pub fn hear_leaving(&mut self, members: &[u64]) {
+    pub fn hear_leaving(&mut self, lives: &[(u64, u64)]) {
         for replica in self.replicas.values_mut() {
-            replica.leaving |= members.contains(&replica.member);
+            replica.leaving |= lives.contains(&(replica.member, replica.entry.born));
         }
     }
 
     /// Replicas known to be leaving, for peers.
-    pub fn leaving_members(&self) -> Vec<u64> {
-        self.replicas.values().filter(|it| it.leaving).map(|it| it.member).collect()
+    pub fn leaving_lives(&self) -> Vec<(u64, u64)> {
+        let leaving = self.replicas.values().filter(|it| it.leaving);
+        leaving.map(|it| (it.member, it.entry.born)).collect()
     }
 
     /// What a peer, or this daemon itself, learned of weights. Returns true if it is news.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -135,7 +135,7 @@
         weights: if seldom { fleet.weight_news() } else { Vec::new() },
         kv_store: fleet.kv_store.map(|it| it.news(now)),
         prefixes: prefixes.to_vec(),
-        leaving_targets: fleet.leaving_members(),
+        leaving_targets: fleet.leaving_lives(),
         members: if seldom { members.entries() } else { Vec::new() },
     }
 }
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -1,10 +1,13 @@
 //! What a daemon believes, and whom it tells.
 
+mod fixtures;
+
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
+use fixtures::entry;
 use gateway::belief::BeliefTable;
-use gateway::config::{CallerLimits, ControlState, SiteConfig, TargetEntry};
+use gateway::config::{CallerLimits, ControlState, SiteConfig};
 use gateway::directory::{MemberEntry, Snapshot};
 use gateway::members::MemberTable;
 use ids::{Incarnation, Revision};
@@ -72,20 +75,6 @@
     assert_ne!(mark(control(7, 4)), mark(control(7, 5)));
 }
 
-fn entry(id: &str, leaving: bool) -> TargetEntry {
-    TargetEntry {
-        id: id.parse().expect("an id"),
-        born: 1,
-        pool: "desk".parse().expect("an id"),
-        address: (Ipv4Addr::LOCALHOST, 1).into(),
-        domain: "a".parse().expect("an id"),
-        release: "v1".into(),
-        slots: 6,
-        leaving,
-        weights: Default::default(),
-    }
-}
-
 #[test]
 fn an_older_listing_does_not_bring_a_leaving_replica_back() {
     let mut beliefs = BeliefTable::default();
--- a/crates/gateway/tests/shared_evidence.rs
+++ b/crates/gateway/tests/shared_evidence.rs
@@ -1,8 +1,10 @@
 //! What daemons tell each other of replicas' answers, and what each makes of it.
 
-use std::net::Ipv4Addr;
+mod fixtures;
+
 use std::time::Duration;
 
+use fixtures::entry;
 use gateway::config::TargetEntry;
 use gateway::digest::TargetLoad;
 use gateway::fleet::FleetTable;
@@ -15,17 +17,7 @@
 
 fn fleet_of_one() -> FleetTable {
     let mut fleet = FleetTable::new("a".parse().expect("an id"));
-    fleet.relist(&[TargetEntry {
-        id: "r".parse().expect("an id"),
-        born: 1,
-        pool: "desk".parse().expect("an id"),
-        address: (Ipv4Addr::LOCALHOST, 1).into(),
-        domain: "a".parse().expect("an id"),
-        release: "v1".into(),
-        slots: 6,
-        leaving: false,
-        weights: Default::default(),
-    }]);
+    fleet.relist(&[entry("r", false)]);
     fleet
 }
 
@@ -70,3 +62,28 @@
     fleet.pause_silent(later);
     assert!(fleet.replicas().all(|it| it.may_work(later)));
 }
+
+#[test]
+fn a_replica_that_came_back_does_not_leave_as_its_former_life_did() {
+    let mut peer = fleet_of_one();
+    peer.relist(&[entry("r", true)]);
+    let told = peer.leaving_lives();
+    let mut fleet = fleet_of_one();
+    fleet.hear_leaving(&told);
+    assert!(fleet.replicas().all(|it| it.leaving));
+    let back = TargetEntry { born: 2, ..entry("r", false) };
+    fleet.relist(&[back]);
+    fleet.hear_leaving(&told);
+    assert!(fleet.replicas().all(|it| it.may_work(NOW)));
+}
+
+#[test]
+fn a_hub_passes_on_what_others_saw_but_not_to_those_who_saw_it() {
+    let mut hub = fleet_of_one();
+    hub.hear_loads(NOW, 1, &told(0, 2));
+    hub.hear_loads(NOW, 2, &told(0, 1));
+    let mut child = fleet_of_one();
+    child.hear_loads(NOW, 0, &hub.loads_without(NOW, 2));
+    let replica = child.replicas().next().expect("one is listed");
+    assert_eq!(child.load(NOW, replica).answers, AnswerCount { answered: 0, failed: 2 });
+}
