Count a customer's rate in the unit that its configuration names

Cause: found by reading. The operators' configuration names a unit beside each rate; the adapter left it out and counted tokens always, as both deployments of today do. On a deployment that counts requests, one prompt of 9,000 tokens would have used up a rate of hundreds of requests.

Tests through the whole path: tokens stated, tokens not stated, requests; the last one failed first (429).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -96,7 +96,7 @@
         return Err(CallRefusal::not_run(ErrorKind::CrashSuspect));
     }
     if let (Some(id), Some(rule)) = (&customer, rule) {
-        let tokens = request.head.tokens.map_or(rule.default_cost.0, |it| it.0.0 + it.1.0);
+        let tokens = rule.cost(request.head.tokens.map(|it| it.0.0 + it.1.0));
         quota_desk::take(gateway, id, rule, tokens).await?;
     }
     let pool = described::choose_pool(&route).ok_or(CallRefusal::not_run(ErrorKind::NoTarget))?;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -102,9 +102,11 @@
 pub struct CustomerRule {
     /// Rank of urgency, which goes before the route's.
     pub priority: Option<u8>,
-    /// Tokens a second over all daemons; zero is no limit.
+    /// What its rate counts.
+    pub unit: QuotaUnit,
+    /// Units a second over all daemons; zero is no limit.
     pub rate: TokenRate,
-    /// Tokens that may come at once.
+    /// Units that may come at once.
     pub burst: TokenCount,
     /// What a request costs that states no token counts.
     pub default_cost: TokenCount,
@@ -112,7 +114,24 @@
     pub isolated: bool,
 }
 
+/// What a customer's rate counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuotaUnit {
+    /// Each request counts one.
+    Requests,
+    /// A request counts the tokens it states.
+    Tokens,
+}
+
 impl CustomerRule {
+    /// What a request counts that states so many tokens.
+    pub fn cost(&self, stated: Option<u64>) -> u64 {
+        match self.unit {
+            QuotaUnit::Requests => 1,
+            QuotaUnit::Tokens => stated.unwrap_or(self.default_cost.0),
+        }
+    }
+
     /// Its rate, as decisions take it.
     pub fn quota_rate(&self) -> CustomerRate {
         CustomerRate { per_s: self.rate.0 as f64, burst: self.burst.0 as f64 }
