Decide in one place which bucket a daemon grants from; log refusals of rates with their request

Cause: found by reading. Whether a daemon grants as a home or in a home's place was decided twice, for its own requests and for peers' questions. The lines about rates did not name the request, so `kingcupshift explain` left them out of the story that the operations page tells. A hub's sum of loads that had become empty was passed over, and the sum before it counted for up to 2 s more.

Change: quota_desk answers both, the question is a type, the lines carry the request and where the tokens would have come from; an empty sum counts.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -97,7 +97,7 @@
     }
     if let (Some(id), Some(rule)) = (&customer, rule) {
         let tokens = rule.cost(request.head.tokens.map(|it| it.0.0 + it.1.0));
-        quota_desk::take(gateway, id, rule, tokens).await?;
+        quota_desk::take(gateway, &request.head.attempt, id, rule, tokens).await?;
     }
     let pool = described::choose_pool(&route).ok_or(CallRefusal::not_run(ErrorKind::NoTarget))?;
     gateway.earn_retry(&pool);
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -142,6 +142,19 @@
     pub members: Vec<MemberEntry>,
 }
 
+/// Asks for tokens of a customer's rate.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaQuestion {
+    /// Tells answers apart.
+    pub ticket: u64,
+    /// The customer.
+    pub customer: CustomerId,
+    /// How many.
+    pub tokens: u64,
+    /// The customer's home is silent, and the receiver is asked in its place.
+    pub substitute: bool,
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -156,16 +169,7 @@
     /// News of weights, passed on at once.
     Weights(Vec<WeightNews>),
     /// Asks the home of a customer for tokens.
-    Take {
-        /// Tells answers apart.
-        ticket: u64,
-        /// The customer.
-        customer: CustomerId,
-        /// How many.
-        tokens: u64,
-        /// The customer's home is silent, and the receiver is asked in its place.
-        substitute: bool,
-    },
+    Take(QuotaQuestion),
     /// The answer: granted, or how long to wait.
     Taken {
         /// The question's ticket.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use policy::customer_quota::QuotaSource;
 use policy::rendezvous;
 
 use crate::dialect::Dialect;
@@ -13,6 +12,7 @@
 use crate::directory::{Directory, Snapshot};
 use crate::gateway::{Gateway, lock};
 use crate::kv_store::KvStoreView;
+use crate::quota_desk;
 
 /// The time between two digests.
 const DIGEST_PERIOD: Duration = Duration::from_millis(250);
@@ -208,24 +208,7 @@
             entries.iter().for_each(|it| members.add(now, it));
         }
         PeerMessage::Weights(news) => spread_weights(gateway, &news, Some(from)),
-        PeerMessage::Take { ticket, customer, tokens, substitute } => {
-            let Some(config) = gateway.config() else { return };
-            let Some(rule) = config.customers.get(&customer) else { return };
-            let (share, home) = {
-                let members = lock(&gateway.members);
-                (members.reachable_share(now), members.home(now, &customer))
-            };
-            // Who asks may see another fleet than this daemon; two homes would grant twice.
-            let source = match home {
-                None if !substitute => QuotaSource::Home(share),
-                _ => QuotaSource::Substitute,
-            };
-            let rate = rule.quota_rate();
-            let mut quotas = lock(&gateway.quotas);
-            let taken = quotas.take_once(now, ticket, &customer, rate, tokens, source);
-            drop(quotas);
-            gateway.peers.send(&[from], &PeerMessage::Taken { ticket, wait: taken.err() });
-        }
+        PeerMessage::Take(question) => quota_desk::answer_peer(gateway, from, &question),
         PeerMessage::Taken { ticket, wait } => gateway.peers.answer(ticket, wait),
         PeerMessage::Strike(strike) => {
             if lock(&gateway.quarantine).strike(now, strike) {
@@ -255,12 +238,16 @@
         if lags { members.entries() } else { Vec::new() }
     };
     let behind = compare(gateway, digest);
+    let sender = rendezvous::member_hash(digest.from.id.as_str());
     {
         let mut fleet = lock(&gateway.fleet);
         for it in &digest.origins {
             match digest.way {
-                DigestWay::Down(_) if it.loads.is_empty() => {}
-                DigestWay::Down(_) => fleet.hear_loads(now, SUM_OF_HUB, &it.loads),
+                // The sum stands with the sender; it may be empty.
+                DigestWay::Down(_) if it.origin == sender => {
+                    fleet.hear_loads(now, SUM_OF_HUB, &it.loads);
+                }
+                DigestWay::Down(_) => {}
                 _ => fleet.hear_loads(now.saturating_sub(it.age), it.origin, &it.loads),
             }
         }
@@ -281,8 +268,7 @@
     }
     spread_weights(gateway, &digest.weights, Some(from));
     if digest.alone {
-        let member = rendezvous::member_hash(digest.from.id.as_str());
-        send_digest(gateway, &[from], DigestWay::Down(member), &[], true);
+        send_digest(gateway, &[from], DigestWay::Down(sender), &[], true);
     }
     if !unknown_to_peer.is_empty() {
         gateway.peers.send(&[from], &PeerMessage::Members(unknown_to_peer));
--- a/crates/gateway/src/quota_desk.rs
+++ b/crates/gateway/src/quota_desk.rs
@@ -1,14 +1,15 @@
 //! Takes a request's tokens from its customer's bucket, here or at the customer's home.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{CustomerId, ErrorKind};
+use ids::{CustomerId, ErrorKind, RequestId};
 use policy::customer_quota::QuotaSource;
 
 use crate::config::CustomerRule;
 use crate::dialect::Dialect;
-use crate::digest::PeerMessage;
+use crate::digest::{PeerMessage, QuotaQuestion};
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
 use crate::refusal::CallRefusal;
@@ -20,9 +21,10 @@
 /// Homes that are tried in turn.
 const HOMES: u32 = 2;
 
-/// Takes tokens, or refuses the request with the time after which they will be there.
+/// Takes tokens for a request, or refuses it with the time after which they will be there.
 pub(crate) async fn take<D: Dialect, S: Directory>(
     gateway: &Arc<Gateway<D, S>>,
+    request: &RequestId,
     customer: &CustomerId,
     rule: &CustomerRule,
     tokens: u64,
@@ -32,35 +34,66 @@
     }
     let mut word = HomeWord::Silent;
     for place in 0..HOMES {
-        word = ask_home(gateway, customer, tokens, place > 0).await;
+        word = ask_home(gateway, request, customer, tokens, place > 0).await;
         if !matches!(word, HomeWord::Silent) {
             break;
         }
     }
     let now = gateway.now();
-    let taken = match word {
+    let (taken, from) = match word {
         HomeWord::Said(taken) => {
             lock(&gateway.quotas).hear_home(customer);
-            taken
+            (taken, "home")
         }
         HomeWord::Own(substitute) => {
-            let share = lock(&gateway.members).reachable_share(now);
-            let source =
-                if substitute { QuotaSource::Substitute } else { QuotaSource::Home(share) };
-            lock(&gateway.quotas).take(now, customer, rule.quota_rate(), tokens, source)
+            let source = source_here(gateway, customer, substitute);
+            let rate = rule.quota_rate();
+            (lock(&gateway.quotas).take(now, customer, rate, tokens, source), "here")
         }
         HomeWord::Silent => {
             let share = 1.0 / lock(&gateway.members).most() as f64;
             let source = QuotaSource::Alone(share);
-            lock(&gateway.quotas).take(now, customer, rule.quota_rate(), tokens, source)
+            let rate = rule.quota_rate();
+            (lock(&gateway.quotas).take(now, customer, rate, tokens, source), "alone")
         }
     };
     taken.map_err(|wait| {
-        tracing::info!(%customer, tokens, wait_ms = wait.as_millis() as u64, "rate: refused");
+        let wait_ms = wait.as_millis() as u64;
+        tracing::info!(%request, %customer, tokens, from, wait_ms, "rate: refused");
         CallRefusal::not_run(ErrorKind::RateExceeded).retry_after(wait)
     })
 }
 
+/// Answers a peer that takes this daemon for a customer's home, or asks it in the home's place.
+pub(crate) fn answer_peer<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    from: IpAddr,
+    question: &QuotaQuestion,
+) {
+    let QuotaQuestion { ticket, customer, tokens, substitute } = question;
+    let Some(config) = gateway.config() else { return };
+    let Some(rule) = config.customers.get(customer) else { return };
+    let source = source_here(gateway, customer, *substitute);
+    let (now, rate) = (gateway.now(), rule.quota_rate());
+    let taken = lock(&gateway.quotas).take_once(now, *ticket, customer, rate, *tokens, source);
+    gateway.peers.send(&[from], &PeerMessage::Taken { ticket: *ticket, wait: taken.err() });
+}
+
+/// The bucket that this daemon takes tokens from, as the customer's home or in its place. Who asks
+/// may see another fleet than this daemon; two homes would grant twice.
+fn source_here<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    customer: &CustomerId,
+    substitute: bool,
+) -> QuotaSource {
+    let now = gateway.now();
+    let members = lock(&gateway.members);
+    match members.home(now, customer) {
+        None if !substitute => QuotaSource::Home(members.reachable_share(now)),
+        _ => QuotaSource::Substitute,
+    }
+}
+
 enum HomeWord {
     Said(Result<(), Duration>),
     /// This daemon is the home, or is asked in its place.
@@ -70,15 +103,16 @@
 
 async fn ask_home<D: Dialect, S: Directory>(
     gateway: &Arc<Gateway<D, S>>,
+    request: &RequestId,
     customer: &CustomerId,
     tokens: u64,
     substitute: bool,
 ) -> HomeWord {
     let home = lock(&gateway.members).home(gateway.now(), customer);
     let Some(home) = home else { return HomeWord::Own(substitute) };
-    let (ticket, receiver) = gateway.peers.ask();
-    let question = PeerMessage::Take { ticket, customer: customer.clone(), tokens, substitute };
-    let mut receiver = receiver;
+    let (ticket, mut receiver) = gateway.peers.ask();
+    let question = QuotaQuestion { ticket, customer: customer.clone(), tokens, substitute };
+    let question = PeerMessage::Take(question);
     for _ in 0..ASKED {
         gateway.peers.send(&[home.address], &question);
         match tokio::time::timeout(ANSWER_TIME, &mut receiver).await {
@@ -89,6 +123,6 @@
         }
     }
     lock(&gateway.members).miss(gateway.now(), &home.id);
-    tracing::info!(%customer, home = %home.id, "rate: the home is silent");
+    tracing::info!(%request, %customer, home = %home.id, "rate: the home is silent");
     HomeWord::Silent
 }
