Forget weights and orders of replicas that are gone

Cause: found by reading. What peers tell of weights was kept for each life of each replica for ever, and so were the replicas that a holder had ordered.

Change: told weights are dropped a minute after they were last told (those of listed replicas are told again every 2 s), orders when a replica is not listed any more. Test: 48 lives told, none left after a minute.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -15,6 +15,8 @@
 
 /// How long a peer's report of its load counts.
 const LOAD_AGE: Duration = Duration::from_secs(2);
+/// How long news of a replica's weights are kept that is not listed: its listing may come later.
+const TOLD_TIME: Duration = Duration::from_secs(60);
 
 /// Replicas by id, loads of peers, and beliefs about caches.
 #[derive(Debug)]
@@ -23,7 +25,7 @@
     pub(crate) replicas: IndexMap<TargetId, Replica>,
     peer_loads: IndexMap<u64, (Duration, IndexMap<u64, LoadCount>)>,
     /// Versions of weights that peers told of replicas not listed here yet.
-    told_weights: IndexMap<(u64, u64), WeightNews>,
+    told_weights: IndexMap<(u64, u64), ToldWeights>,
     /// Which replicas hold which beginnings of prompts.
     pub prefixes: PrefixTable,
     /// The KV store, if one was looked at.
@@ -32,6 +34,13 @@
     pub(crate) prefix_news: Vec<PrefixNews>,
 }
 
+/// What peers told of one life of a replica, and when last.
+#[derive(Debug)]
+struct ToldWeights {
+    news: WeightNews,
+    told_at: Duration,
+}
+
 impl FleetTable {
     /// An empty table of a daemon in `domain`.
     pub fn new(domain: FailureDomain) -> FleetTable {
@@ -60,6 +69,7 @@
                 None => {
                     let mut replica = Replica::new(entry.clone());
                     let told = self.told_weights.get(&(replica.member, entry.born));
+                    let told = told.map(|it| it.news);
                     replica.weights = replica.weights.max(told.map_or(0, |it| it.loaded));
                     replica.accepted = told.map_or(0, |it| it.accepted);
                     self.replicas.insert(entry.id.clone(), replica);
@@ -87,9 +97,15 @@
         self.peer_loads.insert(peer, (said_at, loads));
     }
 
-    /// Forgets loads that were said long ago.
-    pub fn sweep_loads(&mut self, now: Duration) {
+    /// Forgets what was said long ago.
+    pub fn sweep(&mut self, now: Duration) {
         self.peer_loads.retain(|_, it| now < it.0 + LOAD_AGE);
+        self.told_weights.retain(|_, it| now < it.told_at + TOLD_TIME);
+    }
+
+    /// Lives of replicas whose weights were told lately.
+    pub fn told_count(&self) -> usize {
+        self.told_weights.len()
     }
 
     /// The requests of all daemons but one, for that one.
@@ -153,12 +169,11 @@
 
     /// What a peer, or this daemon itself, learned of weights. Returns true if it is news.
     pub fn hear_weights(&mut self, now: Duration, news: WeightNews) -> bool {
-        let told = self.told_weights.entry((news.member, news.born)).or_insert(WeightNews {
-            loaded: 0,
-            ordered: 0,
-            accepted: 0,
-            ..news
-        });
+        let unknown = WeightNews { loaded: 0, ordered: 0, accepted: 0, ..news };
+        let told = self.told_weights.entry((news.member, news.born));
+        let told = told.or_insert(ToldWeights { news: unknown, told_at: now });
+        told.told_at = now;
+        let told = &mut told.news;
         let fresh = told.loaded < news.loaded
             || told.ordered < news.ordered
             || told.accepted < news.accepted;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -43,7 +43,7 @@
         round = round.wrapping_add(1);
         let now = gateway.now();
         lock(&gateway.members).sweep(now);
-        lock(&gateway.fleet).sweep_loads(now);
+        lock(&gateway.fleet).sweep(now);
         gateway.connections.sweep();
         tokio::time::sleep((began + DIGEST_PERIOD).saturating_sub(now)).await;
     }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -94,6 +94,7 @@
     loop {
         // Made before the look, so that nothing learned after it is missed.
         let believed = gateway.believed.notified();
+        forget_unlisted(&gateway, &book);
         let needed = needed_orders(&gateway, &book);
         if needed.is_empty() || gateway.is_leaving() {
             needed_since = None;
@@ -130,6 +131,14 @@
     }
 }
 
+/// Forgets replicas that are not listed any more.
+fn forget_unlisted<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, book: &OrderBook) {
+    let fleet = lock(&gateway.fleet);
+    let mut book = lock(book);
+    book.states.retain(|id, _| fleet.get(id).is_some());
+    book.ordered.retain(|id, _| fleet.get(id).is_some());
+}
+
 fn lease_time<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) -> Duration {
     gateway.settings.bounds.lease / LEASE_PART
 }
--- a/crates/gateway/tests/shared_evidence.rs
+++ b/crates/gateway/tests/shared_evidence.rs
@@ -6,7 +6,7 @@
 
 use fixtures::entry;
 use gateway::config::TargetEntry;
-use gateway::digest::TargetLoad;
+use gateway::digest::{TargetLoad, WeightNews};
 use gateway::fleet::FleetTable;
 use gateway::replica::LoadCount;
 use policy::rendezvous;
@@ -87,3 +87,16 @@
     let replica = child.replicas().next().expect("one is listed");
     assert_eq!(child.load(NOW, replica).answers, AnswerCount { answered: 0, failed: 2 });
 }
+
+#[test]
+fn weights_told_of_replicas_that_are_gone_are_forgotten() {
+    let mut fleet = fleet_of_one();
+    for born in 2..50 {
+        let news = WeightNews { member: 7, born, loaded: 1, ordered: 0, accepted: 0 };
+        assert!(fleet.hear_weights(NOW, news));
+    }
+    fleet.sweep(NOW + Duration::from_secs(30));
+    assert_eq!(fleet.told_count(), 48);
+    fleet.sweep(NOW + Duration::from_secs(61));
+    assert_eq!(fleet.told_count(), 0);
+}
