Keep one list of hop-by-hop headers and one spelling of causes; name pauses

Cause: the change had written the list of hop-by-hop headers twice more and the text of an error's causes once more. A stream that found no replica to go on with was logged and not counted; nor were requests that cannot be described. Four pauses were literals, and the platform's last rank of urgency stood outside its adapter.

Change: web::hop_by_hop serves targets, gateway and platform (the list of targets gains proxy-connection); web::client::causes serves the gateway; a stream that breaks off has one way to say so, and counts; pauses are constants.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -30,6 +30,10 @@
 const MAX_UNSENT: u32 = 6;
 /// How long a request waits for a replica when none can take it, as a share of its objective.
 const WAIT_SHARE: f64 = 0.5;
+/// The longest time between two looks for a replica: pauses of replicas end without notice.
+const PLACE_PAUSE: Duration = Duration::from_millis(60);
+/// When a caller is told to come back if no replica took its request, as a share of its objective.
+const COME_BACK_SHARE: f64 = 0.5;
 /// Share of the bound for new weights from which older ones get nothing: a request may wait on its
 /// replica before it begins.
 const OLDEST_WEIGHTS_SHARE: f64 = 0.7;
@@ -189,6 +193,10 @@
         self.route.kind.repeats() && self.attempts < self.route.max_attempts
     }
 
+    fn come_back_after(&self) -> Duration {
+        self.route.objective.mul_f64(COME_BACK_SHARE)
+    }
+
     /// Takes a place on a replica, waiting for one shortly if need be.
     pub(crate) async fn place(&mut self) -> Result<Place<D, S>, CallRefusal> {
         let asked_at = self.gateway.now();
@@ -215,10 +223,9 @@
             let left = patience.min(self.until).saturating_sub(now);
             if !alive || left.is_zero() {
                 let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
-                return Err(self.refused(refusal.retry_after(self.route.objective / 2)));
+                return Err(self.refused(refusal.retry_after(self.come_back_after())));
             }
-            let pause = left.min(Duration::from_millis(60));
-            // Pauses of replicas end without notice.
+            let pause = left.min(PLACE_PAUSE);
             let _ = tokio::time::timeout(pause, freed).await;
         }
     }
@@ -323,7 +330,7 @@
         let engine = self.need.as_ref().map(|need| EngineDispatch {
             version: target.weights,
             salt: need.salt(target.weights),
-            urgency: self.urgency.min(9),
+            urgency: self.urgency,
             fetch_from: target.fetch_from,
             save_to: target.save_to.map(|it| it.address),
         });
@@ -357,7 +364,7 @@
             "call: no answer: {fault}"
         );
         let refusal = CallRefusal { run: self.run, ..CallRefusal::not_run(kind) };
-        let refusal = refusal.retry_after(self.route.objective / 2);
+        let refusal = refusal.retry_after(self.come_back_after());
         let ended = self.gateway.now() >= self.until;
         let again = match fault {
             CallFault::Exchange(CallError::NotSent(_)) => {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,7 +17,7 @@
 use ports::Clock;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
-use web::client::{CallError, Connection};
+use web::client::{self, CallError, Connection};
 
 /// Longest time for a connection to open.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
@@ -130,8 +130,8 @@
                 Err(mut error) => match error.take_message() {
                     // The kept connection had ended before the request went out.
                     Some(unsent) if connection.used => request = unsent,
-                    Some(_) => return Err(CallError::NotSent(text(error.error()))),
-                    None => return Err(CallError::Broken(text(error.error()))),
+                    Some(_) => return Err(CallError::NotSent(client::causes(error.error()))),
+                    None => return Err(CallError::Broken(client::causes(error.error()))),
                 },
             }
         }
@@ -236,7 +236,8 @@
         .max_buf_size(READ_BYTES)
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
         .await;
-    let (sender, connection) = handshake.map_err(|error| CallError::NotSent(text(&error)))?;
+    let (sender, connection) =
+        handshake.map_err(|error| CallError::NotSent(client::causes(&error)))?;
     // How a connection ended is told to the request that was on it.
     let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
     Ok(OpenConnection { sender, task, idle_until: Duration::MAX, used: false })
@@ -256,13 +257,5 @@
     socket.connect(address).await
 }
 
-fn text(error: &hyper::Error) -> Box<str> {
-    use std::error::Error as _;
-    match error.source() {
-        Some(cause) => format!("{error}: {cause}").into(),
-        None => error.to_string().into(),
-    }
-}
-
 /// The answer's type, for callers of this crate.
 pub type CallerResponse = Response<crate::body::CallerBody>;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -27,6 +27,8 @@
 const READ_BYTES: usize = 64 << 10;
 /// How long a caller's body may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
+/// The pause after a connection could not be accepted: descriptors may have run out.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Idle connections are kept this many times longer than the limit says, so that a caller that
 /// keeps to the limit never meets a closed one.
 const IDLE_FACTOR: u32 = 2;
@@ -48,7 +50,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 tracing::warn!("front: no connection accepted: {error}");
-                tokio::time::sleep(Duration::from_millis(10)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
@@ -107,7 +109,10 @@
 ) -> Result<CallerResponse, CallRefusal> {
     let began = gateway.now();
     let (parts, body) = request.into_parts();
-    let head = gateway.dialect.describe(&parts).map_err(described::head_refusal)?;
+    let head = gateway.dialect.describe(&parts).map_err(|error| {
+        gateway.metrics.refuse(ErrorKind::BadRequest.code());
+        described::head_refusal(error)
+    })?;
     let attempt = head.attempt.clone();
     let refused = |refusal: CallRefusal| {
         gateway.metrics.refuse(refusal.kind.code());
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -15,6 +15,7 @@
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::front;
 use crate::gateway::Gateway;
 
 /// Answers the balancer until the process ends.
@@ -24,7 +25,7 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            tokio::time::sleep(front::ACCEPT_PAUSE).await;
             continue;
         };
         let gateway = gateway.clone();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -23,6 +23,8 @@
 const NOTICE: Duration = Duration::from_millis(2_600);
 /// Time kept at the end of the grace period for closing connections.
 const CLOSE_TIME: Duration = Duration::from_millis(500);
+/// How long the answers that have just ended have to go out.
+const LAST_BYTES: Duration = Duration::from_millis(100);
 /// The time between two looks whether open requests have ended.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
@@ -77,7 +79,7 @@
         tokio::time::sleep(DRAIN_LOOK).await;
     }
     // Answers that have just ended go out.
-    tokio::time::sleep(CLOSE_TIME / 5).await;
+    tokio::time::sleep(LAST_BYTES).await;
 }
 
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,6 +19,7 @@
 use crate::events::EventSplitter;
 use crate::exchange::{CallerResponse, FinishedAnswer, OpenAnswer};
 use crate::gateway::lock;
+use crate::refusal::CallRefusal;
 use crate::whole;
 
 /// The source of a stream's events: one replica after the other.
@@ -158,18 +159,12 @@
         );
         loop {
             if let Err(refusal) = self.call.after_fault(&self.place, &fault) {
-                tracing::warn!(
-                    request = %self.call.head.attempt, kind = %refusal.kind, "stream: broken off"
-                );
-                self.call.gateway.metrics.refuse(refusal.kind.code());
-                return Err(BrokenOff);
+                return Err(self.break_off(&refusal));
             }
-            let place = self.call.place().await.map_err(|refusal| {
-                tracing::warn!(
-                    request = %self.call.head.attempt, kind = %refusal.kind, "stream: broken off"
-                );
-                BrokenOff
-            })?;
+            let place = match self.call.place().await {
+                Ok(place) => place,
+                Err(refusal) => return Err(self.break_off(&refusal)),
+            };
             self.place = place;
             fault = match self.call.exchange(&self.place, self.last_event).await {
                 Ok(answer) if answer.status == StatusCode::OK => {
@@ -185,6 +180,14 @@
         }
     }
 
+    fn break_off(&self, refusal: &CallRefusal) -> BrokenOff {
+        self.call.gateway.metrics.refuse(refusal.kind.code());
+        tracing::warn!(
+            request = %self.call.head.attempt, kind = %refusal.kind, "stream: broken off"
+        );
+        BrokenOff
+    }
+
     fn take_over(&mut self, answer: OpenAnswer) {
         let (_, _, body, rest) = answer.split();
         self.body = body;
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -4,6 +4,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use web::client::CallError;
+use web::hop_by_hop;
 
 use crate::body::CallerBody;
 use crate::call::Call;
@@ -62,31 +63,7 @@
 
 /// The headers that concern more than one connection, without the body's framing.
 pub(crate) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<String> = headers
-        .get_all(http::header::CONNECTION)
-        .into_iter()
-        .filter_map(|it| it.to_str().ok())
-        .flat_map(|it| it.split(','))
-        .map(|it| it.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    for name in HOP_HEADERS {
-        headers.remove(name);
-    }
+    hop_by_hop::remove(&mut headers);
+    headers.remove(http::header::CONTENT_LENGTH);
     headers
 }
-
-/// Headers of one connection, and the framing that each connection sets for itself.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-];
--- a/crates/targets/src/headers.rs
+++ b/crates/targets/src/headers.rs
@@ -2,6 +2,7 @@
 
 use http::header::{self, HeaderName};
 use http::{HeaderMap, HeaderValue};
+use web::hop_by_hop;
 
 /// Headers of a caller that never reach a target, besides hop-by-hop ones.
 const HELD_BACK: [HeaderName; 8] = [
@@ -15,23 +16,13 @@
     HeaderName::from_static("x-api-key"),
 ];
 
-const HOP_BY_HOP: [HeaderName; 7] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// The headers of a caller's request that a target gets. A header whose value holds the
 /// caller's key is left out, whatever its name.
 pub fn target_headers(caller: &HeaderMap, key: Option<&str>) -> HeaderMap {
     let mut passed = HeaderMap::new();
     for (name, value) in caller {
-        let held = HELD_BACK.contains(name) || HOP_BY_HOP.contains(name) || is_ours(name);
-        if !held && !is_named(caller, name) && !holds(value, key) {
+        let held = HELD_BACK.contains(name) || is_ours(name);
+        if !held && !hop_by_hop::is_hop_by_hop(caller, name) && !holds(value, key) {
             passed.append(name.clone(), value.clone());
         }
     }
@@ -42,8 +33,8 @@
 pub fn caller_headers(target: &HeaderMap) -> HeaderMap {
     let mut passed = HeaderMap::new();
     for (name, value) in target {
-        let held = HOP_BY_HOP.contains(name) || *name == header::CONTENT_LENGTH || is_ours(name);
-        if !held && !is_named(target, name) {
+        let held = *name == header::CONTENT_LENGTH || is_ours(name);
+        if !held && !hop_by_hop::is_hop_by_hop(target, name) {
             passed.append(name.clone(), value.clone());
         }
     }
@@ -54,16 +45,6 @@
     name == "x-request-id" || name == "idempotency-key" || name.as_str().starts_with("x-engine-")
 }
 
-/// Whether a `Connection` header names this header as hop-by-hop.
-fn is_named(headers: &HeaderMap, name: &HeaderName) -> bool {
-    headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|it| it.to_str().ok())
-        .flat_map(|it| it.split(','))
-        .any(|it| it.trim().eq_ignore_ascii_case(name.as_str()))
-}
-
 fn holds(value: &HeaderValue, key: Option<&str>) -> bool {
     let Some(key) = key.filter(|it| !it.is_empty()) else { return false };
     let key = key.as_bytes();
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP calls whose failures say whether the request may have reached the other side.
 
-use std::error::Error as _;
+use std::error::Error;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -125,7 +125,8 @@
         .build(connector)
 }
 
-fn causes(error: &legacy::Error) -> Box<str> {
+/// An error with all its causes, as one line.
+pub fn causes(error: &dyn Error) -> Box<str> {
     let mut text = error.to_string();
     let mut next = error.source();
     while let Some(cause) = next {
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,6 +5,7 @@
 //! knows no kind of request.
 
 pub mod client;
+pub mod hop_by_hop;
 pub mod logs;
 mod piece_body;
 pub mod plain;
