--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -76,10 +76,6 @@
 /// A pool of replicas.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PoolRule {
-    /// The path of health checks.
-    pub health_path: Box<str>,
-    /// Most connections that one replica accepts from all callers together.
-    pub max_connections: u32,
     /// Set if the replicas are model engines.
     pub engine: Option<EngineRule>,
     /// Set if the pool is a KV store.
@@ -145,8 +141,6 @@
     pub header_bytes: usize,
     /// Bytes of a body.
     pub body_bytes: usize,
-    /// Time for the headers of a request.
-    pub header_time: Duration,
     /// Time a connection may stay idle.
     pub idle_time: Duration,
 }
@@ -158,8 +152,6 @@
     pub pool: PoolId,
     /// The release to move to.
     pub to: Box<str>,
-    /// The time allowed.
-    pub duration: Duration,
     /// The revision of the order itself.
     pub revision: Revision,
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,8 +44,6 @@
     pub config_apply: Duration,
     /// Retries as a share of requests.
     pub retry_ratio: f64,
-    /// Window in which retries are counted.
-    pub retry_window: Duration,
     /// Retries allowed beyond the share, over all daemons.
     pub retry_slack: f64,
     /// Window in which a customer's tokens are counted.
@@ -54,10 +52,6 @@
     pub quota_overage: f64,
     /// Tokens by which it may exceed its rate besides.
     pub quota_slack: f64,
-    /// A bad release may get this share of a pool's requests.
-    pub canary_share: f64,
-    /// Requests it may get besides.
-    pub canary_slack: f64,
     /// Orders of different holders keep this distance.
     pub lease: Duration,
     /// New weights are in place everywhere after this time.
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -25,12 +25,7 @@
         pools: Default::default(),
         customers: Default::default(),
         keys: Default::default(),
-        limits: CallerLimits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_time: ms(1),
-            idle_time: ms(1),
-        },
+        limits: CallerLimits { header_bytes: 1, body_bytes: 1, idle_time: ms(1) },
     }
 }
 
