Tell all faults of the settings at once

Cause: check stopped at the first fault, as a deserializer does, so that an operator mended a file in as many rounds as it had faults. Ruled out: reading each field by hand, which would write every field's name a second time.

The test that expected the first missing field only now expects all of them.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,7 +6,7 @@
 
 use argh::{FromArgValue, FromArgs};
 use platform::{PlatformDialect, PlatformSettings, PlatformStore};
-use settings::{Layer, LogFormat, Settings, SettingsError};
+use settings::{Layer, LogFormat, Settings, SettingsFaults};
 use tokio::runtime;
 use web::logs::LogForm;
 
@@ -42,7 +42,7 @@
         return on_platform(&args.command);
     };
     let settings = load(base, &args.overlay, &args.set).unwrap_or_else(|error| {
-        eprintln!("kingcupshiftd: {error}");
+        eprintln!("kingcupshiftd: the settings cannot be used\n{error}");
         process::exit(2);
     });
     match args.command {
@@ -52,7 +52,7 @@
     }
 }
 
-fn load(base: &Path, overlays: &[PathBuf], set: &[String]) -> Result<Settings, SettingsError> {
+fn load(base: &Path, overlays: &[PathBuf], set: &[String]) -> Result<Settings, SettingsFaults> {
     let mut layers = vec![Layer::read(base)?];
     for path in overlays {
         layers.push(Layer::read(path)?);
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -258,14 +258,32 @@
     }
 }
 
+/// The longest time that any field may be.
+const MOST_MILLIS: Millis = Millis(3_600_000);
+/// The shortest secret, in characters.
+const LEAST_SECRET: usize = 16;
+
 /// A field that is out of its bounds: path, what was found, what is allowed.
 pub(crate) type BoundFault = (&'static str, String, &'static str);
 
 impl Settings {
-    /// The first field out of its bounds.
-    pub(crate) fn out_of_bounds(&self) -> Option<BoundFault> {
+    /// All fields out of their bounds.
+    pub(crate) fn out_of_bounds(&self) -> Vec<BoundFault> {
+        let mut faults: Vec<BoundFault> = self.sizes_out_of_bounds().collect();
+        faults.extend(self.times_out_of_bounds());
+        if self.platform.poll_ms > Millis(2_500) && self.platform.poll_ms <= MOST_MILLIS {
+            let found = self.platform.poll_ms.to_string();
+            faults.push(("platform.poll_ms", found, "at most 2500: changes are due within 5 s"));
+        }
+        if self.traffic.piece_tokens == 0 {
+            faults.push(("traffic.piece_tokens", "0".into(), "a number above 0"));
+        }
+        faults.extend(self.secrets_out_of_bounds());
+        faults
+    }
+
+    fn sizes_out_of_bounds(&self) -> impl Iterator<Item = BoundFault> {
         let limits = &self.limits;
-        let timeouts = &self.timeouts;
         let sizes = [
             ("limits.body_bytes", limits.body_bytes, 1 << 10, 256 << 20),
             ("limits.header_bytes", limits.header_bytes, 1 << 10, 256 << 10),
@@ -273,10 +291,12 @@
             ("limits.kept_answer_bytes", limits.kept_answer_bytes, 0, 256 << 10),
             ("limits.queue_length", limits.queue_length, 1, 1_000_000),
         ];
-        let size = sizes.into_iter().find(|it| it.1 < it.2 || it.1 > it.3);
-        if let Some((path, found, ..)) = size {
-            return Some((path, found.to_string(), size_bounds(path)));
-        }
+        let outside = sizes.into_iter().filter(|it| it.1 < it.2 || it.1 > it.3);
+        outside.map(|(path, found, ..)| (path, found.to_string(), size_bounds(path)))
+    }
+
+    fn times_out_of_bounds(&self) -> impl Iterator<Item = BoundFault> {
+        let timeouts = &self.timeouts;
         let times = [
             ("platform.deadline_ms", self.platform.deadline_ms),
             ("platform.poll_ms", self.platform.poll_ms),
@@ -290,28 +310,18 @@
             ("timeouts.counter_queue_ms", timeouts.counter_queue_ms),
             ("timeouts.deferrable_queue_ms", timeouts.deferrable_queue_ms),
         ];
-        let time = times.into_iter().find(|it| it.1.0 == 0 || it.1.0 > 3_600_000);
-        if let Some((path, found)) = time {
-            return Some((path, found.to_string(), "1 to 3600000 milliseconds"));
-        }
-        if self.platform.poll_ms > Millis(2_500) {
-            let found = self.platform.poll_ms.to_string();
-            return Some(("platform.poll_ms", found, "at most 2500: changes are due within 5 s"));
-        }
-        if self.traffic.piece_tokens == 0 {
-            return Some(("traffic.piece_tokens", "0".into(), "a number above 0"));
-        }
-        self.secret_out_of_bounds()
+        let outside = times.into_iter().filter(|it| it.1 == Millis(0) || it.1 > MOST_MILLIS);
+        outside.map(|(path, found)| (path, found.to_string(), "1 to 3600000 milliseconds"))
     }
 
-    fn secret_out_of_bounds(&self) -> Option<BoundFault> {
+    fn secrets_out_of_bounds(&self) -> impl Iterator<Item = BoundFault> {
         let secrets = [
-            ("secrets.peer", &self.secrets.peer),
-            ("secrets.admin", &self.secrets.admin),
-            ("secrets.target", &self.secrets.target),
+            ("secrets.peer", self.secrets.peer.len()),
+            ("secrets.admin", self.secrets.admin.len()),
+            ("secrets.target", self.secrets.target.len()),
         ];
-        let short = secrets.into_iter().find(|it| it.1.len() < 16)?;
-        Some((short.0, format!("{} characters", short.1.len()), "at least 16 characters"))
+        let short = secrets.into_iter().filter(|it| it.1 < LEAST_SECRET);
+        short.map(|(path, len)| (path, format!("{len} characters"), "at least 16 characters"))
     }
 }
 
--- a/crates/settings/src/layers.rs
+++ b/crates/settings/src/layers.rs
@@ -9,8 +9,12 @@
 use jsonc_parser::{CollectOptions, ParseOptions};
 use serde_json::Value;
 
+use crate::faults;
 use crate::fields::Settings;
 
+/// Settings in which every field is valid.
+const EXAMPLE: &str = include_str!("example.json");
+
 /// One source of settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Layer {
@@ -78,15 +82,40 @@
 
 impl std::error::Error for SettingsError {}
 
+/// All that is wrong with the settings; shown as one line each.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsFaults(pub Vec<SettingsError>);
+
+impl fmt::Display for SettingsFaults {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(SettingsError::to_string).collect();
+        out.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for SettingsFaults {}
+
+impl From<SettingsError> for SettingsFaults {
+    fn from(error: SettingsError) -> SettingsFaults {
+        SettingsFaults(vec![error])
+    }
+}
+
 /// Merges the layers, the later over the earlier, and checks the whole.
-pub fn load(layers: &[Layer]) -> Result<Settings, SettingsError> {
+pub fn load(layers: &[Layer]) -> Result<Settings, SettingsFaults> {
     let merged = merge(layers)?;
-    let settings: Settings = serde_path_to_error::deserialize(&merged)
-        .map_err(|error| locate(layers, &error.path().to_string(), &error.inner().to_string()))?;
-    if let Some((path, found, allowed)) = settings.out_of_bounds() {
-        return Err(locate(layers, path, &format!("found {found}; allowed: {allowed}")));
-    }
-    Ok(settings)
+    let example = serde_json::from_str(EXAMPLE).unwrap_or_default();
+    let settings: Settings = faults::read_all(merged, &example).map_err(|faults| {
+        SettingsFaults(faults.iter().map(|it| locate(layers, &it.field, &it.fault)).collect())
+    })?;
+    let faults: Vec<SettingsError> = settings
+        .out_of_bounds()
+        .iter()
+        .map(|(path, found, allowed)| {
+            locate(layers, path, &format!("found {found}; allowed: {allowed}"))
+        })
+        .collect();
+    if faults.is_empty() { Ok(settings) } else { Err(SettingsFaults(faults)) }
 }
 
 /// The merged layers as plain JSON, not checked.
@@ -131,11 +160,6 @@
 
 /// Finds the last layer that holds the deepest part of `path`.
 fn locate(layers: &[Layer], path: &str, fault: &str) -> SettingsError {
-    let unknown = fault.strip_prefix("unknown field `").and_then(|it| it.split('`').next());
-    let mut path = path.to_string();
-    if let Some(name) = unknown.filter(|it| !path.ends_with(*it)) {
-        path = if path == "." { name.to_string() } else { format!("{path}.{name}") };
-    }
     let names: Vec<&str> = path.split('.').filter(|it| !it.is_empty()).collect();
     let best = layers
         .iter()
@@ -143,7 +167,7 @@
         .max_by_key(|(_, (depth, _))| *depth);
     let (origin, line) =
         best.map_or(("settings".into(), 0), |(layer, (_, line))| (layer.origin.clone(), line));
-    SettingsError { origin, line, field: path.as_str().into(), fault: fault.into() }
+    SettingsError { origin, line, field: path.into(), fault: fault.into() }
 }
 
 fn depth_and_line(text: &str, names: &[&str]) -> (usize, usize) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,13 +2,15 @@
 //! JSON with comments, merged and checked as a whole.
 //!
 //! This crate reads files and nothing else; it never reaches the network. Every error names
-//! file, line, field, what was found and what is allowed.
+//! file, line, field, what was found and what is allowed, and all errors are told at once.
 
+mod faults;
 mod fields;
 mod layers;
 
+pub use faults::{FieldFault, read_all};
 pub use fields::{
     InstanceSettings, LimitSettings, LogFormat, LogSettings, Millis, PeerSettings,
     PlatformSettings, SecretSettings, Settings, TimeoutSettings, TrafficSettings,
 };
-pub use layers::{Layer, SettingsError, load, merge};
+pub use layers::{Layer, SettingsError, SettingsFaults, load, merge};
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -90,9 +90,34 @@
 }
 
 #[test]
-fn a_missing_field_is_named() {
+fn missing_fields_are_named() {
     let error = settings::load(&[layer("base.json", BASE)]).unwrap_err().to_string();
-    assert_eq!(error, "base.json:3: field platform: missing field `list`");
+    let expected = [
+        "base.json:3: field platform: missing field `list`",
+        "base.json:3: field platform: missing field `table`",
+        "base.json:3: field platform: missing field `objects`",
+        "base.json:3: field platform: missing field `weights`",
+        "base.json:2: field .: missing field `instance`",
+        "base.json:2: field .: missing field `secrets`",
+    ];
+    assert_eq!(error, expected.join("\n"));
+}
+
+#[rstest]
+#[case::of_several_kinds(
+    "{\n \"limits\": { \"body_byte\": 1, \"queue_length\": \"long\" },\n \"instance\": { \"id\": \"a b\" },\n \"more\": 1 }",
+    &["limits.body_byte:", "limits.queue_length:", "instance.id:", "more:"]
+)]
+#[case::out_of_bounds(
+    "{ \"limits\": { \"body_bytes\": 3, \"queue_length\": 0 }, \"peers\": { \"deadline_ms\": 0 }, \"secrets\": { \"peer\": \"x\" } }",
+    &["limits.body_bytes:", "limits.queue_length:", "peers.deadline_ms:", "secrets.peer:"]
+)]
+fn all_errors_are_told_at_once(#[case] overlay: &str, #[case] fields: &[&str]) {
+    let error = load(overlay).unwrap_err();
+    assert_eq!(error.lines().count(), fields.len(), "{error}");
+    for field in fields {
+        assert!(error.contains(&format!("field {field}")), "{field} is not in:\n{error}");
+    }
 }
 
 #[rstest]
