Soak the programs under faults drawn from seeds

What was missing: a randomized run of the real programs as separate processes under faults from outside; pairs of faults were tested by hand only.

Change: cargo xtask soak starts platform, engines, order service and three daemons; relays cut and silence their links, signals stop, pause, kill and restart daemons, the service loses and crosses answers. Checked from what callers and targets saw: orders at most once, "not run" true, each answer of its own call, streams whole or visibly broken, all daemons serving again.

--- a/crates/xtask/src/demo.rs
+++ b/crates/xtask/src/demo.rs
@@ -19,8 +19,14 @@
 /// Runs the demo.
 pub(crate) async fn run() -> Result<(), ChoreError> {
     println!("building and starting: platform, 3 engines, order service, 2 daemons");
-    let shape =
-        FleetShape { daemons: 2, engines: 3, slots: 16, release: false, settings: Vec::new() };
+    let shape = FleetShape {
+        daemons: 2,
+        engines: 3,
+        slots: 16,
+        release: false,
+        relayed: false,
+        settings: Vec::new(),
+    };
     let fleet = Fleet::start(shape).await?;
     let key = fleet.add_customer("shop-obando", 100_000).await?;
     let (mut asked, mut cached) = (0, 0);
--- a/crates/xtask/src/fleet.rs
+++ b/crates/xtask/src/fleet.rs
@@ -3,19 +3,23 @@
 use std::env;
 use std::error::Error;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request, Response};
+use rustix::process::{Pid, Signal};
 use serde_json::{Value, json};
+use stand_ins::relay::Relay;
 use web::client::{Connection, HttpCaller};
 
 /// The operator's token of the fleet.
 const ADMIN_TOKEN: &str = "demo-operator-token";
 /// How long a process may take to serve.
 const START_TIME: Duration = Duration::from_secs(10);
+/// How long a process that was told to stop may take to end.
+const END_TIME: Duration = Duration::from_secs(40);
 /// How long one call may take.
 const CALL_TIME: Duration = Duration::from_secs(30);
 /// Longest answer read.
@@ -31,13 +35,31 @@
     /// Requests one engine runs at once.
     pub(crate) slots: usize,
     pub(crate) release: bool,
+    /// Daemons reach the platform and targets through relays, which can break the network.
+    pub(crate) relayed: bool,
     /// Further settings, as `path=value`.
     pub(crate) settings: Vec<String>,
 }
 
+/// A daemon's process, and how it is started again.
+struct DaemonProcess {
+    child: Child,
+    program: PathBuf,
+    args: Vec<String>,
+}
+
+/// A relay that stands between daemons and one other process.
+pub(crate) struct FleetLink {
+    /// The process that daemons reach by it.
+    pub(crate) to: Box<str>,
+    pub(crate) relay: Relay,
+}
+
 /// Running processes.
 pub(crate) struct Fleet {
     children: Vec<Child>,
+    daemons: Vec<DaemonProcess>,
+    pub(crate) links: Vec<FleetLink>,
     pub(crate) callers: Vec<SocketAddr>,
     pub(crate) admins: Vec<SocketAddr>,
     pub(crate) engines: Vec<SocketAddr>,
@@ -48,7 +70,8 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for child in &mut self.children {
+        let daemons = self.daemons.iter_mut().map(|it| &mut it.child);
+        for child in self.children.iter_mut().chain(daemons) {
             // Each is a process this fleet started; one that ended already is no fault.
             let _ = child.kill();
             let _ = child.wait();
@@ -62,6 +85,8 @@
         let programs = build(shape.release)?;
         let mut fleet = Fleet {
             children: Vec::new(),
+            daemons: Vec::new(),
+            links: Vec::new(),
             callers: Vec::new(),
             admins: Vec::new(),
             engines: Vec::new(),
@@ -82,16 +107,69 @@
         let service = fleet.service.to_string();
         fleet.spawn(&stand_ins, &["service", "--listen", &service])?;
         fleet.wait_for(platform, "/v1/instances").await?;
+        let platform = fleet.link(shape.relayed, "platform", platform).await?;
         for number in 1..=shape.daemons {
             fleet.start_daemon(&programs, platform, number, &shape.settings)?;
         }
-        for address in fleet.callers.clone() {
-            fleet.wait_for(address, "/healthz").await?;
-        }
-        fleet.fill_catalog(shape.slots).await?;
+        fleet.wait_for_daemons().await?;
+        fleet.fill_catalog(&shape).await?;
         Ok(fleet)
     }
 
+    /// The address by which daemons reach a process: its own, or that of a relay before it.
+    async fn link(
+        &mut self,
+        relayed: bool,
+        name: &str,
+        to: SocketAddr,
+    ) -> Result<SocketAddr, ChoreError> {
+        if !relayed {
+            return Ok(to);
+        }
+        let relay = Relay::start(to).await?;
+        let address = relay.address();
+        self.links.push(FleetLink { to: name.into(), relay });
+        Ok(address)
+    }
+
+    /// Sends a signal to a daemon that runs.
+    pub(crate) fn signal_daemon(&mut self, index: usize, signal: Signal) -> Result<(), ChoreError> {
+        let child = &mut self.daemons[index].child;
+        if child.try_wait()?.is_none() {
+            let pid = Pid::from_child(child);
+            rustix::process::kill_process(pid, signal)?;
+        }
+        Ok(())
+    }
+
+    /// Whether a daemon's process has ended.
+    pub(crate) fn has_ended(&mut self, index: usize) -> Result<bool, ChoreError> {
+        Ok(self.daemons[index].child.try_wait()?.is_some())
+    }
+
+    /// Starts a daemon again, after its process has ended.
+    pub(crate) async fn restart_daemon(&mut self, index: usize) -> Result<(), ChoreError> {
+        let until = tokio::time::Instant::now() + END_TIME;
+        while !self.has_ended(index)? {
+            if tokio::time::Instant::now() > until {
+                return Err(format!("daemon {} does not end", index + 1).into());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let daemon = &mut self.daemons[index];
+        let args: Vec<&str> = daemon.args.iter().map(String::as_str).collect();
+        daemon.child = start(&daemon.program, &args)?;
+        Ok(())
+    }
+
+    /// Waits until all daemons serve.
+    pub(crate) async fn wait_for_daemons(&self) -> Result<(), ChoreError> {
+        for address in &self.callers {
+            self.wait_for(*address, "/healthz").await?;
+        }
+        Ok(())
+    }
+
     /// One administration call to the first daemon.
     pub(crate) async fn admin(&self, path: &str, body: Value) -> Result<Value, ChoreError> {
         let request = Request::builder()
@@ -148,7 +226,7 @@
 
     fn start_daemon(
         &mut self,
-        programs: &std::path::Path,
+        programs: &Path,
         platform: SocketAddr,
         number: usize,
         settings: &[String],
@@ -173,23 +251,19 @@
         for value in values {
             args.extend(["--set".into(), value]);
         }
-        let args: Vec<&str> = args.iter().map(String::as_str).collect();
-        let id = self.spawn(&programs.join("kingcupshiftd"), &args)?;
-        self.daemon_pids.push(id);
+        let program = programs.join("kingcupshiftd");
+        let words: Vec<&str> = args.iter().map(String::as_str).collect();
+        let child = start(&program, &words)?;
+        self.daemon_pids.push(child.id());
+        self.daemons.push(DaemonProcess { child, program, args });
         self.callers.push(callers);
         self.admins.push(admin);
         Ok(())
     }
 
-    fn spawn(&mut self, program: &std::path::Path, args: &[&str]) -> Result<u32, ChoreError> {
-        let child = Command::new(program)
-            .args(args)
-            .stdin(Stdio::null())
-            .spawn()
-            .map_err(|error| format!("{}: {error}", program.display()))?;
-        let id = child.id();
-        self.children.push(child);
-        Ok(id)
+    fn spawn(&mut self, program: &Path, args: &[&str]) -> Result<(), ChoreError> {
+        self.children.push(start(program, args)?);
+        Ok(())
     }
 
     async fn wait_for(&self, address: SocketAddr, path: &str) -> Result<(), ChoreError> {
@@ -205,17 +279,22 @@
         Err(format!("nothing serves on {address}").into())
     }
 
-    async fn fill_catalog(&self, slots: usize) -> Result<(), ChoreError> {
+    async fn fill_catalog(&mut self, shape: &FleetShape) -> Result<(), ChoreError> {
+        let mut targets = Vec::new();
+        for (number, address) in self.engines.clone().into_iter().enumerate() {
+            let name = format!("engine-{}", number + 1);
+            targets.push(("desk", self.link(shape.relayed, &name, address).await?));
+        }
+        let service = self.link(shape.relayed, "service", self.service).await?;
+        targets.push(("ordering", service));
         let mut operations = vec![
             json!({ "put_pool": {
-                "id": "desk", "kind": "engine", "version": 1, "concurrency": slots,
+                "id": "desk", "kind": "engine", "version": 1, "concurrency": shape.slots,
             } }),
             json!({ "put_pool": { "id": "ordering", "kind": "service" } }),
             json!({ "put_version": { "pool": "desk", "number": 1, "weights": "desk-1" } }),
         ];
-        let engines = self.engines.iter().map(|it| ("desk", it));
-        let targets = engines.chain([("ordering", &self.service)]).enumerate();
-        operations.extend(targets.map(|(number, (pool, address))| {
+        operations.extend(targets.iter().enumerate().map(|(number, (pool, address))| {
             json!({ "put_target": {
                 "id": format!("{pool}-{}", number + 1), "pool": pool, "address": address,
                 "failure_domain": format!("domain-{}", number % 3), "echoes_request_id": true,
@@ -234,6 +313,11 @@
     }
 }
 
+fn start(program: &Path, args: &[&str]) -> Result<Child, ChoreError> {
+    let started = Command::new(program).args(args).stdin(Stdio::null()).spawn();
+    started.map_err(|error| format!("{}: {error}", program.display()).into())
+}
+
 /// Builds the programs; returns the folder that holds them.
 fn build(release: bool) -> Result<PathBuf, ChoreError> {
     let cargo = env::var("CARGO").unwrap_or_else(|_| "cargo".into());
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -7,10 +7,12 @@
 mod mutant_table;
 mod mutants;
 mod play;
+mod soak;
 mod test_run;
 
 use std::path::PathBuf;
 use std::process;
+use std::time::Duration;
 
 use argh::FromArgs;
 
@@ -28,6 +30,7 @@
     Measure(MeasureArgs),
     Mutants(MutantsArgs),
     Play(PlayArgs),
+    Soak(SoakArgs),
     Test(TestArgs),
 }
 
@@ -70,6 +73,22 @@
     words: Vec<String>,
 }
 
+/// Run a small fleet of processes under faults drawn from seeds, and check what callers and targets
+/// see. Without a seed, play those that failed once.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct SoakArgs {
+    /// the first seed
+    #[argh(option)]
+    seed: Option<u64>,
+    /// how many seeds to play, one after the other
+    #[argh(option, default = "1")]
+    runs: u64,
+    /// for how many seconds faults begin in each run
+    #[argh(option, default = "10")]
+    seconds: u64,
+}
+
 /// Run all tests but those that KNOWN-RED.txt names, and print these.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "test")]
@@ -83,6 +102,13 @@
         Chore::Measure(it) => measure::run(&it.what, it.seeds).await,
         Chore::Mutants(it) => mutants::run(&it.only),
         Chore::Play(it) => play::run(&it.bench, &it.words),
+        Chore::Soak(it) => {
+            let seeds = match it.seed {
+                Some(first) => (first..first + it.runs).collect(),
+                None => soak::regression_seeds(),
+            };
+            soak::run(&seeds, Duration::from_secs(it.seconds)).await
+        }
         Chore::Test(_) => test_run::run(),
     };
     if let Err(error) = res {
--- a/crates/xtask/src/measure/overhead.rs
+++ b/crates/xtask/src/measure/overhead.rs
@@ -26,8 +26,14 @@
 const CHAT: &str = "/v1/chat/completions";
 
 pub(crate) async fn run() -> Result<(), ChoreError> {
-    let shape =
-        FleetShape { daemons: 1, engines: 1, slots: 2_000, release: true, settings: Vec::new() };
+    let shape = FleetShape {
+        daemons: 1,
+        engines: 1,
+        slots: 2_000,
+        release: true,
+        relayed: false,
+        settings: Vec::new(),
+    };
     let fleet = Fleet::start(shape).await?;
     let key = fleet.add_customer("measured", 1_000_000_000).await?;
     let body = prompt(1);
