--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,7 @@
 use std::process;
 
 use argh::{FromArgValue, FromArgs};
-use platform::{PlatformDialect, PlatformSettings, PlatformStore};
+use platform::{PlatformDialect, PlatformSettings, PlatformStore, SettingsFile};
 use settings::{Layer, LogFormat, Settings, SettingsFaults};
 use tokio::runtime;
 use web::logs::LogForm;
@@ -92,13 +92,13 @@
         process::exit(2);
     });
     match command {
-        DaemonCommand::Serve => serve_on_platform(settings),
+        DaemonCommand::Serve => serve_on_platform(settings, SettingsFile { path }),
         DaemonCommand::Check => println!("the settings are valid"),
         DaemonCommand::Effective => println!("{settings:#?}"),
     }
 }
 
-fn serve_on_platform(settings: PlatformSettings) {
+fn serve_on_platform(settings: PlatformSettings, file: SettingsFile) {
     let logs = web::logs::start(LogForm::Json, "info");
     let workers = settings.gateway.workers;
     let runtime = if workers > 1 {
@@ -108,7 +108,7 @@
     };
     let store = PlatformStore::new(settings.store);
     let served = runtime
-        .and_then(|it| it.block_on(gateway::serve(settings.gateway, PlatformDialect, store)));
+        .and_then(|it| it.block_on(gateway::serve(settings.gateway, file, PlatformDialect, store)));
     if let Err(error) = served {
         tracing::error!("daemon: {error}");
         drop(logs);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -34,9 +34,6 @@
 const PLACE_PAUSE: Duration = Duration::from_millis(60);
 /// When a caller is told to come back if no replica took its request, as a share of its objective.
 const COME_BACK_SHARE: f64 = 0.5;
-/// Share of the bound for new weights from which older ones get nothing: a request may wait on its
-/// replica before it begins.
-const OLDEST_WEIGHTS_SHARE: f64 = 0.7;
 /// Time kept for the way of a last answer to the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// How many times its objective the first event of a stream is waited for.
@@ -69,11 +66,11 @@
     body: Bytes,
     customer: Option<CustomerId>,
     urgency: u8,
-    pool: PoolId,
-    need: Option<PromptNeed>,
+    pub(crate) pool: PoolId,
+    pub(crate) need: Option<PromptNeed>,
     pub(crate) fingerprint: Option<Fingerprint>,
     avoid: Vec<TargetId>,
-    unsent: u32,
+    pub(crate) unsent: u32,
     _open: OpenRequest<D, S>,
 }
 
@@ -222,6 +219,7 @@
             let alive = lock(&self.gateway.fleet).any_alive(&self.pool);
             let left = patience.min(self.until).saturating_sub(now);
             if !alive || left.is_zero() {
+                self.log_no_replica(now);
                 let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
                 return Err(self.refused(refusal.retry_after(self.come_back_after())));
             }
@@ -236,10 +234,14 @@
         let speed = *lock(&gateway.speed);
         let (rollout, least_weights) = {
             let beliefs = lock(&gateway.beliefs);
-            let age = gateway.settings.bounds.version.mul_f64(OLDEST_WEIGHTS_SHARE);
+            let age = gateway.oldest_weights_age();
             let least = |need: &PromptNeed| beliefs.least_weights(&need.model, now, age);
             (beliefs.rollout(&self.pool).cloned(), self.need.as_ref().map_or(0, least))
         };
+        let (peers, news_delay) = {
+            let members = lock(&gateway.members);
+            (members.heard(now).count(), members.news_delay())
+        };
         let mut fleet = lock(&gateway.fleet);
         // FIXME: a rollout is never tried; its release gets nothing while another one runs.
         let barred = rollout.filter(|it| fleet.has_other_release(&self.pool, &it.to));
@@ -253,7 +255,7 @@
         let target = match (&self.need, engine) {
             (Some(need), Some(engine)) => {
                 let old_weights_s = self.route.objective.as_secs_f64() * OLD_WEIGHTS_SHARE;
-                let terms = PromptTerms { need, engine, speed, old_weights_s };
+                let terms = PromptTerms { need, engine, speed, old_weights_s, peers, news_delay };
                 fleet.place_prompt(now, query, terms)?
             }
             _ => fleet.place_plain(now, query)?,
@@ -457,28 +459,6 @@
             lock(&gateway.speed).learn(pending, after.as_secs_f64());
         }
     }
-
-    /// What decided on a place: loads of all daemons and how old the peers' part may be.
-    fn log_place(&self, target: &PlacedTarget, load_age: Duration) {
-        tracing::info!(
-            request = %self.head.attempt, target = %target.id, weights = target.weights,
-            prompt = self.need.as_ref().map(|it| it.prompt_tokens),
-            prefix = self.need.as_ref().and_then(PromptNeed::home_key),
-            cached = target.cached_tokens, fetch_from = target.fetch_from.map(tracing::field::display),
-            running = target.load_before.running, pending = target.load_before.pending_tokens,
-            load_age_ms = load_age.as_millis() as u64,
-            expected_ms = target.expected.as_millis() as u64, "call: placed"
-        );
-    }
-
-    pub(crate) fn log_answer(&self, target: &PlacedTarget, status: StatusCode) {
-        let after = self.gateway.now().saturating_sub(self.began);
-        self.gateway.metrics.answer(status.as_u16(), after);
-        tracing::info!(
-            request = %self.head.attempt, route = %self.route.id, target = %target.id,
-            status = status.as_u16(), ms = after.as_millis() as u64, "call: answered"
-        );
-    }
 }
 
 impl<D: Dialect, S: Directory> Drop for Place<D, S> {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use ids::{FailureDomain, TargetId};
+use ids::{FailureDomain, PoolId, TargetId};
 use indexmap::IndexMap;
+use policy::demand::DemandMeter;
 use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
 
@@ -22,6 +23,7 @@
 #[derive(Debug)]
 pub struct FleetTable {
     pub(crate) domain: FailureDomain,
+    load_limit: Duration,
     pub(crate) replicas: IndexMap<TargetId, Replica>,
     peer_loads: IndexMap<u64, (Duration, IndexMap<u64, LoadCount>)>,
     /// Versions of weights that peers told of replicas not listed here yet.
@@ -30,10 +32,27 @@
     pub prefixes: PrefixTable,
     /// The KV store, if one was looked at.
     pub(crate) kv_store: Option<KvStoreView>,
+    /// Prompts that this daemon places.
+    pub(crate) demand: DemandMeter,
     /// Beginnings placed since peers were last told.
     pub(crate) prefix_news: Vec<PrefixNews>,
 }
 
+/// Replicas of a pool by what keeps requests away from them; one may count more than once.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PoolState {
+    /// All of them.
+    pub listed: u32,
+    /// They may get requests.
+    pub open: u32,
+    /// They will stop.
+    pub leaving: u32,
+    /// They were ordered to load weights.
+    pub loading: u32,
+    /// They have failed lately.
+    pub paused: u32,
+}
+
 /// What peers told of one life of a replica, and when last.
 #[derive(Debug)]
 struct ToldWeights {
@@ -42,19 +61,27 @@
 }
 
 impl FleetTable {
-    /// An empty table of a daemon in `domain`.
-    pub fn new(domain: FailureDomain) -> FleetTable {
+    /// An empty table of a daemon in `domain`, where new weights are in place after `load_limit`.
+    pub fn new(domain: FailureDomain, load_limit: Duration) -> FleetTable {
         FleetTable {
             domain,
+            load_limit,
             replicas: IndexMap::new(),
             peer_loads: IndexMap::new(),
             told_weights: IndexMap::new(),
             prefixes: PrefixTable::default(),
             kv_store: None,
+            demand: DemandMeter::default(),
             prefix_news: Vec::new(),
         }
     }
 
+    /// New weights are in place after another time.
+    pub fn set_load_limit(&mut self, load_limit: Duration) {
+        self.load_limit = load_limit;
+        self.replicas.values_mut().for_each(|it| it.load_limit = load_limit);
+    }
+
     /// Takes over a listing.
     pub fn relist(&mut self, entries: &[TargetEntry]) {
         self.replicas.retain(|id, _| entries.iter().any(|it| it.id == *id));
@@ -65,9 +92,9 @@
                     known.weights = known.weights.max(replica::newest_weights(entry));
                     known.entry = entry.clone();
                 }
-                Some(known) => *known = Replica::new(entry.clone()),
+                Some(known) => *known = Replica::new(entry.clone(), self.load_limit),
                 None => {
-                    let mut replica = Replica::new(entry.clone());
+                    let mut replica = Replica::new(entry.clone(), self.load_limit);
                     let told = self.told_weights.get(&(replica.member, entry.born));
                     let told = told.map(|it| it.news);
                     replica.weights = replica.weights.max(told.map_or(0, |it| it.loaded));
@@ -83,6 +110,19 @@
         self.replicas.values()
     }
 
+    /// How many replicas of a pool may get requests, and why others may not.
+    pub fn pool_state(&self, now: Duration, pool: &PoolId) -> PoolState {
+        let mut state = PoolState::default();
+        for it in self.replicas.values().filter(|it| it.entry.pool == *pool) {
+            state.listed += 1;
+            state.leaving += u32::from(it.leaving);
+            state.loading += u32::from(it.is_loading(now));
+            state.paused += u32::from(it.health.state(now) == HealthState::Paused);
+            state.open += u32::from(it.may_work(now));
+        }
+        state
+    }
+
     /// One replica.
     pub fn get(&self, id: &TargetId) -> Option<&Replica> {
         self.replicas.get(id)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! What all requests and tasks of one daemon share.
 //!
-//! Lock order, where two are held at once: beliefs, members, fleet, speed, quotas, budgets. No lock
-//! is held across an await.
+//! Lock order, where two are held at once: beliefs, members, fleet, speed, quotas, budgets; the
+//! settings are locked alone. No lock is held across an await.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -35,10 +35,12 @@
 
 /// Retries of a daemon that does not know yet how many share the allowance.
 const FIRST_RETRIES: f64 = 1.0;
+/// Share of the bound for new weights from which older ones get nothing: a request may wait on its
+/// replica before it begins.
+const OLDEST_WEIGHTS_SHARE: f64 = 0.7;
 
 /// The shared state of one daemon.
 pub struct Gateway<D, S> {
-    pub(crate) settings: GatewaySettings,
     pub(crate) dialect: D,
     pub(crate) directory: S,
     pub(crate) clock: SystemClock,
@@ -59,6 +61,7 @@
     pub(crate) quotas: Mutex<QuotaTable>,
     pub(crate) quarantine: Mutex<QuarantineTable>,
     pub(crate) speed: Mutex<PrefillSpeed>,
+    settings: Mutex<Arc<GatewaySettings>>,
     budgets: Mutex<IndexMap<PoolId, RetryBudget>>,
     open: AtomicUsize,
     leaving: AtomicBool,
@@ -92,11 +95,7 @@
             capacity: settings.capacity,
         };
         let clock = SystemClock;
-        let allowance = QuotaAllowance {
-            window: settings.bounds.quota_window,
-            overage: settings.bounds.quota_overage,
-            slack: settings.bounds.quota_slack,
-        };
+        let allowance = quota_allowance(&settings);
         Gateway {
             dialect,
             directory,
@@ -109,7 +108,7 @@
             freed: Notify::new(),
             beliefs: Mutex::default(),
             members: Mutex::new(MemberTable::new(own.clone(), settings.seeds.clone())),
-            fleet: Mutex::new(FleetTable::new(settings.domain.clone())),
+            fleet: Mutex::new(FleetTable::new(settings.domain.clone(), settings.bounds.version)),
             quotas: Mutex::new(QuotaTable::new(allowance)),
             quarantine: Mutex::default(),
             speed: Mutex::default(),
@@ -118,7 +117,7 @@
             leaving: AtomicBool::new(false),
             own,
             started_at: clock.now(),
-            settings,
+            settings: Mutex::new(Arc::new(settings)),
         }
     }
 
@@ -126,9 +125,34 @@
         self.clock.now()
     }
 
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Arc<GatewaySettings> {
+        lock(&self.settings).clone()
+    }
+
+    /// Puts settings in force as far as they may change while the daemon runs.
+    pub(crate) fn adopt_settings(&self, fresh: &GatewaySettings) {
+        let held = self.settings();
+        let next = held.reloaded(fresh);
+        if next == *held {
+            return;
+        }
+        let later = next != *fresh;
+        tracing::info!(bounds = ?next.bounds, seeds = ?next.seeds, later, "daemon: settings reloaded");
+        lock(&self.members).set_seeds(next.seeds.clone());
+        lock(&self.fleet).set_load_limit(next.bounds.version);
+        lock(&self.quotas).set_allowance(quota_allowance(&next));
+        *lock(&self.settings) = Arc::new(next);
+    }
+
+    /// How long after newer weights were named engines with older ones still get requests.
+    pub(crate) fn oldest_weights_age(&self) -> Duration {
+        self.settings().bounds.version.mul_f64(OLDEST_WEIGHTS_SHARE)
+    }
+
     /// Whether new daemons turn to this one first.
     pub(crate) fn is_seed(&self) -> bool {
-        self.settings.seeds.contains(&self.own.address)
+        self.settings().seeds.contains(&self.own.address)
     }
 
     /// The configuration in force.
@@ -244,7 +268,8 @@
     }
 
     fn with_budget<T>(&self, pool: &PoolId, change: impl Fn(&mut RetryBudget) -> T) -> T {
-        let bounds = &self.settings.bounds;
+        let settings = self.settings();
+        let bounds = &settings.bounds;
         let (daemons, known) = {
             let members = lock(&self.members);
             (members.most() as f64, members.knows_fleet(self.now()))
@@ -260,6 +285,14 @@
     }
 }
 
+fn quota_allowance(settings: &GatewaySettings) -> QuotaAllowance {
+    QuotaAllowance {
+        window: settings.bounds.quota_window,
+        overage: settings.bounds.quota_overage,
+        slack: settings.bounds.quota_slack,
+    }
+}
+
 /// Locks a table; a panic of another holder leaves it usable.
 pub(crate) fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
     table.lock().unwrap_or_else(|it| it.into_inner())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod call;
 mod call_fault;
+mod call_log;
 mod call_target;
 pub mod config;
 mod crashes;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -14,6 +14,10 @@
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 /// The same where hubs pass on who runs: some of their digests get lost.
 const SILENT_BEHIND_HUBS: Duration = Duration::from_millis(2_500);
+/// The time between two digests.
+pub(crate) const DIGEST_PERIOD: Duration = Duration::from_millis(250);
+/// Digests that news go through from one daemon to another behind hubs.
+const DIGESTS_BEHIND_HUBS: u32 = 3;
 /// A daemon not heard for this long is forgotten by one that reaches most daemons.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
 /// The same by one that does not: it may be cut off itself, while the others still spend their
@@ -103,6 +107,11 @@
         }
     }
 
+    /// Other daemons are the ones that may know others.
+    pub fn set_seeds(&mut self, seeds: Vec<IpAddr>) {
+        self.seeds = seeds;
+    }
+
     /// A daemon was named by the store or a peer.
     pub fn add(&mut self, now: Duration, entry: &MemberEntry) {
         if entry.id == self.own.id {
@@ -297,6 +306,13 @@
         std::iter::once(tree(&self.own, self.own_member)).chain(known).collect()
     }
 
+    /// How old news of a peer are on average when they arrive.
+    pub fn news_delay(&self) -> Duration {
+        let fleet = self.most();
+        let digests = if peer_tree::hub_count(fleet) < fleet { DIGESTS_BEHIND_HUBS } else { 1 };
+        DIGEST_PERIOD * digests / 2
+    }
+
     /// How long a daemon may be silent before it is taken to be out of reach.
     fn silence(&self) -> Duration {
         let fleet = self.most();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     store_errors: IntCounterVec,
     first_byte: Histogram,
     first_event: Histogram,
+    event_gap: Histogram,
     placement_wait: Histogram,
     store_seconds: HistogramVec,
     order_seconds: Histogram,
@@ -141,6 +142,8 @@
             first_byte: names.histogram("kingcupshift_first_byte_seconds", "Time to an answer"),
             first_event: names
                 .histogram("kingcupshift_first_event_seconds", "Time to a stream's first event"),
+            event_gap: names
+                .histogram("kingcupshift_event_gap_seconds", "Time between a stream's events"),
             placement_wait: names
                 .histogram("kingcupshift_placement_wait_seconds", "Waiting for a replica"),
             store_seconds: names.histograms(
@@ -172,6 +175,11 @@
         self.first_event.observe(after.as_secs_f64());
     }
 
+    /// Events of a stream came so long after those before.
+    pub fn event_gap(&self, gap: Duration) {
+        self.event_gap.observe(gap.as_secs_f64());
+    }
+
     /// A request has got a replica, or none.
     pub fn placement_wait(&self, waited: Duration) {
         self.placement_wait.observe(waited.as_secs_f64());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,10 +12,9 @@
 use crate::directory::{Directory, Snapshot};
 use crate::gateway::{Gateway, lock};
 use crate::kv_store::KvStoreView;
+use crate::members::DIGEST_PERIOD;
 use crate::quota_desk;
 
-/// The time between two digests.
-const DIGEST_PERIOD: Duration = Duration::from_millis(250);
 /// Under which a daemon keeps the loads that its hub sums up for it.
 const SUM_OF_HUB: u64 = 0;
 /// What changes seldom goes into one digest of this many.
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -9,7 +9,6 @@
 use policy::health::HealthState;
 use policy::plain_choice::PlainView;
 use policy::prefix_table::{PrefixHolder, PromptPrefix};
-use policy::rendezvous;
 
 use crate::config::EngineRule;
 use crate::digest::PrefixNews;
@@ -81,6 +80,10 @@
     pub speed: PrefillSpeed,
     /// What an answer on older weights is taken to cost, in seconds.
     pub old_weights_s: f64,
+    /// Daemons that place beside this one.
+    pub peers: usize,
+    /// How long it takes to hear what they place.
+    pub news_delay: Duration,
 }
 
 impl FleetTable {
@@ -135,18 +138,15 @@
         query: PlaceQuery<'_>,
         terms: PromptTerms<'_>,
     ) -> Option<PlacedTarget> {
-        let PromptTerms { need, engine, speed, old_weights_s } = terms;
+        let PromptTerms { need, engine, speed, old_weights_s, peers, news_delay } = terms;
         let open: Vec<&Replica> = self.open(now, query).collect();
         let newest = open.iter().map(|it| it.weights).max()?;
-        let home = self.home(query.pool, need);
         let views: Vec<EngineView> = open
             .iter()
             .map(|it| {
                 let load = self.load(now, it);
                 let salted = need.salted(it.weights);
                 let believed = self.prefixes.cached_tokens(now, &salted, it.member, it.entry.born);
-                let is_home = home == Some(it.member);
-                let shared = need.shared_tokens();
                 let mut penalty_s = 0.0;
                 if it.health.state(now) != HealthState::Good {
                     penalty_s += SUSPECT_S;
@@ -161,16 +161,21 @@
                     kv_tokens: load.kv_tokens,
                     kv_limit: engine.kv_tokens,
                     lane: self.lane(it),
-                    // A home is where other daemons will have placed the same beginning, and where
-                    // the next prompt will find it.
-                    cached_tokens: if is_home { shared.max(believed) } else { believed },
+                    member: it.member,
+                    cached_tokens: believed,
                     near: it.entry.domain == self.domain,
                     penalty_s,
                 }
             })
             .collect();
-        let size = PromptSize { tokens: need.prompt_tokens, pause_s: need.pause_s };
-        let (index, cost_s) = policy::engine_choice::choose(&views, size, speed)?;
+        let size = PromptSize {
+            tokens: need.prompt_tokens,
+            shared_tokens: need.shared_tokens(),
+            shared_key: need.home_key(),
+            pause_s: need.pause_s,
+        };
+        let unseen = self.demand.unseen(now, peers, news_delay);
+        let (index, first_token_s) = policy::engine_choice::choose(&views, size, speed, unseen)?;
         let chosen = open[index];
         let (id, weights) = (chosen.entry.id.clone(), chosen.weights);
         let salted = need.salted(weights);
@@ -184,8 +189,9 @@
             ..LoadCount::default()
         };
         let load_before = self.load(now, chosen);
+        self.demand.note(now, load.pending_tokens);
         let placed = self.occupy(&id, load)?;
-        let expected = Duration::from_secs_f64(cost_s);
+        let expected = Duration::from_secs_f64(first_token_s);
         let placed = PlacedTarget {
             cached_tokens: cached,
             fetch_from,
@@ -291,18 +297,6 @@
         f64::from(before) / f64::from(all.max(1))
     }
 
-    /// The first replica by rendezvous for the shared beginning of a prompt.
-    fn home(&self, pool: &PoolId, need: &PromptNeed) -> Option<u64> {
-        let key = need.home_key()?;
-        let members: Vec<u64> = self
-            .replicas
-            .values()
-            .filter(|it| it.entry.pool == *pool && !it.leaving)
-            .map(|it| it.member)
-            .collect();
-        rendezvous::homes(key, &members, 1).first().map(|it| members[*it])
-    }
-
     fn occupy(&mut self, id: &TargetId, load: LoadCount) -> Option<PlacedTarget> {
         let replica = self.replicas.get_mut(id)?;
         replica.own.add(&load);
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -61,7 +61,8 @@
 /// The time until this daemon has to read.
 fn due_in<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, subject: Subject) -> Duration {
     let now = gateway.now();
-    let bounds = &gateway.settings.bounds;
+    let settings = gateway.settings();
+    let bounds = &settings.bounds;
     let (known_at, bound) = {
         let beliefs = lock(&gateway.beliefs);
         match subject {
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -11,8 +11,6 @@
 
 /// A replica that answered "full" is left out for this long.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
-/// How long news of an order keeps requests away from a replica that has not confirmed it.
-const ORDER_TIME: Duration = Duration::from_secs(3);
 
 /// Requests on a replica.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -52,6 +50,8 @@
     pub accepted: u64,
     /// When this daemon last heard of an order to it.
     pub last_order_at: Option<Duration>,
+    /// How long an order may keep requests away before it counts as lost.
+    pub(crate) load_limit: Duration,
 }
 
 impl LoadCount {
@@ -65,7 +65,7 @@
 }
 
 impl Replica {
-    pub(crate) fn new(entry: TargetEntry) -> Replica {
+    pub(crate) fn new(entry: TargetEntry, load_limit: Duration) -> Replica {
         Replica {
             member: rendezvous::member_hash(entry.id.as_str()),
             own: LoadCount::default(),
@@ -77,6 +77,7 @@
             ordered: None,
             accepted: 0,
             last_order_at: None,
+            load_limit,
             entry,
         }
     }
@@ -110,9 +111,10 @@
             && !self.is_loading(now)
     }
 
-    /// Whether it was ordered to load weights that it does not have yet.
+    /// Whether it was ordered to load weights that it does not have yet. It takes nothing until the
+    /// last of its requests has ended, which may be long ones; an order that was lost is repeated.
     pub fn is_loading(&self, now: Duration) -> bool {
-        self.ordered.is_some_and(|it| it.0 > self.weights && now < it.1 + ORDER_TIME)
+        self.ordered.is_some_and(|it| it.0 > self.weights && now < it.1 + self.load_limit)
     }
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,12 +8,13 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use web::logs;
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::Gateway;
 use crate::peer_link::PeerLink;
-use crate::settings::GatewaySettings;
+use crate::settings::{GatewaySettings, SettingsSource};
 use crate::{front, kv_store, peers, reader, readiness, weights};
 
 /// Connections that may wait to be accepted.
@@ -25,12 +26,16 @@
 const CLOSE_TIME: Duration = Duration::from_millis(500);
 /// How long the answers that have just ended have to go out.
 const LAST_BYTES: Duration = Duration::from_millis(100);
+/// The time between two looks at the settings, which may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(5);
 /// The time between two looks whether open requests have ended.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
-/// Serves until told to stop, then leaves without cutting a request.
+/// Serves until told to stop, then leaves without cutting a request. Settings are read from
+/// `source` again when a signal says so, and from time to time.
 pub async fn serve<D: Dialect, S: Directory>(
     settings: GatewaySettings,
+    source: impl SettingsSource,
     dialect: D,
     directory: S,
 ) -> io::Result<()> {
@@ -53,12 +58,19 @@
     tokio::spawn(kv_store::watch(gateway.clone()));
     tokio::spawn(readiness::serve(gateway.clone(), readiness));
     tokio::spawn(front::serve(gateway.clone(), callers, stopped));
+    let mut dropped = 0;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            // FIXME: settings that changed are taken over at the next start only.
-            _ = reload.recv() => tracing::info!("daemon: told to reload"),
+            _ = reload.recv() => {
+                tracing::info!("daemon: told to reload");
+                reload_settings(&gateway, &source);
+            }
+            () = tokio::time::sleep(SETTINGS_PERIOD) => {
+                reload_settings(&gateway, &source);
+                dropped = tell_dropped(dropped);
+            }
         }
     }
     leave(&gateway, &stop).await;
@@ -66,13 +78,32 @@
     Ok(())
 }
 
+/// Tells in the log itself how many of its lines were dropped; returns how many it has told of.
+fn tell_dropped(told: usize) -> usize {
+    let dropped = logs::dropped_lines();
+    if dropped > told {
+        tracing::warn!(dropped, since_last = dropped - told, "logs: lines dropped");
+    }
+    dropped
+}
+
+fn reload_settings<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    source: &impl SettingsSource,
+) {
+    match source.read() {
+        Ok(fresh) => gateway.adopt_settings(&fresh),
+        Err(error) => tracing::warn!("daemon: settings not reloaded: {error}"),
+    }
+}
+
 async fn leave<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, stop: &watch::Sender<bool>) {
     tracing::info!(open = gateway.open_count(), "daemon: leaves");
     let began = gateway.now();
-    let until = began + gateway.settings.bounds.grace.saturating_sub(CLOSE_TIME);
+    let until = began + gateway.settings().bounds.grace.saturating_sub(CLOSE_TIME);
     gateway.leave();
     peers::tell_leaving(gateway);
-    tokio::time::sleep(NOTICE.min(gateway.settings.bounds.grace / 2)).await;
+    tokio::time::sleep(NOTICE.min(gateway.settings().bounds.grace / 2)).await;
     // No new requests from here on: what comes late could not end within the grace period.
     stop.send_replace(true);
     while gateway.now() < until && gateway.open_count() > 0 {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,8 +6,14 @@
 use ids::{FailureDomain, InstanceId};
 use policy::peer_tree::InstanceCapacity;
 
+/// Where settings come from.
+pub trait SettingsSource: Send + Sync + 'static {
+    /// Reads and checks them; what is wrong with them, one line each.
+    fn read(&self) -> Result<GatewaySettings, Box<str>>;
+}
+
 /// The settings of one daemon.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
     /// This daemon.
     pub instance: InstanceId,
@@ -33,6 +39,14 @@
     pub bounds: GatewayBounds,
 }
 
+impl GatewaySettings {
+    /// These settings with all of `fresh` that may change while a daemon runs. Who and where it is,
+    /// and how much its instance can carry, stays until its next start.
+    pub fn reloaded(&self, fresh: &GatewaySettings) -> GatewaySettings {
+        GatewaySettings { seeds: fresh.seeds.clone(), bounds: fresh.bounds.clone(), ..self.clone() }
+    }
+}
+
 /// Bounds of one deployment.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewayBounds {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -34,6 +34,8 @@
     begun: bool,
     /// When the caller's first event came, since the request began.
     first_after: Option<Duration>,
+    /// When events came last.
+    came_at: Option<Duration>,
 }
 
 /// What the replica's stream gave.
@@ -60,6 +62,7 @@
         ready: VecDeque::new(),
         begun: false,
         first_after: None,
+        came_at: None,
     };
     let pieces = stream::unfold(Some(pump), |pump| async move {
         let mut pump = pump?;
@@ -109,6 +112,7 @@
         if let Some(data) = frame.data_ref() {
             self.splitter.push(data).map_err(|error| broken(error.to_string()))?;
         }
+        let ready_before = self.ready.len();
         while let Some(event) = self.splitter.next_event() {
             if let (Some(id), Some(last)) = (event.id, self.last_event)
                 && id <= last
@@ -119,6 +123,12 @@
             self.begin();
             self.ready.push_back(event.bytes);
         }
+        if self.ready.len() > ready_before {
+            let now = self.call.gateway.now();
+            if let Some(before) = self.came_at.replace(now) {
+                self.call.gateway.metrics.event_gap(now.saturating_sub(before));
+            }
+        }
         Ok(StreamStep::Events)
     }
 
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -11,6 +11,7 @@
 use http::{Request, StatusCode};
 use ids::TargetId;
 use indexmap::IndexMap;
+use policy::health::HealthState;
 use policy::weight_rounds::{self, LaggingTarget};
 use ports::{Commit, StoreError};
 use web::client::CallError;
@@ -84,6 +85,8 @@
     needed: Vec<NeededOrder>,
     /// Engines on the newest weights.
     ready: usize,
+    /// Engines that lag get no requests any more.
+    overdue: bool,
 }
 
 /// Moves weights while this daemon holds the lease.
@@ -140,7 +143,7 @@
 }
 
 fn lease_time<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) -> Duration {
-    gateway.settings.bounds.lease / LEASE_PART
+    gateway.settings().bounds.lease / LEASE_PART
 }
 
 /// Whether the lease surely holds now.
@@ -195,7 +198,7 @@
             }
             // A lease that was lost for a while may have been in other hands.
             let settled_at =
-                held.map_or(gateway.now() + gateway.settings.bounds.lease, |it| it.settled_at);
+                held.map_or(gateway.now() + gateway.settings().bounds.lease, |it| it.settled_at);
             Ok(Some(HeldLease { lease, proved_at: asked_at, settled_at }))
         }
         Commit::Conflict => Ok(None),
@@ -208,6 +211,7 @@
     book: &OrderBook,
 ) -> Vec<LaggingPool> {
     let now = gateway.now();
+    let due = gateway.oldest_weights_age();
     let book = lock(book).states.clone();
     let beliefs = lock(&gateway.beliefs);
     let Some(config) = beliefs.config() else { return Vec::new() };
@@ -215,7 +219,7 @@
     let mut pools = Vec::new();
     for (pool, engine) in config.engine_pools() {
         for model in &engine.models {
-            let Some((version, _)) = beliefs.wanted_weights(model) else { continue };
+            let Some((version, named_at)) = beliefs.wanted_weights(model) else { continue };
             let mut needed = Vec::new();
             let mut ready = 0;
             for replica in fleet.replicas().filter(|it| it.entry.pool == *pool && !it.leaving) {
@@ -235,11 +239,13 @@
                         running: fleet.load(now, replica).running,
                         under_order: under_way || (ordered && replica.is_loading(now)),
                         deferred: matches!(state, Some(OrderState::Deferred(it)) if now < *it),
+                        reachable: replica.health.state(now) != HealthState::Paused,
                     },
                 });
             }
             if !needed.is_empty() {
-                pools.push(LaggingPool { needed, ready });
+                let overdue = now >= named_at + due;
+                pools.push(LaggingPool { needed, ready, overdue });
             }
         }
     }
@@ -253,7 +259,7 @@
     pool: &LaggingPool,
 ) {
     let views: Vec<LaggingTarget> = pool.needed.iter().map(|it| it.view).collect();
-    let chosen = weight_rounds::next_orders(&views, pool.ready);
+    let chosen = weight_rounds::next_orders(&views, pool.ready, pool.overdue);
     for index in chosen {
         let order = pool.needed[index].clone();
         let until = gateway.now() + ORDER_TIME;
@@ -361,7 +367,7 @@
     }
     let fleet = lock(&gateway.fleet);
     let Some(replica) = fleet.get(target) else { return false };
-    let distance = gateway.settings.bounds.lease;
+    let distance = gateway.settings().bounds.lease;
     let last = replica.last_order_at;
     replica.accepted == accepted && last.is_none_or(|at| now >= at + distance)
 }
--- a/crates/gateway/tests/shared_evidence.rs
+++ b/crates/gateway/tests/shared_evidence.rs
@@ -16,7 +16,7 @@
 const NOW: Duration = Duration::from_secs(30);
 
 fn fleet_of_one() -> FleetTable {
-    let mut fleet = FleetTable::new("a".parse().expect("an id"));
+    let mut fleet = FleetTable::new("a".parse().expect("an id"), Duration::from_secs(8));
     fleet.relist(&[entry("r", false)]);
     fleet
 }
@@ -100,3 +100,26 @@
     fleet.sweep(NOW + Duration::from_secs(61));
     assert_eq!(fleet.told_count(), 0);
 }
+
+/// Its longest stream may hold an engine up for long; until it has loaded it would refuse all that
+/// is sent to it.
+#[rstest]
+#[case::it_has_not_loaded(4, None, false)]
+#[case::it_has_loaded(4, Some(2), true)]
+#[case::the_order_must_have_been_lost(8, None, true)]
+fn an_engine_under_order_gets_nothing_until_it_has_loaded(
+    #[case] after_s: u64,
+    #[case] loaded: Option<u64>,
+    #[case] may_work: bool,
+) {
+    let mut fleet = fleet_of_one();
+    let member = rendezvous::member_hash("r");
+    let news = WeightNews { member, born: 1, loaded: 1, ordered: 2, accepted: 1 };
+    fleet.hear_weights(NOW, news);
+    let later = NOW + Duration::from_secs(after_s);
+    if let Some(loaded) = loaded {
+        fleet.hear_weights(later, WeightNews { loaded, ..news });
+    }
+    let replica = fleet.replicas().next().expect("one is listed");
+    assert_eq!(replica.may_work(later), may_work);
+}
--- a/crates/policy/src/customer_quota.rs
+++ b/crates/policy/src/customer_quota.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Customers may exceed their rates by another allowance from now on.
+    pub fn set_allowance(&mut self, allowance: QuotaAllowance) {
+        self.allowance = allowance;
+    }
+
     /// Takes tokens for the question with this ticket; the same answer if it comes again.
     pub fn take_once(
         &mut self,
--- /dev/null
+++ b/crates/policy/src/demand.rs
@@ -0,0 +1,38 @@
+//! How much a daemon places, and from that how much its peers place before it hears of it.
+
+use std::time::Duration;
+
+use crate::engine_choice::UnseenLoad;
+
+/// What was placed this long ago counts for about a third of what is placed now.
+const MEMORY: Duration = Duration::from_secs(4);
+
+/// Requests and prefill that one daemon places, as rates that follow the last seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct DemandMeter {
+    at: Duration,
+    requests: f64,
+    tokens: f64,
+}
+
+impl DemandMeter {
+    /// A prompt was placed that brings so many tokens to prefill.
+    pub fn note(&mut self, now: Duration, tokens: u64) {
+        let kept = self.kept(now);
+        self.requests = self.requests * kept + 1.0;
+        self.tokens = self.tokens * kept + tokens as f64;
+        self.at = now;
+    }
+
+    /// What so many peers that place as much as this daemon place within `delay`.
+    pub fn unseen(&self, now: Duration, peers: usize, delay: Duration) -> UnseenLoad {
+        let kept = self.kept(now);
+        let share = kept * peers as f64 * delay.as_secs_f64() / MEMORY.as_secs_f64();
+        UnseenLoad { requests: self.requests * share, tokens: self.tokens * share }
+    }
+
+    fn kept(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at);
+        (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+    }
+}
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -6,6 +6,13 @@
 //! them: an engine decodes one token for each chunk that it prefills, so a long prompt delays every
 //! stream on the engine. Long prompts keep to one end of a fixed order of engines and short ones to
 //! the other, as far as load allows.
+//!
+//! Many daemons that place at the same time: each knows the loads of some moments ago, so that all
+//! of them would send what comes now to the one engine that was idle then. Engines whose backlog
+//! lies below the level to which unseen requests will have filled them count as equal, and what
+//! differs from prompt to prompt decides between them.
+
+use crate::rendezvous;
 
 /// Share of a batch's free time that a full batch takes from prefill.
 const BATCH_DRAG: f64 = 0.5;
@@ -21,8 +28,12 @@
 const ANY_PAUSE_S: f64 = 1.0;
 /// Share of the pause allowed from whose prefill time on a prompt is long.
 const LONG_SHARE: f64 = 0.15;
-/// How much an engine at the other end of the order is disliked, in seconds.
-const LANE_S: f64 = 0.06;
+/// Added for an engine of those that short prompts keep to, or long ones, in seconds.
+const LANE_S: f64 = 0.1;
+/// Share of the engines that short prompts keep to.
+const SHORT_LANES: f64 = 0.25;
+/// What copied tokens cost, as a share of the time to prefill them: they evict other parts.
+const COPY_SHARE: f64 = 0.7;
 /// Added for a replica in another failure domain, in seconds.
 const FAR_S: f64 = 0.004;
 /// Smoothing of the learned speed, for a first token that came sooner than expected.
@@ -44,7 +55,9 @@
     pub kv_tokens: u64,
     /// Its whole KV memory, in tokens.
     pub kv_limit: u64,
-    /// Tokens of the prompt expected in its cache.
+    /// The hash of its id.
+    pub member: u64,
+    /// Tokens of the prompt believed to be in its cache.
     pub cached_tokens: u64,
     /// Its place in an order that all daemons share, from 0 to 1.
     pub lane: f64,
@@ -101,6 +114,10 @@
 pub struct PromptSize {
     /// Its length in tokens.
     pub tokens: u64,
+    /// Tokens of its parts that other prompts share.
+    pub shared_tokens: u64,
+    /// Tells its shared parts from others; `None` if it has none.
+    pub shared_key: Option<u64>,
     /// The shortest pause that streams of the pool are allowed, in seconds.
     pub pause_s: Option<f64>,
 }
@@ -113,39 +130,124 @@
     }
 }
 
+/// What other daemons place before this one hears of it, on all engines together.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UnseenLoad {
+    /// Requests.
+    pub requests: f64,
+    /// Prompt tokens that they bring to prefill.
+    pub tokens: f64,
+}
+
+/// How far unseen load fills every engine at least.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct FillLevel {
+    streams: f64,
+    backlog_s: f64,
+}
+
 impl EngineView {
-    /// What placing a prompt here costs: expected seconds to its first token, and what it does
-    /// to others.
-    pub fn cost_s(&self, prompt: PromptSize, speed: PrefillSpeed) -> f64 {
+    /// Seconds until a prompt placed now would be begun.
+    fn backlog_s(&self, speed: PrefillSpeed) -> f64 {
+        speed.prefill_s(self.pending_tokens) + self.penalty_s
+    }
+
+    /// Seconds to the first token of a prompt behind all that is known to be on the engine.
+    fn first_token_s(&self, prompt: PromptSize, speed: PrefillSpeed) -> f64 {
         let own_pending = prompt.tokens.saturating_sub(self.cached_tokens);
-        let pending = self.pending_tokens + own_pending;
         let fill = f64::from(self.running) / f64::from(self.batch.max(1));
+        speed.first_token_s(self.pending_tokens + own_pending) * (1.0 + BATCH_DRAG * fill)
+    }
+
+    /// Whether the engine is one of those that prompts of this kind keep to.
+    fn is_in_lane(&self, prompt: PromptSize, speed: PrefillSpeed) -> bool {
+        prompt.is_long(speed) == (self.lane >= SHORT_LANES)
+    }
+
+    /// What placing a prompt here costs: expected seconds to its first token, and what it does
+    /// to others.
+    fn cost_s(
+        &self,
+        prompt: PromptSize,
+        speed: PrefillSpeed,
+        level: FillLevel,
+        is_home: bool,
+    ) -> f64 {
+        // The home is where all daemons place the same beginning: it holds it, or will.
+        let cached = if is_home { prompt.shared_tokens } else { 0 };
+        let own_pending = prompt.tokens.saturating_sub(self.cached_tokens.max(cached));
+        let streams = f64::from(self.running).max(level.streams);
+        let fill = streams / f64::from(self.batch.max(1));
         let queue = (fill - 1.0).max(0.0);
-        let mut cost = speed.first_token_s(pending) * (1.0 + BATCH_DRAG * fill) + queue;
-        let streams = f64::from(self.running);
+        let backlog_s = self.backlog_s(speed).max(level.backlog_s);
+        let begin_s = backlog_s + speed.first_token_s(own_pending);
+        let mut cost = begin_s * (1.0 + BATCH_DRAG * fill) + queue;
         cost += HOLD_UP * streams * speed.prefill_s(own_pending);
+        if !is_home {
+            cost += COPY_SHARE * speed.prefill_s(prompt.shared_tokens);
+        }
         let pause_s = prompt.pause_s.unwrap_or(ANY_PAUSE_S) * PAUSE_SHARE;
-        if speed.prefill_s(pending) > pause_s {
+        if speed.prefill_s(self.pending_tokens + own_pending) > pause_s {
             cost += LATE_PAUSE_S * streams.max(1.0);
         }
-        let lane = if prompt.is_long(speed) { 1.0 - self.lane } else { self.lane };
-        cost += LANE_S * lane;
+        if !self.is_in_lane(prompt, speed) {
+            cost += LANE_S;
+        }
         if self.kv_tokens + prompt.tokens > self.kv_limit {
             cost += OVERFULL_S;
         }
         if !self.near {
             cost += FAR_S;
         }
-        cost + self.penalty_s
+        cost
     }
 }
 
-/// The engine that costs least, and that cost in seconds.
+/// The engine that costs least, and the seconds to its first token as far as its load is known.
 pub fn choose(
     views: &[EngineView],
     prompt: PromptSize,
     speed: PrefillSpeed,
+    unseen: UnseenLoad,
 ) -> Option<(usize, f64)> {
-    let costs = views.iter().map(|it| it.cost_s(prompt, speed));
-    costs.enumerate().min_by(|left, right| left.1.total_cmp(&right.1))
+    let level = FillLevel {
+        streams: fill_level(views.iter().map(|it| f64::from(it.running)), unseen.requests),
+        backlog_s: fill_level(
+            views.iter().map(|it| it.backlog_s(speed)),
+            unseen.tokens / speed.tokens_per_s(),
+        ),
+    };
+    let home = home(views, prompt, speed);
+    let costs = views.iter().enumerate().map(|(index, it)| {
+        let is_home = home.is_none_or(|home| home == index);
+        it.cost_s(prompt, speed, level, is_home)
+    });
+    let (index, _) = costs.enumerate().min_by(|left, right| left.1.total_cmp(&right.1))?;
+    Some((index, views[index].first_token_s(prompt, speed)))
+}
+
+/// Where all daemons place the same shared parts: the first by rendezvous of the engines that prompts
+/// of this kind keep to.
+fn home(views: &[EngineView], prompt: PromptSize, speed: PrefillSpeed) -> Option<usize> {
+    let key = prompt.shared_key?;
+    let kept_to = |it: &&(usize, &EngineView)| it.1.is_in_lane(prompt, speed);
+    let any = views.iter().enumerate().any(|it| kept_to(&&it));
+    let engines = views.iter().enumerate().filter(|it| !any || kept_to(&it));
+    engines.max_by_key(|it| rendezvous::weight(key, it.1.member)).map(|it| it.0)
+}
+
+/// The level that `amount` reaches when it is poured over these heights, lowest first.
+fn fill_level(heights: impl Iterator<Item = f64>, amount: f64) -> f64 {
+    let mut heights: Vec<f64> = heights.collect();
+    heights.sort_by(f64::total_cmp);
+    let mut sum = amount;
+    let mut level = 0.0;
+    for (below, height) in heights.iter().enumerate() {
+        if below > 0 && *height >= level {
+            break;
+        }
+        sum += height;
+        level = sum / (below + 1) as f64;
+    }
+    level
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod chain;
 pub mod claim;
 pub mod customer_quota;
+pub mod demand;
 pub mod engine_choice;
 pub mod fair_queue;
 pub mod fetch_source;
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -1,6 +1,10 @@
 //! Which engine gets a prompt.
 
-use policy::engine_choice::{self, EngineView, PrefillSpeed, PromptSize};
+use std::time::Duration;
+
+use policy::demand::DemandMeter;
+use policy::engine_choice::{self, EngineView, PrefillSpeed, PromptSize, UnseenLoad};
+use policy::rendezvous;
 use rstest::rstest;
 
 const IDLE: EngineView = EngineView {
@@ -9,14 +13,18 @@
     pending_tokens: 0,
     kv_tokens: 0,
     kv_limit: 70_000,
+    member: 0,
     cached_tokens: 0,
     lane: 0.5,
     near: true,
     penalty_s: 0.0,
 };
 
-const LONG: PromptSize = PromptSize { tokens: 9_000, pause_s: Some(0.5) };
-const SHORT: PromptSize = PromptSize { tokens: 800, pause_s: Some(0.5) };
+const ALL_SEEN: UnseenLoad = UnseenLoad { requests: 0.0, tokens: 0.0 };
+
+const LONG: PromptSize =
+    PromptSize { tokens: 9_000, shared_tokens: 0, shared_key: None, pause_s: Some(0.5) };
+const SHORT: PromptSize = PromptSize { tokens: 800, ..LONG };
 
 #[rstest]
 #[case::cached_part(LONG, IDLE, EngineView { cached_tokens: 6_000, ..IDLE })]
@@ -29,11 +37,11 @@
 #[case::short_prompts_at_their_end(
     SHORT,
     EngineView { lane: 0.9, ..IDLE },
-    EngineView { lane: 0.1, ..IDLE }
+    EngineView { lane: 0.0, ..IDLE }
 )]
 #[case::long_prompts_at_theirs(
     LONG,
-    EngineView { lane: 0.1, ..IDLE },
+    EngineView { lane: 0.0, ..IDLE },
     EngineView { lane: 0.9, ..IDLE }
 )]
 fn the_better_engine_is_chosen(
@@ -43,7 +51,10 @@
 ) {
     let speed = PrefillSpeed::default();
     for (views, index) in [([worse, better], 1), ([better, worse], 0)] {
-        assert_eq!(engine_choice::choose(&views, prompt, speed).map(|it| it.0), Some(index));
+        assert_eq!(
+            engine_choice::choose(&views, prompt, speed, ALL_SEEN).map(|it| it.0),
+            Some(index)
+        );
     }
 }
 
@@ -51,13 +62,13 @@
 fn streams_are_not_stretched_beyond_their_pause_while_an_engine_is_free() {
     // Two long prompts are pending beside six streams: a third would make all of them late.
     let busy = EngineView { running: 6, pending_tokens: 12_000, cached_tokens: 6_000, ..IDLE };
-    let chosen = engine_choice::choose(&[busy, IDLE], LONG, PrefillSpeed::default());
+    let chosen = engine_choice::choose(&[busy, IDLE], LONG, PrefillSpeed::default(), ALL_SEEN);
     assert_eq!(chosen.map(|it| it.0), Some(1));
 }
 
 #[test]
 fn no_engine_gives_no_choice() {
-    assert_eq!(engine_choice::choose(&[], SHORT, PrefillSpeed::default()), None);
+    assert_eq!(engine_choice::choose(&[], SHORT, PrefillSpeed::default(), ALL_SEEN), None);
 }
 
 #[test]
@@ -84,3 +95,99 @@
     }
     assert!(speed.prefill_s(10_000) < 0.6, "{} s", speed.prefill_s(10_000));
 }
+
+fn shared(key: u64) -> PromptSize {
+    PromptSize { shared_tokens: 6_000, shared_key: Some(key), ..LONG }
+}
+
+/// Engines of a pool, idle, in their order.
+fn pool(count: u32) -> Vec<EngineView> {
+    let view = |it: u32| EngineView {
+        member: rendezvous::weight(u64::from(it), 1),
+        lane: f64::from(it) / f64::from(count),
+        ..IDLE
+    };
+    (0..count).map(view).collect()
+}
+
+fn place(views: &[EngineView], prompt: PromptSize, unseen: UnseenLoad) -> usize {
+    let chosen = engine_choice::choose(views, prompt, PrefillSpeed::default(), unseen);
+    chosen.expect("engines").0
+}
+
+/// Ninety daemons place a prompt each before any hears of the others. All see one engine that is idle
+/// since it has just loaded new weights, among others with a backlog. Counts the prompts by engine.
+fn placed_by_ninety(unseen: UnseenLoad) -> Vec<u32> {
+    let mut views = pool(45);
+    for view in &mut views[..44] {
+        *view = EngineView { pending_tokens: 9_000, penalty_s: 0.3, ..*view };
+    }
+    let mut placed = vec![0; views.len()];
+    for key in 0..90 {
+        placed[place(&views, shared(key), unseen)] += 1;
+    }
+    placed
+}
+
+#[rstest]
+#[case::each_takes_what_it_sees_for_all_there_is(ALL_SEEN, 80..=90)]
+#[case::each_counts_what_it_cannot_see(UnseenLoad { requests: 90.0, tokens: 700_000.0 }, 2..=8)]
+fn a_herd_of_daemons_does_not_fall_on_the_idle_engine(
+    #[case] unseen: UnseenLoad,
+    #[case] most: std::ops::RangeInclusive<u32>,
+) {
+    let placed = placed_by_ninety(unseen);
+    let busiest = placed.iter().max().copied().unwrap_or_default();
+    assert!(most.contains(&busiest), "{placed:?}");
+}
+
+#[test]
+fn what_peers_place_unseen_follows_the_own_demand() {
+    let ms = Duration::from_millis;
+    let mut demand = DemandMeter::default();
+    for request in 0..100 {
+        demand.note(ms(request * 200), 1_000);
+    }
+    // Five requests a second for 20 s, by each of ten peers, heard of after half a second.
+    let unseen = demand.unseen(ms(20_000), 10, ms(500));
+    assert!((22.0..28.0).contains(&unseen.requests), "{unseen:?}");
+    assert!((22_000.0..28_000.0).contains(&unseen.tokens), "{unseen:?}");
+    assert_eq!(demand.unseen(ms(20_000), 0, ms(500)), ALL_SEEN);
+    assert!(demand.unseen(ms(60_000), 10, ms(500)).requests < 0.01, "old demand is forgotten");
+}
+
+#[test]
+fn prompts_with_the_same_beginning_meet_on_one_engine_and_others_spread() {
+    let mut views = pool(30);
+    let home = place(&views, shared(7), ALL_SEEN);
+    views.reverse();
+    assert_eq!(views[place(&views, shared(7), ALL_SEEN)].member, pool(30)[home].member);
+    // A copy that another engine holds is no reason to keep two.
+    let other = if home == 29 { 28 } else { 29 };
+    let mut views = pool(30);
+    views[other].cached_tokens = 6_000;
+    assert_eq!(place(&views, shared(7), ALL_SEEN), home);
+    // A home that is behind with its work is left.
+    views[home].pending_tokens = 40_000;
+    assert_ne!(place(&views, shared(7), ALL_SEEN), home);
+    let mut homes: Vec<usize> =
+        (0..300).map(|key| place(&pool(30), shared(key), ALL_SEEN)).collect();
+    homes.sort_unstable();
+    homes.dedup();
+    assert!(homes.len() > 20, "of 22 that long prompts keep to: {homes:?}");
+}
+
+#[test]
+fn short_prompts_keep_to_a_quarter_of_the_engines() {
+    let views = pool(40);
+    for key in 0..100 {
+        let short = PromptSize { shared_tokens: 100, shared_key: Some(key), ..SHORT };
+        assert!(views[place(&views, short, ALL_SEEN)].lane < 0.25);
+        assert!(views[place(&views, shared(key), ALL_SEEN)].lane >= 0.25);
+    }
+    // As far as load allows.
+    let mut views = views;
+    views[..10].iter_mut().for_each(|it| it.pending_tokens = 20_000);
+    let short = PromptSize { shared_tokens: 100, shared_key: Some(1), ..SHORT };
+    assert!(views[place(&views, short, ALL_SEEN)].lane >= 0.25);
+}
--- a/crates/policy/tests/gateway_decisions.rs
+++ b/crates/policy/tests/gateway_decisions.rs
@@ -45,22 +45,31 @@
 }
 
 fn lagging(running: u32, under_order: bool) -> LaggingTarget {
-    LaggingTarget { weights: 1, running, under_order, deferred: false }
+    LaggingTarget { weights: 1, running, under_order, deferred: false, reachable: true }
+}
+
+/// Engines that serve, with so many requests each.
+fn serving(running: &[u32]) -> Vec<LaggingTarget> {
+    running.iter().map(|it| lagging(*it, false)).collect()
 }
 
 #[rstest]
-#[case::first_wave_is_half(&[lagging(3, false), lagging(1, false), lagging(2, false), lagging(0, false)], 0, &[3, 1])]
-#[case::those_under_order_count(&[lagging(3, true), lagging(1, true), lagging(2, false), lagging(0, false)], 0, &[])]
-#[case::all_once_enough_are_ready(&[lagging(3, false), lagging(1, false)], 2, &[1, 0])]
-#[case::the_oldest_weights_first(&[LaggingTarget { weights: 3, ..lagging(0, false) }, LaggingTarget { weights: 2, ..lagging(9, false) }], 0, &[1])]
-#[case::a_deferred_one_takes_no_place(&[LaggingTarget { deferred: true, ..lagging(0, false) }, lagging(5, false)], 0, &[1])]
-#[case::a_single_engine_goes(&[lagging(9, false)], 0, &[0])]
-fn waves_of_new_weights(
-    #[case] engines: &[LaggingTarget],
+#[case::a_third_at_a_time(serving(&[3, 1, 2, 0, 5, 4]), 0, false, &[3, 1])]
+#[case::those_on_the_new_weights_count(serving(&[3, 1]), 4, false, &[1, 0])]
+#[case::those_under_order_count(vec![lagging(3, true), lagging(1, true), lagging(2, false), lagging(0, false)], 2, false, &[])]
+#[case::all_once_they_serve_nothing(vec![lagging(3, true), lagging(1, false), lagging(0, false)], 0, true, &[2, 1])]
+#[case::the_oldest_weights_first(vec![LaggingTarget { weights: 3, ..lagging(0, false) }, LaggingTarget { weights: 2, ..lagging(9, false) }], 1, false, &[1])]
+#[case::a_deferred_one_takes_no_place(vec![LaggingTarget { deferred: true, ..lagging(0, false) }, lagging(5, false)], 1, false, &[1])]
+#[case::one_that_is_gone_leaves_its_place(vec![LaggingTarget { reachable: false, ..lagging(0, true) }, lagging(5, false), lagging(7, false)], 1, false, &[1])]
+#[case::one_that_is_gone_is_ordered_last(vec![LaggingTarget { reachable: false, ..lagging(0, false) }, lagging(5, false)], 0, false, &[1])]
+#[case::a_single_engine_goes(vec![lagging(9, false)], 0, false, &[0])]
+fn weights_move_round_by_round(
+    #[case] engines: Vec<LaggingTarget>,
     #[case] ready: usize,
+    #[case] overdue: bool,
     #[case] expected: &[usize],
 ) {
-    assert_eq!(weight_rounds::next_orders(engines, ready), expected);
+    assert_eq!(weight_rounds::next_orders(&engines, ready, overdue), expected);
 }
 
 fn capacity(millicores: u32) -> InstanceCapacity {
