--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use ids::{FailureDomain, PoolId, TargetId};
 use indexmap::IndexMap;
-use policy::demand::DemandMeter;
+use policy::demand::PromptDemand;
 use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
 
@@ -33,7 +33,7 @@
     /// The KV store, if one was looked at.
     pub(crate) kv_store: Option<KvStoreView>,
     /// Prompts that this daemon places.
-    pub(crate) demand: DemandMeter,
+    pub(crate) demand: PromptDemand,
     /// Beginnings placed since peers were last told.
     pub(crate) prefix_news: Vec<PrefixNews>,
 }
@@ -71,7 +71,7 @@
             told_weights: IndexMap::new(),
             prefixes: PrefixTable::default(),
             kv_store: None,
-            demand: DemandMeter::default(),
+            demand: PromptDemand::default(),
             prefix_news: Vec::new(),
         }
     }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -171,7 +171,7 @@
         let size = PromptSize {
             tokens: need.prompt_tokens,
             shared_tokens: need.shared_tokens(),
-            shared_key: need.home_key(),
+            key: need.home_key().unwrap_or_else(rand::random),
             pause_s: need.pause_s,
         };
         let unseen = self.demand.unseen(now, peers, news_delay);
@@ -189,7 +189,7 @@
             ..LoadCount::default()
         };
         let load_before = self.load(now, chosen);
-        self.demand.note(now, load.pending_tokens);
+        self.demand.note(now, size.is_long(speed), load.pending_tokens);
         let placed = self.occupy(&id, load)?;
         let expected = Duration::from_secs_f64(first_token_s);
         let placed = PlacedTarget {
--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -2,11 +2,36 @@
 
 use std::time::Duration;
 
-use crate::engine_choice::UnseenLoad;
+use crate::engine_choice::{UnseenLoad, UnseenLoads};
 
 /// What was placed this long ago counts for about a third of what is placed now.
 const MEMORY: Duration = Duration::from_secs(4);
 
+/// What one daemon places of each kind of prompt.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PromptDemand {
+    /// Short prompts.
+    pub short: DemandMeter,
+    /// Long prompts.
+    pub long: DemandMeter,
+}
+
+impl PromptDemand {
+    /// A prompt was placed that brings so many tokens to prefill.
+    pub fn note(&mut self, now: Duration, is_long: bool, tokens: u64) {
+        let meter = if is_long { &mut self.long } else { &mut self.short };
+        meter.note(now, tokens);
+    }
+
+    /// What so many peers that place as much as this daemon place within `delay`.
+    pub fn unseen(&self, now: Duration, peers: usize, delay: Duration) -> UnseenLoads {
+        UnseenLoads {
+            short: self.short.unseen(now, peers, delay),
+            long: self.long.unseen(now, peers, delay),
+        }
+    }
+}
+
 /// Requests and prefill that one daemon places, as rates that follow the last seconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct DemandMeter {
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -34,6 +34,9 @@
 const SHORT_LANES: f64 = 0.25;
 /// What copied tokens cost, as a share of the time to prefill them: they evict other parts.
 const COPY_SHARE: f64 = 0.7;
+/// Added at most by the rank of an engine for the prompt, in seconds: prompts that leave their home
+/// do not all turn to the same engine.
+const SPREAD_S: f64 = 0.03;
 /// Added for a replica in another failure domain, in seconds.
 const FAR_S: f64 = 0.004;
 /// Smoothing of the learned speed, for a first token that came sooner than expected.
@@ -116,8 +119,8 @@
     pub tokens: u64,
     /// Tokens of its parts that other prompts share.
     pub shared_tokens: u64,
-    /// Tells its shared parts from others; `None` if it has none.
-    pub shared_key: Option<u64>,
+    /// The same for prompts that begin with the same shared parts; any number if it has none.
+    pub key: u64,
     /// The shortest pause that streams of the pool are allowed, in seconds.
     pub pause_s: Option<f64>,
 }
@@ -130,22 +133,45 @@
     }
 }
 
-/// What other daemons place before this one hears of it, on all engines together.
+/// Requests that other daemons place before this one hears of them.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct UnseenLoad {
-    /// Requests.
+    /// How many.
     pub requests: f64,
     /// Prompt tokens that they bring to prefill.
     pub tokens: f64,
 }
 
-/// How far unseen load fills every engine at least.
+/// Unseen load by the engines that it goes to.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UnseenLoads {
+    /// Short prompts.
+    pub short: UnseenLoad,
+    /// Long prompts.
+    pub long: UnseenLoad,
+}
+
+/// How far unseen load fills every engine of a kind at least.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct FillLevel {
     streams: f64,
     backlog_s: f64,
 }
 
+impl FillLevel {
+    fn of<'a>(
+        views: impl Iterator<Item = &'a EngineView> + Clone,
+        speed: PrefillSpeed,
+        unseen: UnseenLoad,
+    ) -> FillLevel {
+        let unseen_s = unseen.tokens / speed.tokens_per_s();
+        FillLevel {
+            streams: fill_level(views.clone().map(|it| f64::from(it.running)), unseen.requests),
+            backlog_s: fill_level(views.map(|it| it.backlog_s(speed)), unseen_s),
+        }
+    }
+}
+
 impl EngineView {
     /// Seconds until a prompt placed now would be begun.
     fn backlog_s(&self, speed: PrefillSpeed) -> f64 {
@@ -159,9 +185,14 @@
         speed.first_token_s(self.pending_tokens + own_pending) * (1.0 + BATCH_DRAG * fill)
     }
 
+    /// Whether long prompts keep to this engine, rather than short ones.
+    fn is_for_long(&self) -> bool {
+        self.lane >= SHORT_LANES
+    }
+
     /// Whether the engine is one of those that prompts of this kind keep to.
     fn is_in_lane(&self, prompt: PromptSize, speed: PrefillSpeed) -> bool {
-        prompt.is_long(speed) == (self.lane >= SHORT_LANES)
+        prompt.is_long(speed) == self.is_for_long()
     }
 
     /// What placing a prompt here costs: expected seconds to its first token, and what it does
@@ -199,7 +230,8 @@
         if !self.near {
             cost += FAR_S;
         }
-        cost
+        let order = rendezvous::weight(prompt.key, self.member) as f64 / u64::MAX as f64;
+        cost + SPREAD_S * (1.0 - order)
     }
 }
 
@@ -208,18 +240,14 @@
     views: &[EngineView],
     prompt: PromptSize,
     speed: PrefillSpeed,
-    unseen: UnseenLoad,
+    unseen: UnseenLoads,
 ) -> Option<(usize, f64)> {
-    let level = FillLevel {
-        streams: fill_level(views.iter().map(|it| f64::from(it.running)), unseen.requests),
-        backlog_s: fill_level(
-            views.iter().map(|it| it.backlog_s(speed)),
-            unseen.tokens / speed.tokens_per_s(),
-        ),
-    };
-    let home = home(views, prompt, speed);
+    let short = FillLevel::of(views.iter().filter(|it| !it.is_for_long()), speed, unseen.short);
+    let long = FillLevel::of(views.iter().filter(|it| it.is_for_long()), speed, unseen.long);
+    let home = home(views, prompt, speed)?;
     let costs = views.iter().enumerate().map(|(index, it)| {
-        let is_home = home.is_none_or(|home| home == index);
+        let is_home = home == index;
+        let level = if it.is_for_long() { long } else { short };
         it.cost_s(prompt, speed, level, is_home)
     });
     let (index, _) = costs.enumerate().min_by(|left, right| left.1.total_cmp(&right.1))?;
@@ -229,11 +257,10 @@
 /// Where all daemons place the same shared parts: the first by rendezvous of the engines that prompts
 /// of this kind keep to.
 fn home(views: &[EngineView], prompt: PromptSize, speed: PrefillSpeed) -> Option<usize> {
-    let key = prompt.shared_key?;
     let kept_to = |it: &&(usize, &EngineView)| it.1.is_in_lane(prompt, speed);
     let any = views.iter().enumerate().any(|it| kept_to(&&it));
     let engines = views.iter().enumerate().filter(|it| !any || kept_to(&it));
-    engines.max_by_key(|it| rendezvous::weight(key, it.1.member)).map(|it| it.0)
+    engines.max_by_key(|it| rendezvous::weight(prompt.key, it.1.member)).map(|it| it.0)
 }
 
 /// The level that `amount` reaches when it is poured over these heights, lowest first.
