Let the age of weights outlive a restart

Ruled out: a daemon that was cut off (it heard each order within 0.5 s).

Change: peers tell how long ago a version was named. A daemon that finds a version when it knows of none takes it to be so old that it begins nothing on older weights from 0.7 of the time on in which a new daemon counts as out of touch (a new bound of the settings).

--- a/crates/gateway/src/belief.rs
+++ b/crates/gateway/src/belief.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3;
 
-use crate::config::{ControlState, RolloutOrder, SiteConfig, TargetEntry};
+use crate::config::{ControlState, NamedWeights, RolloutOrder, SiteConfig, TargetEntry};
 use crate::directory::Snapshot;
 
 /// Versions of one model's weights that are remembered.
@@ -31,7 +31,7 @@
 #[derive(Debug, Default)]
 pub struct BeliefTable {
     config: Option<Arc<SiteConfig>>,
-    /// Versions of each model's weights and when this daemon first heard of them, in order.
+    /// Versions of each model's weights and when they were named, as far as known, in order.
     weights: IndexMap<Box<str>, Vec<(u64, Duration)>>,
     rollouts: IndexMap<PoolId, (RolloutOrder, Duration)>,
     listing: Option<TargetListing>,
@@ -66,7 +66,7 @@
         self.config.as_ref()
     }
 
-    /// The newest version of a model's weights, and when this daemon first heard of it.
+    /// The newest version of a model's weights, and when it was named, as far as known.
     pub fn wanted_weights(&self, model: &str) -> Option<(u64, Duration)> {
         self.weights.get(model)?.last().copied()
     }
@@ -100,19 +100,25 @@
     }
 
     /// All orders, for a peer.
-    pub fn control(&self) -> ControlState {
+    pub fn control(&self, now: Duration) -> ControlState {
+        let named = |(version, at): (u64, Duration)| NamedWeights {
+            version,
+            age: Some(now.saturating_sub(at)),
+        };
         ControlState {
             config: self.config.as_deref().cloned(),
-            weights: self.newest_weights().map(|(model, it)| (model.clone(), it)).collect(),
+            weights: self.newest_weights().map(|it| (it.0.clone(), named(it.1))).collect(),
             rollouts: self.rollouts.iter().map(|(id, it)| (id.clone(), it.0.clone())).collect(),
         }
     }
 
-    /// Takes what operators ordered as of `read_at`.
+    /// Takes what operators ordered as of `read_at`. A version that this daemon finds when it knows
+    /// of none before may have been named `unknown_age` ago.
     pub fn adopt_control(
         &mut self,
         now: Duration,
         read_at: Duration,
+        unknown_age: Duration,
         snapshot: Snapshot<ControlState>,
     ) -> BeliefChange {
         let mut change = BeliefChange::default();
@@ -125,14 +131,24 @@
                 self.config = Some(Arc::new(config));
             }
         }
-        for (model, version) in state.weights {
+        for (model, named) in state.weights {
             let known = self.weights.entry(model).or_default();
-            if known.last().is_none_or(|it| it.0 < version) {
-                known.push((version, now));
-                if known.len() > KEPT_VERSIONS {
-                    known.remove(0);
+            let unknown_age = if known.is_empty() { unknown_age } else { Duration::ZERO };
+            let named_at = now.saturating_sub(named.age.unwrap_or(unknown_age));
+            match known.last_mut() {
+                Some(it) if it.0 > named.version => {}
+                Some(it) if it.0 == named.version => {
+                    if named.age.is_some() {
+                        it.1 = it.1.min(named_at);
+                    }
+                }
+                _ => {
+                    known.push((named.version, named_at));
+                    if known.len() > KEPT_VERSIONS {
+                        known.remove(0);
+                    }
+                    change.weights = true;
                 }
-                change.weights = true;
             }
         }
         for (pool, order) in state.rollouts {
@@ -153,13 +169,13 @@
         self.control_mark
     }
 
-    fn newest_weights(&self) -> impl Iterator<Item = (&Box<str>, u64)> {
-        self.weights.iter().filter_map(|(model, it)| Some((model, it.last()?.0)))
+    fn newest_weights(&self) -> impl Iterator<Item = (&Box<str>, (u64, Duration))> {
+        self.weights.iter().filter_map(|(model, it)| Some((model, *it.last()?)))
     }
 
     fn new_control_mark(&self) -> u64 {
         let config = self.config.as_ref().map(|it| it.revision);
-        let weights: Vec<_> = self.newest_weights().collect();
+        let weights: Vec<_> = self.newest_weights().map(|it| (it.0, it.1.0)).collect();
         let rollouts: Vec<_> = self.rollouts.values().map(|it| it.0.revision).collect();
         digest_of(&(config, weights, rollouts))
     }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -179,13 +179,22 @@
     pub weights: IndexMap<Box<str>, u64>,
 }
 
+/// A version of a model's weights that an operator has named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedWeights {
+    /// The version.
+    pub version: u64,
+    /// How long ago it was named, at least; `None` if the teller does not know.
+    pub age: Option<Duration>,
+}
+
 /// All that operators have ordered.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ControlState {
     /// The newest configuration.
     pub config: Option<SiteConfig>,
     /// The newest version of each model's weights.
-    pub weights: IndexMap<Box<str>, u64>,
+    pub weights: IndexMap<Box<str>, NamedWeights>,
     /// Rollouts by pool.
     pub rollouts: IndexMap<PoolId, RolloutOrder>,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,6 +33,10 @@
 /// Share of the allowed retry slack that daemons spend together.
 const SLACK_CAUTION: f64 = 0.6;
 
+/// Share of the time in which a new daemon is not in touch yet, for which it begins requests on
+/// weights of unknown age.
+const SETTLE_SHARE: f64 = 0.7;
+
 /// Retries of a daemon that does not know yet how many share the allowance.
 const FIRST_RETRIES: f64 = 1.0;
 /// Share of the bound for new weights from which older ones get nothing: a request may wait on its
@@ -216,9 +220,13 @@
         snapshot: Snapshot<ControlState>,
         source: &'static str,
     ) -> BeliefChange {
+        // A daemon that has just started may go on with older weights for as long as it cannot have
+        // been expected to know better, however long ago newer ones were named.
+        let settle = self.settings().bounds.contact.mul_f64(SETTLE_SHARE);
+        let unknown_age = self.oldest_weights_age().saturating_sub(settle);
         let change = {
             let mut beliefs = lock(&self.beliefs);
-            beliefs.adopt_control(self.now(), read_at, snapshot)
+            beliefs.adopt_control(self.now(), read_at, unknown_age, snapshot)
         };
         if change.any() {
             let config = self.config().map_or(0, |it| it.revision.0);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -314,8 +314,9 @@
     let message = {
         let beliefs = lock(&gateway.beliefs);
         let Some(at) = beliefs.control_at() else { return };
-        let age = gateway.now().saturating_sub(at);
-        PeerMessage::Control(beliefs.control_revision(), age, Box::new(beliefs.control()))
+        let now = gateway.now();
+        let age = now.saturating_sub(at);
+        PeerMessage::Control(beliefs.control_revision(), age, Box::new(beliefs.control(now)))
     };
     gateway.peers.send(to, &message);
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -54,6 +54,8 @@
     pub drain: Duration,
     /// A stop may take this long.
     pub grace: Duration,
+    /// A daemon counts as being in touch after this time without trouble.
+    pub contact: Duration,
     /// A configuration is in force after this time.
     pub config_apply: Duration,
     /// Retries as a share of requests.
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -7,7 +7,7 @@
 
 use fixtures::entry;
 use gateway::belief::BeliefTable;
-use gateway::config::{CallerLimits, ControlState, SiteConfig};
+use gateway::config::{CallerLimits, ControlState, NamedWeights, SiteConfig};
 use gateway::directory::{MemberEntry, Snapshot};
 use gateway::members::MemberTable;
 use ids::{Incarnation, Revision};
@@ -29,10 +29,14 @@
     }
 }
 
+fn named(version: u64, age: Option<Duration>) -> NamedWeights {
+    NamedWeights { version, age }
+}
+
 fn control(config_revision: u64, weights: u64) -> ControlState {
     ControlState {
         config: Some(config(config_revision)),
-        weights: [("m".into(), weights)].into_iter().collect(),
+        weights: [("m".into(), named(weights, None))].into_iter().collect(),
         rollouts: Default::default(),
     }
 }
@@ -52,8 +56,8 @@
     #[case] expected_weights: u64,
 ) {
     let mut beliefs = BeliefTable::default();
-    beliefs.adopt_control(ms(0), ms(0), snapshot(10, control(7, 4)));
-    beliefs.adopt_control(ms(1), ms(1), snapshot(11, control(revision, weights)));
+    beliefs.adopt_control(ms(0), ms(0), ms(0), snapshot(10, control(7, 4)));
+    beliefs.adopt_control(ms(1), ms(1), ms(0), snapshot(11, control(revision, weights)));
     assert_eq!(beliefs.config().map(|it| it.revision.0), Some(expected_revision));
     assert_eq!(beliefs.wanted_weights("m").map(|it| it.0), Some(expected_weights));
 }
@@ -62,7 +66,7 @@
 fn the_same_orders_have_the_same_mark_and_others_another() {
     let mark = |state| {
         let mut beliefs = BeliefTable::default();
-        beliefs.adopt_control(ms(0), ms(0), snapshot(10, state));
+        beliefs.adopt_control(ms(0), ms(0), ms(0), snapshot(10, state));
         beliefs.control_mark()
     };
     assert_eq!(mark(control(7, 4)), mark(control(7, 4)));
@@ -185,7 +189,7 @@
 fn weights_older_than_a_version_that_is_due_get_nothing(#[case] now: u64, #[case] least: u64) {
     let mut beliefs = BeliefTable::default();
     for (at, version) in [(1_000, 2), (4_200, 3), (10_400, 4)] {
-        beliefs.adopt_control(ms(at), ms(at), snapshot(at, control(1, version)));
+        beliefs.adopt_control(ms(at), ms(at), ms(0), snapshot(at, control(1, version)));
     }
     assert_eq!(beliefs.least_weights("m", ms(now), ms(5_600)), least);
 }
@@ -239,3 +243,31 @@
     }
     assert_eq!(table.knows_fleet(ms(10)), known);
 }
+
+/// Older weights are due 5.6 s after newer ones were named, whoever heard of them when.
+#[rstest]
+#[case::heard_while_running(ms(0), None, 10_000, 0)]
+#[case::found_at_the_start(ms(3_500), None, 10_000 + 2_099, 0)]
+#[case::found_at_the_start_and_due(ms(3_500), None, 10_000 + 2_100, 2)]
+#[case::told_by_a_peer_that_knows(ms(3_500), Some(ms(9_000)), 10_000, 2)]
+#[case::told_by_a_peer_that_heard_later(ms(3_500), Some(ms(100)), 10_000 + 2_100, 2)]
+fn the_age_of_weights_outlives_a_restart(
+    #[case] unknown_age: Duration,
+    #[case] told: Option<Duration>,
+    #[case] now: u64,
+    #[case] least: u64,
+) {
+    let mut beliefs = BeliefTable::default();
+    beliefs.adopt_control(ms(10_000), ms(10_000), unknown_age, snapshot(5, control(1, 2)));
+    if told.is_some() {
+        let state = ControlState {
+            weights: [("m".into(), named(2, told))].into_iter().collect(),
+            ..control(1, 2)
+        };
+        beliefs.adopt_control(ms(10_000), ms(10_000), ms(0), snapshot(5, state));
+    }
+    assert_eq!(beliefs.least_weights("m", ms(now), ms(5_600)), least);
+    // What it tells others is no younger than what it was told.
+    let told_on = beliefs.control(ms(10_000)).weights["m"].age.expect("it knows");
+    assert!(told_on >= unknown_age.max(told.unwrap_or_default()));
+}
