Put a pool's engines in order once for each placement

Cause: the place of each engine in its pool was counted over all replicas for each engine, which grows with the square of the pool (1.3 million looks a placement at 6,400 replicas and 31 pools, worked out). Change: the pool's order is made once; the places are the same. Not measured on its own.

--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -141,6 +141,7 @@
         let PromptTerms { need, engine, speed, old_weights_s, peers, news_delay } = terms;
         let open: Vec<&Replica> = self.open(now, query).collect();
         let newest = open.iter().map(|it| it.weights).max()?;
+        let order = self.pool_order(query.pool);
         let views: Vec<EngineView> = open
             .iter()
             .map(|it| {
@@ -160,7 +161,7 @@
                     pending_tokens: load.pending_tokens,
                     kv_tokens: load.kv_tokens,
                     kv_limit: engine.kv_tokens,
-                    lane: self.lane(it),
+                    lane: lane(&order, it.member),
                     member: it.member,
                     cached_tokens: believed,
                     near: it.entry.domain == self.domain,
@@ -288,13 +289,12 @@
         usable.then_some(PartSource { source: replica.entry.address, used_at, is_store: false })
     }
 
-    /// A replica's place in an order that all daemons share, from 0 to 1.
-    fn lane(&self, replica: &Replica) -> f64 {
-        let others = self.replicas.values().filter(|it| it.entry.pool == replica.entry.pool);
-        let (before, all) = others.fold((0_u32, 0_u32), |(before, all), it| {
-            (before + u32::from(it.member < replica.member), all + 1)
-        });
-        f64::from(before) / f64::from(all.max(1))
+    /// The replicas of a pool in an order that all daemons share.
+    fn pool_order(&self, pool: &PoolId) -> Vec<u64> {
+        let pool = self.replicas.values().filter(|it| it.entry.pool == *pool);
+        let mut order: Vec<u64> = pool.map(|it| it.member).collect();
+        order.sort_unstable();
+        order
     }
 
     fn occupy(&mut self, id: &TargetId, load: LoadCount) -> Option<PlacedTarget> {
@@ -315,3 +315,9 @@
         })
     }
 }
+
+/// A replica's place in its pool's order, from 0 to 1.
+fn lane(order: &[u64], member: u64) -> f64 {
+    let before = order.partition_point(|it| *it < member);
+    before as f64 / order.len().max(1) as f64
+}
