Repeat an order without an answer as soon as the replica is not busy

Cause: an order that got no answer counted as sent, and its engine, which takes no requests since it counts as loading, was asked for 4 s whether it had loaded before it was ordered again; since loading lasts until the weights are in place, up to the whole time allowed for that. Test: 8.3 s to the second order. Ruled out: doing nothing for fear of a second load; both orders name the same number of accepted orders, so that a replica carries out one.

Change: the order is repeated when a report says that the replica is not busy and has accepted none; whoever holds the lease takes up orders of others after 3 s; the holder follows an order for as long as its engine may drain, with growing pauses between questions.

Tests: platform weight_orders (failed before: 8.3 s where 3 s are allowed), gateway_decisions a_lost_order_is_repeated.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -9,6 +9,8 @@
 use crate::config::TargetEntry;
 use crate::digest::WeightNews;
 
+/// Another daemon than the one that sent an order looks after it when this has passed.
+const ORDER_TIME: Duration = Duration::from_secs(3);
 /// A replica that answered "full" is left out for this long.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
@@ -111,6 +113,11 @@
             && !self.is_loading(now)
     }
 
+    /// Whether whoever ordered it last may still be at it.
+    pub fn was_ordered_lately(&self, now: Duration) -> bool {
+        self.ordered.is_some_and(|it| now < it.1 + ORDER_TIME)
+    }
+
     /// Whether it was ordered to load weights that it does not have yet. It takes nothing until the
     /// last of its requests has ended, which may be long ones; an order that was lost is repeated.
     pub fn is_loading(&self, now: Duration) -> bool {
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -35,10 +35,12 @@
 const PLACE_WAIT: Duration = Duration::from_millis(400);
 /// How long a replica may take to answer an order or a question.
 const CALL_TIME: Duration = Duration::from_millis(600);
-/// The pause between two questions whether an order is done.
+/// The first pause between two questions whether an order is done.
 const REPORT_PAUSE: Duration = Duration::from_millis(150);
-/// How long an order may take before the replica is asked again from the start.
-const ORDER_TIME: Duration = Duration::from_millis(4_000);
+/// By how much that pause grows: each question is priced.
+const PAUSE_GROWTH: f64 = 1.2;
+/// The longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 /// The pause before a replica that did not answer is ordered again.
 const AGAIN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -227,7 +229,7 @@
                     ready += 1;
                     continue;
                 }
-                let ordered = replica.ordered.is_some_and(|it| it.0 >= version);
+                let loading = replica.is_loading(now);
                 let state = book.get(&replica.entry.id);
                 let under_way = matches!(state, Some(OrderState::UnderWay(it)) if now < *it);
                 needed.push(NeededOrder {
@@ -237,7 +239,8 @@
                     view: LaggingTarget {
                         weights: replica.weights,
                         running: fleet.load(now, replica).running,
-                        under_order: under_way || (ordered && replica.is_loading(now)),
+                        loading: under_way || loading,
+                        attended: under_way || (loading && replica.was_ordered_lately(now)),
                         deferred: matches!(state, Some(OrderState::Deferred(it)) if now < *it),
                         reachable: replica.health.state(now) != HealthState::Paused,
                     },
@@ -262,7 +265,7 @@
     let chosen = weight_rounds::next_orders(&views, pool.ready, pool.overdue);
     for index in chosen {
         let order = pool.needed[index].clone();
-        let until = gateway.now() + ORDER_TIME;
+        let until = gateway.now() + gateway.settings().bounds.version;
         lock(book).states.insert(order.target.clone(), OrderState::UnderWay(until));
         let (gateway, book, held) = (gateway.clone(), book.clone(), held.clone());
         tokio::spawn(async move {
@@ -322,11 +325,14 @@
     order: &NeededOrder,
 ) -> OrderEnd {
     let began = gateway.now();
-    let until = began + ORDER_TIME;
+    // Its longest stream may delay the load for most of that time.
+    let until = began + gateway.settings().bounds.version;
     let mut sent = false;
+    let mut pause = REPORT_PAUSE;
     while gateway.now() < until {
         let Some(report) = ask_report(gateway, &order.target).await else {
-            tokio::time::sleep(REPORT_PAUSE).await;
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
             continue;
         };
         let loaded = report.weights.iter().find(|it| it.0 == order.model).map_or(0, |it| it.1);
@@ -349,7 +355,8 @@
             lock(book).ordered.insert(order.target.clone(), token);
             sent = send_order(gateway, held, order, report.accepted).await;
         }
-        tokio::time::sleep(REPORT_PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = pause.mul_f64(PAUSE_GROWTH).min(LONGEST_PAUSE);
     }
     OrderEnd::Unknown
 }
@@ -372,7 +379,7 @@
     replica.accepted == accepted && last.is_none_or(|at| now >= at + distance)
 }
 
-/// Sends an order; false if the replica surely did not accept it.
+/// Sends an order; false if the replica is not known to have accepted it.
 async fn send_order<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     held: &HeldLease,
@@ -406,9 +413,10 @@
             false
         }
         Err(error) => {
-            // It may be carried out yet; another order before that is known would be one too many.
+            // It may be carried out yet. The next one names the same number of accepted orders, so
+            // that the replica carries out one of the two.
             tracing::warn!(%target, version, token, "weights: no answer to an order: {error}");
-            true
+            false
         }
     }
 }
--- a/crates/policy/src/weight_rounds.rs
+++ b/crates/policy/src/weight_rounds.rs
@@ -16,28 +16,35 @@
     pub weights: u64,
     /// Requests on it.
     pub running: u32,
-    /// It was ordered to load and has not confirmed.
-    pub under_order: bool,
+    /// It was ordered to load and has not confirmed: it gets no requests.
+    pub loading: bool,
+    /// Somebody sees to it that it loads.
+    pub attended: bool,
     /// It serves, and must not be ordered yet.
     pub deferred: bool,
     /// It answers requests, so that its leave takes capacity.
     pub reachable: bool,
 }
 
-/// Indices of the engines to order now; `ready` engines have the newest weights. `overdue`: the
+/// Indices of the engines to order now; `ready` engines have the newest weights. One whose order may
+/// have been lost is ordered again: it serves nothing meanwhile. `overdue`: the
 /// engines that lag get no requests any more, so that nothing is lost by ordering all of them.
 pub fn next_orders(lagging: &[LaggingTarget], ready: usize, overdue: bool) -> Vec<usize> {
     let reachable = lagging.iter().filter(|it| it.reachable);
     let total = reachable.clone().count() + ready;
     let share = if overdue { 1.0 } else { OUT_SHARE };
     let most = ((total as f64 * share) as usize).max(1);
-    let out = reachable.filter(|it| it.under_order).count();
-    let free = |it: &LaggingTarget| !it.under_order && !it.deferred;
-    let mut idle: Vec<usize> = (0..lagging.len()).filter(|index| free(&lagging[*index])).collect();
-    idle.sort_by_key(|index| {
+    let out = reachable.filter(|it| it.loading).count();
+    let free = |it: &LaggingTarget| !it.attended && !it.deferred;
+    let free: Vec<usize> = (0..lagging.len()).filter(|index| free(&lagging[*index])).collect();
+    let is_loading = |index: &usize| lagging[*index].loading;
+    let (mut orders, mut serving): (Vec<usize>, Vec<usize>) =
+        free.into_iter().partition(is_loading);
+    serving.sort_by_key(|index| {
         let it = &lagging[*index];
         (!it.reachable, it.weights, it.running)
     });
-    idle.truncate(most.saturating_sub(out));
-    idle
+    serving.truncate(most.saturating_sub(out));
+    orders.extend(serving);
+    orders
 }
--- a/crates/policy/tests/gateway_decisions.rs
+++ b/crates/policy/tests/gateway_decisions.rs
@@ -44,8 +44,15 @@
     assert!(table.len() <= 20_001);
 }
 
-fn lagging(running: u32, under_order: bool) -> LaggingTarget {
-    LaggingTarget { weights: 1, running, under_order, deferred: false, reachable: true }
+fn lagging(running: u32, ordered: bool) -> LaggingTarget {
+    LaggingTarget {
+        weights: 1,
+        running,
+        loading: ordered,
+        attended: ordered,
+        deferred: false,
+        reachable: true,
+    }
 }
 
 /// Engines that serve, with so many requests each.
@@ -57,6 +64,7 @@
 #[case::a_third_at_a_time(serving(&[3, 1, 2, 0, 5, 4]), 0, false, &[3, 1])]
 #[case::those_on_the_new_weights_count(serving(&[3, 1]), 4, false, &[1, 0])]
 #[case::those_under_order_count(vec![lagging(3, true), lagging(1, true), lagging(2, false), lagging(0, false)], 2, false, &[])]
+#[case::a_lost_order_is_repeated(vec![lagging(3, true), LaggingTarget { attended: false, ..lagging(0, true) }, lagging(2, false)], 3, false, &[1])]
 #[case::all_once_they_serve_nothing(vec![lagging(3, true), lagging(1, false), lagging(0, false)], 0, true, &[2, 1])]
 #[case::the_oldest_weights_first(vec![LaggingTarget { weights: 3, ..lagging(0, false) }, LaggingTarget { weights: 2, ..lagging(9, false) }], 1, false, &[1])]
 #[case::a_deferred_one_takes_no_place(vec![LaggingTarget { deferred: true, ..lagging(0, false) }, lagging(5, false)], 1, false, &[1])]
