Reject datagrams that claim more than their length

Cause: the decoder had no limit, so it reserved memory for any length that a message claims. A damaged listing made the process abort: 'memory allocation of bytes failed', SIGABRT (peer_messages, damaged_messages_are_rejected_without_a_panic, before the change). A daemon's peer port takes datagrams of anyone who reaches it.

Change: the decoder counts what it reads and stops at nine times the longest datagram, since it counts integers by their size in memory.

Result: 20,000 damaged copies of each of four messages are decoded or rejected; the longest legal datagram is still decoded. 8 tests pass.

--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -185,6 +185,12 @@
     Strike(Strike),
 }
 
+/// Longest datagram in bytes; UDP over IPv4 carries at most 65 507.
+pub const MAX_DATAGRAM_BYTES: usize = 60_000;
+/// Limit of the decoder, which counts integers and lengths by their size in memory: up to eight
+/// bytes for one on the wire.
+const MAX_DECODED_BYTES: usize = 9 * MAX_DATAGRAM_BYTES;
+
 /// Encodes a message; `None` if it cannot be encoded.
 pub fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
     bincode::serde::encode_to_vec(message, bincode::config::standard()).ok()
@@ -192,6 +198,9 @@
 
 /// Decodes a message; `None` if the bytes are not a valid one.
 pub fn decode(bytes: &[u8]) -> Option<PeerMessage> {
-    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+    // Without a limit the decoder reserves memory for any length that the message claims, and the
+    // process is aborted if there is not as much.
+    let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let decoded = bincode::serde::decode_from_slice(bytes, config);
     decoded.ok().map(|it| it.0)
 }
--- a/crates/gateway/src/peer_socket.rs
+++ b/crates/gateway/src/peer_socket.rs
@@ -9,10 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::gateway::lock;
-use crate::peer_message::{self, PeerMessage};
-
-/// Longest datagram in bytes; UDP over IPv4 carries at most 65 507.
-const MAX_DATAGRAM_BYTES: usize = 60_000;
+use crate::peer_message::{self, MAX_DATAGRAM_BYTES, PeerMessage};
 
 /// A UDP socket with the pending queries by id.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/gateway/tests/peer_messages.rs
@@ -0,0 +1,137 @@
+//! Datagrams that no daemon sends are rejected, whatever bytes they hold, and cost no memory beyond
+//! their own length.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+
+use gateway::config::TargetEntry;
+use gateway::directory::MemberEntry;
+use gateway::peer_message::{
+    self, DaemonStatus, GossipDirection, GossipReport, MAX_DATAGRAM_BYTES, PeerMessage, QuotaQuery,
+    WeightStatus,
+};
+use ids::{Incarnation, Revision};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+mod fixtures;
+
+/// Number of damaged copies of each message.
+const DAMAGED_COPIES: u64 = 20_000;
+
+fn member(name: &str) -> MemberEntry {
+    MemberEntry {
+        id: name.parse().expect("an id"),
+        incarnation: Incarnation(3),
+        address: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        domain: "a".parse().expect("an id"),
+        capacity: Default::default(),
+    }
+}
+
+fn report() -> PeerMessage {
+    PeerMessage::Gossip(Box::new(GossipReport {
+        sender: member("edge-1"),
+        direction: GossipDirection::ToChild(9),
+        wants_reply: true,
+        known_daemons: 2,
+        control: Some((Revision(7), Duration::from_millis(3), 11)),
+        listing: None,
+        daemons: vec![DaemonStatus {
+            daemon: 5,
+            age: Duration::from_millis(250),
+            leaving: false,
+            loads: Vec::new(),
+        }],
+        weights: Vec::new(),
+        kv_store: None,
+        prefixes: Vec::new(),
+        leaving_targets: vec![(1, 2)],
+        members: vec![member("edge-2")],
+    }))
+}
+
+fn listing() -> PeerMessage {
+    let entries: Vec<TargetEntry> =
+        vec![fixtures::entry("r-1", false), fixtures::entry("r-2", true)];
+    PeerMessage::Listing(Revision(4), Duration::from_secs(1), entries)
+}
+
+fn quota_query() -> PeerMessage {
+    PeerMessage::QuotaQuery(QuotaQuery {
+        query_id: 77,
+        customer: "coop".parse().expect("an id"),
+        tokens: 900,
+        substitute: false,
+    })
+}
+
+fn encode(message: &PeerMessage) -> Vec<u8> {
+    peer_message::encode(message).expect("a message of this version")
+}
+
+/// A length prefix of eight bytes, in the encoding of integers above 32 bits.
+fn long_length(length: u64) -> Vec<u8> {
+    let mut bytes = vec![0xfd];
+    bytes.extend_from_slice(&length.to_le_bytes());
+    bytes
+}
+
+#[rstest]
+#[case::report(report())]
+#[case::listing(listing())]
+#[case::members(PeerMessage::Members(vec![member("edge-1"), member("edge-2")]))]
+#[case::quota_query(quota_query())]
+fn damaged_messages_are_rejected_without_a_panic(#[case] message: PeerMessage) {
+    let bytes = encode(&message);
+    assert_eq!(peer_message::decode(&bytes), Some(message));
+    for seed in 0..DAMAGED_COPIES {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut damaged = bytes.clone();
+        for _ in 0..random.random_range(1..4) {
+            let at = random.random_range(0..damaged.len());
+            match random.random_range(0..4) {
+                0 => damaged[at] = random.random(),
+                1 => damaged.truncate(at.max(1)),
+                2 => damaged.insert(at, random.random()),
+                _ => {
+                    let length = random.random::<u64>() >> random.random_range(0..64);
+                    damaged.splice(at..=at, long_length(length));
+                }
+            }
+        }
+        // Some damaged messages are valid ones; the others must only be rejected.
+        let _ = peer_message::decode(&damaged);
+    }
+}
+
+/// A length is read before the bytes that it counts, and the memory for them must not be reserved
+/// on the sender's word.
+#[rstest]
+#[case::beyond_any_memory(u64::MAX)]
+#[case::beyond_this_machine(1 << 42)]
+#[case::beyond_a_small_instance(1 << 30)]
+fn a_text_longer_than_its_datagram_is_rejected(#[case] length: u64) {
+    let bytes = encode(&quota_query());
+    let at = bytes.windows(4).position(|it| it == b"coop").expect("the customer's id") - 1;
+    let mut claimed = bytes.clone();
+    claimed.splice(at..=at, long_length(length));
+    assert_eq!(peer_message::decode(&claimed), None);
+}
+
+/// Integers that are small on the wire and long in memory.
+#[test]
+fn a_message_of_the_longest_datagram_is_decoded() {
+    let status =
+        |member| WeightStatus { member, incarnation: 0, loaded: 0, commanded: 0, accepted: 0 };
+    let statuses = (0..(MAX_DATAGRAM_BYTES as u64 - 8) / 5).map(|it| status(it % 200));
+    let message = PeerMessage::Weights(statuses.collect());
+    let bytes = encode(&message);
+    assert!(
+        (MAX_DATAGRAM_BYTES - 16..=MAX_DATAGRAM_BYTES).contains(&bytes.len()),
+        "{}",
+        bytes.len()
+    );
+    assert_eq!(peer_message::decode(&bytes), Some(message));
+}
