Bound what a peer's message may claim, and messages before the handshake

A sender that had proved nothing could end the process with ten bytes ('memory allocation of bytes failed', SIGABRT, test malformed before the change) and make it hold 64 MiB a stream.

Change: the decoder's limit is the longest message; before the handshake a message has 4 KiB at most.

--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -167,5 +167,5 @@
     let (response, mut stream) = sender.send_request(head, false)?;
     codec::send(&mut stream, request)?;
     let mut body = response.await?.into_body();
-    codec::receive(&mut body).await
+    codec::receive(&mut body, codec::MAX_MESSAGE_BYTES).await
 }
--- a/crates/peers/src/codec.rs
+++ b/crates/peers/src/codec.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// The longest message that is accepted, in bytes.
-const MAX_MESSAGE_BYTES: usize = 64 << 20;
+/// The longest message that is accepted from a peer, in bytes.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 64 << 20;
 
 /// Why a message was not sent or received.
 #[derive(Debug, Clone, thiserror::Error)]
@@ -35,18 +35,25 @@
     Ok(stream.send_data(bytes.into(), true)?)
 }
 
-/// Reads the stream to its end and decodes the message.
-pub(crate) async fn receive<T: DeserializeOwned>(stream: &mut RecvStream) -> Result<T, CodecError> {
+/// Reads the stream to its end and decodes the message, of at most `max_bytes`.
+pub(crate) async fn receive<T: DeserializeOwned>(
+    stream: &mut RecvStream,
+    max_bytes: usize,
+) -> Result<T, CodecError> {
     let mut buffer = BytesMut::new();
     while let Some(chunk) = stream.data().await {
         let chunk = chunk?;
-        if buffer.len() + chunk.len() > MAX_MESSAGE_BYTES {
-            return Err(CodecError::Malformed("the message is longer than 64 MiB".into()));
+        if buffer.len() + chunk.len() > max_bytes {
+            let text = format!("the message is longer than {max_bytes} bytes");
+            return Err(CodecError::Malformed(text.into()));
         }
         stream.flow_control().release_capacity(chunk.len())?;
         buffer.extend_from_slice(&chunk);
     }
-    bincode::serde::decode_from_slice(&buffer, bincode::config::standard())
+    // Without a limit the decoder reserves memory for any length that the message claims, and the
+    // process is aborted if there is not as much.
+    let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
+    bincode::serde::decode_from_slice(&buffer, config)
         .map(|(message, _)| message)
         .map_err(|error| CodecError::Malformed(error.to_string().into()))
 }
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -11,9 +11,13 @@
 use tokio::sync::watch;
 
 use crate::auth::{self, Role};
-use crate::codec::{self, CodecError};
+use crate::codec::{self, CodecError, MAX_MESSAGE_BYTES};
 use crate::message::{Hello, PROTOCOL_VERSION, PeerRequest, PeerResponse};
 
+/// The longest message that is accepted before the peer has proved that it knows the secret, in
+/// bytes.
+const MAX_HANDSHAKE_BYTES: usize = 4 << 10;
+
 /// Answers messages of peers that have proved that they know the secret.
 pub trait PeerHandler: Send + Sync + 'static {
     /// Answers one message of instance `from`. Messages of one connection are handled concurrently.
@@ -96,7 +100,11 @@
     session: &Mutex<Session>,
 ) -> Result<(), CodecError> {
     let mut body = request.into_body();
-    let message: PeerRequest = codec::receive(&mut body).await?;
+    let max_bytes = match authenticated_peer(session) {
+        Some(_) => MAX_MESSAGE_BYTES,
+        None => MAX_HANDSHAKE_BYTES,
+    };
+    let message: PeerRequest = codec::receive(&mut body, max_bytes).await?;
     let response = match message {
         PeerRequest::Hello(hello) => answer_hello(hello, secret, incarnation, session),
         PeerRequest::Prove { proof } => check_proof(&proof, secret, session),
