Keep crash records when a request on record gets another strike

Cause: at the limit of 10,000 records record_strike dropped the first record before it looked whether the request is on record. Failed before: quarantine, a strike of a request on record dropped another, and a second strike for the first one was counted as its first (Isolated instead of Quarantined).

Change: only a new request drops the oldest record.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -14,8 +14,8 @@
 pub const STRIKE_LIMIT: usize = 2;
 /// How long the strikes of a request count after the last one.
 const STRIKE_RETENTION: Duration = Duration::from_secs(3_600);
-/// Upper limit of requests on record. At the limit each strike drops the one recorded first.
-const MAX_RECORDS: usize = 10_000;
+/// Upper limit of requests on record. At the limit a new request drops the one recorded first.
+pub const MAX_RECORDS: usize = 10_000;
 
 /// Digest of a request's customer, route and body, by which a repeated request is recognised.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -72,7 +72,8 @@
 
     /// Records a strike; returns true if it was not known.
     pub fn record_strike(&mut self, now: Duration, strike: Strike) -> bool {
-        if self.records.len() >= MAX_RECORDS {
+        let is_new = !self.records.contains_key(&strike.fingerprint);
+        if is_new && self.records.len() >= MAX_RECORDS {
             self.records.shift_remove_index(0);
         }
         let record = self.records.entry(strike.fingerprint).or_insert(StrikeRecord {
