Compare a peer's request counts with the own counts as of now

Cause: merge_hottest compared a peer's decayed count with the own count as it was when it was last changed, so that a prefix which was hot an hour ago kept its stale count and stayed unknown to a daemon that merged a fresh one. Failed before: hot_prefixes, [] instead of the count of 40.

Change: the own count is decayed to now before the comparison.

Result: 2 tests pass.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -246,11 +246,13 @@
         all
     }
 
-    /// Merges a peer's most requested nodes; of two request counts the greater one is kept.
+    /// Merges a peer's most requested nodes, counted as of now; of two request counts the one that
+    /// is greater now is kept.
     pub fn merge_hottest(&mut self, now: Duration, hottest: &[(ChainHash, f64)]) {
         for (node, requests) in hottest {
             let record = self.nodes.entry(*node).or_default();
-            if record.requests < *requests {
+            let age = now.saturating_sub(record.counted_at);
+            if record.requests * decay(age, REQUEST_HALF_LIFE) < *requests {
                 record.requests = *requests;
                 record.counted_at = now;
             }
