Tell load that changes for both versions from a slow version

Change: overlapping slow requests count once unless the old version answered in time and none of its requests was slow meanwhile; the share of slow requests of a good version follows the old one's recent share; a second test looks for 2 points more, with the old version's rate taken two standard errors higher.

Fewer slight slowdowns are found.

--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -266,11 +266,8 @@
         if version != open_move.from && version != open_move.to {
             return None;
         }
-        let sample = TrialSample {
-            on_new_version: version == open_move.to,
-            failed,
-            latency_s: latency.map(|it| it.as_secs_f64()),
-        };
+        let on_new_version = version == open_move.to;
+        let sample = TrialSample { on_new_version, failed, ended_at: self.clock.now(), latency };
         let fault = state.trial.record(route, sample)?;
         let newly_found = state.rejected_move.as_ref() != Some(&open_move.id);
         state.rejected_move = Some(open_move.id.clone());
--- a/crates/policy/src/version_trial.rs
+++ b/crates/policy/src/version_trial.rs
@@ -5,15 +5,32 @@
 //! one's failure rate. Slowness is tested the same way, by the share of the new version's requests
 //! that are slower than the old one's 95th percentile. Each route is tested alone, and all routes
 //! together.
+//!
+//! The load pattern that this answers: load changes for both versions while a trial runs. A stalled
+//! machine delays all requests that run at the same time, so overlapping slow requests are one
+//! observation unless the old version answered in time meanwhile, and the old version's recent
+//! requests tell what share is slow just now.
+
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
-/// The test detects a version whose failure rate exceeds the old one's by this much.
-const BAD_EXTRA_FAILURES: f64 = 0.10;
+/// Two tests, for a version whose failure rate exceeds the old one's by these shares: the greater
+/// one needs fewer requests, the smaller one finds faults that show in few of them.
+const EXTRA_FAILURE_SHARES: [f64; 2] = [0.10, 0.02];
+/// The old version's failure rate is assumed to lie this many standard errors above the observed
+/// one, for each of these tests. A smaller difference needs a better estimate.
+const RATE_STANDARD_ERRORS: [f64; 2] = [1.0, 2.0];
+/// Requests of the old version needed before the smaller share is tested.
+const MIN_OLD_REQUESTS: f64 = 100.0;
 /// Share of slow requests of a good version, by the definition of the 95th percentile.
 const GOOD_SLOW_SHARE: f64 = 0.05;
-/// Share of slow requests of a slow version.
-const BAD_SLOW_SHARE: f64 = 0.25;
+/// By how much the share of slow requests of a slow version exceeds that of a good one.
+const EXTRA_SLOW_SHARE: f64 = 0.20;
+/// The greatest share of slow requests that is assumed of a good version.
+const MAX_GOOD_SLOW_SHARE: f64 = 0.75;
+/// Smoothing factor of the old version's recent share of slow requests.
+const RECENT_SLOW_SMOOTHING: f64 = 0.05;
 /// Log-likelihood ratio at which a version is found bad: one false alarm in 10,000 tests.
 const BAD_RATIO: f64 = 9.21;
 /// Lower bound of the log-likelihood ratio, so that a fault that sets in late is still found soon.
@@ -22,6 +39,8 @@
 const MAX_LATENCIES: usize = 256;
 /// Latencies of the old version needed before slowness is tested.
 const MIN_LATENCIES: usize = 20;
+/// Latencies of the old version after which the limit of slow requests is computed anew.
+const LATENCIES_PER_LIMIT: usize = 10;
 
 /// The result of one request, as evidence about the version that served it.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,8 +49,10 @@
     pub on_new_version: bool,
     /// Whether it failed and the version is to blame.
     pub failed: bool,
-    /// Seconds to its first token, if it got one.
-    pub latency_s: Option<f64>,
+    /// When it failed or got its first token.
+    pub ended_at: Duration,
+    /// The time to its first token, if it got one.
+    pub latency: Option<Duration>,
 }
 
 /// The fault found in a new version.
@@ -49,10 +70,22 @@
 struct RouteTrial {
     old_count: f64,
     old_failures: f64,
-    old_latencies: Vec<f64>,
+    old_latencies: Vec<Duration>,
     next_latency: usize,
-    failing: f64,
+    /// The latency above which a request counts as slow: 1.05 times the old version's 95th
+    /// percentile. `None` while there are too few samples.
+    slow_limit: Option<Duration>,
+    /// Recent share of the old version's requests that were slow, by the limit at their time.
+    old_slow_share: f64,
+    /// For each of `EXTRA_FAILURE_SHARES`.
+    failing: [f64; EXTRA_FAILURE_SHARES.len()],
     slow: f64,
+    /// When the last slow request that counted ended.
+    slow_until: Duration,
+    /// When a request of the old version last ended that was not slow.
+    old_in_time_at: Duration,
+    /// When one last ended that was slow.
+    old_slow_at: Duration,
 }
 
 /// The evidence that one daemon has about the new version of one move.
@@ -91,41 +124,71 @@
             self.record_old(sample);
             return None;
         }
-        // One failure in 100 requests is added to the old version's counts, so that an old version
-        // without failures does not count as one that never fails.
-        let good = ((self.old_failures + 1.0) / (self.old_count + 100.0)).min(0.5);
-        let bad = (good + BAD_EXTRA_FAILURES).min(0.95);
-        self.failing = update_ratio(self.failing, good, bad, sample.failed);
-        if let (Some(limit), Some(latency_s)) = (self.slow_limit(), sample.latency_s) {
-            self.slow = update_ratio(self.slow, GOOD_SLOW_SHARE, BAD_SLOW_SHARE, latency_s > limit);
+        self.record_failure(sample.failed);
+        if let Some(latency) = sample.latency {
+            self.record_latency(sample.ended_at, latency);
         }
-        if self.failing >= BAD_RATIO {
+        if self.failing.iter().any(|it| *it >= BAD_RATIO) {
             return Some(TrialFault::Failing);
         }
         (self.slow >= BAD_RATIO).then_some(TrialFault::Slow)
     }
 
+    fn record_failure(&mut self, failed: bool) {
+        // One failure in 100 requests is added to the old version's counts, so that an old version
+        // without failures does not count as one that never fails.
+        let count = self.old_count + 100.0;
+        let rate = (self.old_failures + 1.0) / count;
+        let error = (rate * (1.0 - rate) / count).sqrt();
+        for (index, ratio) in self.failing.iter_mut().enumerate() {
+            if index > 0 && self.old_count < MIN_OLD_REQUESTS {
+                continue;
+            }
+            let good = (rate + RATE_STANDARD_ERRORS[index] * error).min(0.5);
+            let bad = (good + EXTRA_FAILURE_SHARES[index]).min(0.95);
+            *ratio = update_ratio(*ratio, good, bad, failed);
+        }
+    }
+
+    fn record_latency(&mut self, ended_at: Duration, latency: Duration) {
+        let Some(limit) = self.slow_limit else { return };
+        let is_slow = latency > limit;
+        if is_slow {
+            let started_at = ended_at.saturating_sub(latency);
+            let old_was_in_time =
+                self.old_in_time_at > started_at + limit && self.old_slow_at <= started_at;
+            if started_at < self.slow_until && !old_was_in_time {
+                return;
+            }
+            self.slow_until = ended_at;
+        }
+        let good = self.old_slow_share.clamp(GOOD_SLOW_SHARE, MAX_GOOD_SLOW_SHARE);
+        self.slow = update_ratio(self.slow, good, good + EXTRA_SLOW_SHARE, is_slow);
+    }
+
     fn record_old(&mut self, sample: TrialSample) {
         self.old_count += 1.0;
         self.old_failures += if sample.failed { 1.0 } else { 0.0 };
-        let Some(latency_s) = sample.latency_s else { return };
+        let Some(latency) = sample.latency else { return };
+        if let Some(limit) = self.slow_limit {
+            let slow = if latency > limit { 1.0 } else { 0.0 };
+            self.old_slow_share += RECENT_SLOW_SMOOTHING * (slow - self.old_slow_share);
+            let last =
+                if latency > limit { &mut self.old_slow_at } else { &mut self.old_in_time_at };
+            *last = sample.ended_at;
+        }
         if self.old_latencies.len() < MAX_LATENCIES {
-            self.old_latencies.push(latency_s);
+            self.old_latencies.push(latency);
         } else {
-            self.old_latencies[self.next_latency % MAX_LATENCIES] = latency_s;
+            self.old_latencies[self.next_latency % MAX_LATENCIES] = latency;
         }
         self.next_latency += 1;
-    }
-
-    /// The latency above which a request counts as slow, in seconds: 1.05 times the old version's
-    /// 95th percentile. `None` while there are too few samples.
-    fn slow_limit(&self) -> Option<f64> {
-        if self.old_latencies.len() < MIN_LATENCIES {
-            return None;
+        let count = self.old_latencies.len();
+        if count >= MIN_LATENCIES && self.next_latency.is_multiple_of(LATENCIES_PER_LIMIT) {
+            let mut sorted = self.old_latencies.clone();
+            sorted.sort_unstable();
+            self.slow_limit = Some(sorted[count * 95 / 100].mul_f64(1.05));
         }
-        let mut sorted = self.old_latencies.clone();
-        sorted.sort_by(f64::total_cmp);
-        Some(sorted[(sorted.len() * 95) / 100] * 1.05)
     }
 }
 
--- a/crates/xtask/src/measure/trial.rs
+++ b/crates/xtask/src/measure/trial.rs
@@ -1,6 +1,8 @@
 //! How soon a faulty version is detected, how many requests it harms until then, and how often a
 //! good one is rolled back.
 
+use std::time::Duration;
+
 use policy::version_trial::{TrialFault, TrialSample, VersionTrial};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -88,7 +90,7 @@
     // Requests that the old version served before the trial.
     for _ in 0..200 {
         let route = ROUTES[random.random_range(0..ROUTES.len())];
-        trial.record(route, draw_sample(&mut random));
+        trial.record(route, draw_sample(&mut random, 0.0));
     }
     while now < DURATION_S {
         now += -random.random::<f64>().ln() / ARRIVALS_PER_S;
@@ -96,7 +98,7 @@
         // After the trial of 30 s the share grows with each replica that gets the new version.
         let share = if now < 30.0 { TRIAL_SHARE } else { TRIAL_SHARE + 0.9 * (now - 30.0) / 90.0 };
         let is_new = random.random::<f64>() < share;
-        let mut sample = draw_sample(&mut random);
+        let mut sample = draw_sample(&mut random, now);
         if is_new {
             sample.on_new_version = true;
             harmed_requests += u64::from(inject_fault(fault, now, route, &mut sample, &mut random));
@@ -109,14 +111,15 @@
     (None, harmed_requests)
 }
 
-/// A sample of the old version.
-fn draw_sample(random: &mut StdRng) -> TrialSample {
+/// A sample of the old version at `now`, in seconds from the start of the trial.
+fn draw_sample(random: &mut StdRng, now: f64) -> TrialSample {
     // First-token times have a long tail: they vary with prompt length and cache hits.
     let latency = 0.2 * (1.0 - random.random::<f64>()).recip().powf(0.4);
     TrialSample {
         on_new_version: false,
         failed: random.random::<f64>() < BASE_FAILURE_RATE,
-        latency_s: Some(latency),
+        ended_at: Duration::from_secs_f64(now),
+        latency: Some(Duration::from_secs_f64(latency)),
     }
 }
 
@@ -141,6 +144,6 @@
     };
     let failed = random.random::<f64>() < failure_rate;
     sample.failed |= failed;
-    sample.latency_s = sample.latency_s.map(|it| it * slowdown);
+    sample.latency = sample.latency.map(|it| it.mul_f64(slowdown));
     failed || slowdown > 1.0
 }
