--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -28,6 +28,16 @@
     pub(crate) command: ToolCommand,
 }
 
+/// Marks the end of the options before the first `-`, which stands for standard input: the parser
+/// would take it for an option.
+pub(crate) fn separate_standard_input(mut words: Vec<String>) -> Vec<String> {
+    let first = words.iter().position(|it| it == "-" || it == "--");
+    if let Some(index) = first.filter(|it| words[*it] == "-") {
+        words.insert(index, "--".into());
+    }
+    words
+}
+
 #[derive(FromArgs)]
 #[argh(subcommand)]
 pub(crate) enum ToolCommand {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,14 +11,14 @@
 mod log_search;
 mod output;
 
-use std::process;
+use std::{env, process};
 
+use argh::FromArgs;
 use args::ToolArgs;
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() {
-    let args: ToolArgs = argh::from_env();
-    match commands::run(args).await {
+    match commands::run(parse_args()).await {
         Ok(code) => process::exit(code),
         Err(error) => {
             eprintln!("kingcupshift: {error}");
@@ -26,3 +26,21 @@
         }
     }
 }
+
+/// Parses the arguments of the process; prints the help or the error and exits if there is nothing
+/// to run.
+fn parse_args() -> ToolArgs {
+    let words: Vec<String> = env::args().skip(1).collect();
+    let words = args::separate_standard_input(words);
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    ToolArgs::from_args(&["kingcupshift"], &words).unwrap_or_else(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            process::exit(0);
+        }
+        Err(()) => {
+            eprintln!("{}\nRun kingcupshift --help for more information.", exit.output);
+            process::exit(1);
+        }
+    })
+}
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -1,9 +1,11 @@
 //! `kingcupshift explain`: prints the log entries of one request from several log files.
 
 use std::fs;
+use std::io::Write;
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
+use rstest::rstest;
 use serde_json::Value;
 
 const DAEMON_LOG: &str = concat!(
@@ -69,3 +71,28 @@
     assert!(String::from_utf8(out.stderr).unwrap().contains("no-such.log"));
     assert_eq!(run_tool(&["explain", "a1"], &[]).status.code(), Some(2));
 }
+
+#[rstest]
+#[case::alone(&["--json", "explain", "a1", "-"], &["call: placed"])]
+#[case::after_a_separator(&["--json", "explain", "a1", "--", "-"], &["call: placed"])]
+#[case::before_files(&["--json", "explain", "a1", "-", "FILE"], &["rate: taken", "call: placed"])]
+fn a_dash_is_standard_input(#[case] args: &[&str], #[case] expected: &[&str]) {
+    let files = write_log_files("standard-input");
+    let collected = files[1].to_str().unwrap();
+    let args = args.iter().map(|it| if *it == "FILE" { collected } else { it });
+    let mut tool = Command::new(env!("CARGO_BIN_EXE_kingcupshift"))
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // A tool that rejects its arguments does not read its input.
+    let _ = tool.stdin.take().unwrap().write_all(DAEMON_LOG.as_bytes());
+    let out = tool.wait_with_output().unwrap();
+    let error = String::from_utf8_lossy(&out.stderr);
+    assert_eq!(out.status.code(), Some(0), "{error}");
+    let entries: Vec<Value> = serde_json::from_slice(&out.stdout).unwrap();
+    let what: Vec<&str> = entries.iter().filter_map(|it| it["what"].as_str()).collect();
+    assert_eq!(what, expected);
+}
