Check the bounds of the remaining times in the settings

Cause: drain_ms, rate_wait_ms, slot_ms and prefill_us were taken as they stand. A drain time of 0 cuts all requests at a stop, a wait of years holds a caller, a negative prefill time turns placement round.

Change: they are checked like the others; rate_wait_ms may be 0, which refuses at once.

Result: 4 new cases failed before and pass.

--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -281,6 +281,10 @@
         if self.traffic.piece_tokens == 0 {
             errors.push(("traffic.piece_tokens", "0".into(), "a number above 0"));
         }
+        let prefill_us = self.traffic.prefill_us;
+        if !(prefill_us.is_finite() && prefill_us >= 0.0) {
+            errors.push(("traffic.prefill_us", prefill_us.to_string(), "0 or more"));
+        }
         errors.extend(self.check_secrets());
         errors
     }
@@ -312,9 +316,17 @@
             ("timeouts.catalog_grace_ms", timeouts.catalog_grace_ms),
             ("timeouts.counter_queue_ms", timeouts.counter_queue_ms),
             ("timeouts.deferrable_queue_ms", timeouts.deferrable_queue_ms),
+            ("timeouts.drain_ms", timeouts.drain_ms),
+            ("traffic.slot_ms", self.traffic.slot_ms),
         ];
         let outside = times.into_iter().filter(|it| it.1 == Millis(0) || it.1 > MAX_TIMEOUT);
-        outside.map(|(path, found)| (path, found.to_string(), "1 to 3600000 milliseconds"))
+        let outside =
+            outside.map(|(path, found)| (path, found.to_string(), "1 to 3600000 milliseconds"));
+        // Without a wait, requests over the rate are refused at once.
+        let wait = timeouts.rate_wait_ms;
+        let long_wait = (wait > MAX_TIMEOUT)
+            .then(|| ("timeouts.rate_wait_ms", wait.to_string(), "0 to 3600000 milliseconds"));
+        outside.chain(long_wait)
     }
 
     fn check_secrets(&self) -> impl Iterator<Item = BoundsError> {
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -69,6 +69,22 @@
     "{ \"platform\": { \"poll_ms\": 9000 } }",
     "over.json:1: field platform.poll_ms: found 9000; allowed: at most 2500: changes are due within 5 s"
 )]
+#[case::no_time_to_drain(
+    "{ \"timeouts\": { \"drain_ms\": 0 } }",
+    "over.json:1: field timeouts.drain_ms: found 0; allowed: 1 to 3600000 milliseconds"
+)]
+#[case::endless_wait_for_tokens(
+    "{ \"timeouts\": { \"rate_wait_ms\": 3600001 } }",
+    "over.json:1: field timeouts.rate_wait_ms: found 3600001; allowed: 0 to 3600000 milliseconds"
+)]
+#[case::requests_that_hold_no_slot(
+    "{ \"traffic\": { \"slot_ms\": 0 } }",
+    "over.json:1: field traffic.slot_ms: found 0; allowed: 1 to 3600000 milliseconds"
+)]
+#[case::negative_prefill_time(
+    "{ \"traffic\": { \"prefill_us\": -1.5 } }",
+    "over.json:1: field traffic.prefill_us: found -1.5; allowed: 0 or more"
+)]
 #[case::invalid_address(
     "{ \"platform\": { \"table\": \"here\" } }",
     "over.json:1: field platform.table: invalid socket address syntax"
@@ -87,6 +103,12 @@
     assert!(error.starts_with(expected), "{error}");
 }
 
+#[test]
+fn requests_over_a_rate_may_be_refused_without_a_wait() {
+    let settings = load(r#"{ "timeouts": { "rate_wait_ms": 0 } }"#).unwrap();
+    assert_eq!(settings.timeouts.rate_wait_ms, Millis(0));
+}
+
 #[test]
 fn a_syntax_error_names_its_line() {
     let error = load("{\n  \"limits\": {\n    \"body_bytes\" 3\n  }\n}").unwrap_err();
