Wait for the operators' port in the tests' fleet

Cause: wait_ready asked the callers' port only, and the daemon opens the operators' port after it.

Change: a daemon is ready when both ports answer.

--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -246,12 +246,15 @@
         self.daemons[index] = DaemonProcess::start(&id, ports, relay, platform, &self.settings);
     }
 
-    /// Waits until a daemon accepts requests.
+    /// Waits until a daemon accepts requests of callers and of operators.
     pub async fn wait_ready(&self, index: usize) {
-        let address = self.daemons[index].caller_address;
+        let DaemonProcess { caller_address, admin_address, .. } = self.daemons[index];
         wait_until(WAIT_LIMIT, "the daemon is ready", async || {
-            let answer = self.send(Method::GET, address, "/healthz", &[], Bytes::new()).await;
+            let answer =
+                self.send(Method::GET, caller_address, "/healthz", &[], Bytes::new()).await;
+            // The daemon opens the operators' port after the callers' port.
             answer.is_ok_and(|it| it.status == StatusCode::OK)
+                && self.fetch_status(admin_address).await.is_ok()
         })
         .await;
     }
