Let few daemons read the store when all start at once

Cause: every daemon that is no seed read both tables 0.8 s after its start if it had no copy yet. After the loss of all of 195 daemons before 2,000 replicas, all of them read the whole list (3,302 calls, 0.25 GB).

Change: further ranks wait as long as for a newer copy; seeds read at once as before.

Result: gateway_decisions, two new cases.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -17,7 +17,7 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 /// The longest pause after a failed read.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
-/// How long a new daemon waits for its seeds before it reads the store itself.
+/// How long a new daemon waits for its seeds before it looks for daemons in the store.
 const SEED_WAIT: Duration = Duration::from_millis(800);
 /// Half of the first pause before the announcement or the search for daemons is repeated: the pause
 /// doubles before each wait.
@@ -77,12 +77,11 @@
             StoreSubject::Targets => (view.listing().map(|it| it.read_at), bounds.drain),
         }
     };
+    let rank = lock(&gateway.members).rank(now);
     let Some(known_at) = known_at else {
-        // Seeds read at once, and forward to the others as soon as they reach them.
-        let wait = if gateway.is_seed() { Duration::ZERO } else { SEED_WAIT };
+        let wait = read_schedule::first_read_delay(bound, rank, gateway.is_seed());
         return (gateway.started_at + wait).saturating_sub(now);
     };
-    let rank = lock(&gateway.members).rank(now);
     let max_age = read_schedule::age_limit(bound, rank);
     (known_at + max_age).saturating_sub(now)
 }
@@ -106,10 +105,8 @@
         },
         StoreSubject::Targets => match gateway.directory.read_targets().await {
             Ok(snapshot) => {
-                let change = gateway.apply_listing(asked_at, snapshot, "store");
-                if change.any() {
-                    gossip::forward_listing(gateway, None);
-                }
+                let update = gateway.apply_listing(asked_at, snapshot, "store");
+                gossip::forward_listing(gateway, None, update);
                 None
             }
             Err(error) => Some(error),
--- a/crates/policy/src/read_schedule.rs
+++ b/crates/policy/src/read_schedule.rs
@@ -14,6 +14,16 @@
 /// Upper limit of the age, for the last ranks, as a ratio of the bound.
 const MAX_BOUND_RATIO: f64 = 0.6;
 
+/// How long a new daemon that is no seed waits for a copy from others before it reads.
+const FIRST_READ_DELAY: Duration = Duration::from_millis(800);
+
+/// How long after its start a daemon without a copy reads. Seeds read at once and pass their copies
+/// on. If all daemons of a large fleet start at the same moment, reads of all of them would be more
+/// than the store serves, so further ranks wait as long as for a newer copy.
+pub fn first_read_delay(bound: Duration, rank: usize, is_seed: bool) -> Duration {
+    if is_seed { Duration::ZERO } else { FIRST_READ_DELAY.max(age_limit(bound, rank)) }
+}
+
 /// The age of its copy from which the daemon of a rank, 0 the first, reads state that must be in
 /// force everywhere within `bound`.
 pub fn age_limit(bound: Duration, rank: usize) -> Duration {
--- a/crates/policy/tests/gateway_decisions.rs
+++ b/crates/policy/tests/gateway_decisions.rs
@@ -167,3 +167,18 @@
     assert!(limits[1] > limits[0].mul_f64(1.5));
     assert!(limits[399] < bound.mul_f64(0.7));
 }
+
+/// A few daemons read after a start of all, and none waits longer than for a newer copy.
+#[rstest]
+#[case::depot(2_000)]
+#[case::large_fleet(4_000)]
+fn when_all_daemons_start_at_once_seeds_read_and_few_others(#[case] bound_ms: u64) {
+    let bound = Duration::from_millis(bound_ms);
+    assert_eq!(read_schedule::first_read_delay(bound, 7, true), Duration::ZERO);
+    let delays: Vec<Duration> =
+        (0..400).map(|rank| read_schedule::first_read_delay(bound, rank, false)).collect();
+    assert!(delays.iter().all(|it| *it >= Duration::from_millis(800)));
+    assert!(delays.iter().all(|it| *it < bound.mul_f64(0.7)));
+    let early = delays.iter().filter(|it| **it <= Duration::from_secs(1));
+    assert!(early.count() <= 4, "further daemons read only if the first ones did not");
+}
