Send long messages in parts, and changes instead of whole lists

Change: longer messages go in parts (message_parts). A changed list is forwarded as its change (listing_change); a lagging daemon is sent the whole one at most twice a second. Between two full reports a child gets only the loads that changed, and a full report leaves out weights and members of which the receiver has the same digest. The digests stand behind the report, where the version before ignores them.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -222,13 +222,18 @@
         };
         let hash = match (same, known) {
             (true, Some(it)) => it.hash,
-            _ => hash_value(&*entries),
+            _ => hash_listing(&entries),
         };
         self.listing = Some(TargetListing { revision, read_at, entries, hash });
         ViewChange { listing: !same, ..ViewChange::default() }
     }
 }
 
+/// The hash by which daemons compare their lists of replicas.
+pub(crate) fn hash_listing(entries: &[TargetEntry]) -> u64 {
+    hash_value(entries)
+}
+
 fn hash_value<T: serde::Serialize + ?Sized>(value: &T) -> u64 {
     let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard());
     xxh3::xxh3_64(&bytes.unwrap_or_default())
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use ids::{FailureDomain, PoolId, TargetId};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use policy::demand::PromptDemand;
 use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
 use policy::rendezvous;
+use xxhash_rust::xxh3;
 
 use crate::config::TargetEntry;
 use crate::kv_store::KvStoreView;
@@ -31,6 +32,8 @@
     /// Positions of the replicas in the order of their hashes, by pool. All daemons use this order.
     pub(crate) pool_orders: IndexMap<PoolId, Vec<u64>>,
     pub(crate) peer_loads: LoadTable,
+    /// This daemon's loads when the period of reports began, by replica hash.
+    reported_own_loads: IndexMap<u64, LoadCount>,
     /// Reported weights by replica hash and incarnation, also of replicas that are not listed yet.
     reported_weights: IndexMap<(u64, u64), ReportedWeights>,
     /// Which replicas are expected to hold which prompt prefixes.
@@ -76,6 +79,7 @@
             replicas: IndexMap::new(),
             pool_orders: IndexMap::new(),
             peer_loads: LoadTable::default(),
+            reported_own_loads: IndexMap::new(),
             reported_weights: IndexMap::new(),
             prefixes: PrefixTable::default(),
             kv_store: None,
@@ -171,12 +175,49 @@
     /// The summed loads of all daemons but `peer`, for a report to that peer.
     pub fn loads_excluding(&mut self, now: Duration, peer: u64) -> Vec<TargetLoad> {
         self.peer_loads.expire(now);
-        let mut sums: IndexMap<u64, LoadCount> = self.peer_loads.sums_without(peer).collect();
-        for load in self.own_loads(now) {
-            sums.entry(load.member).or_default().add(&load.load());
+        let own = self.replicas.values().filter(|it| it.own_load(now) != LoadCount::default());
+        let members: IndexSet<u64> =
+            own.map(|it| it.member).chain(self.peer_loads.loaded()).collect();
+        let loads = members.iter().map(|it| self.load_excluding(now, peer, *it));
+        loads.filter(|it| it.load() != LoadCount::default()).collect()
+    }
+
+    /// Those of these loads that changed since the period before this one began; a load of zero
+    /// says that none is left.
+    pub fn changed_loads_excluding(&mut self, now: Duration, peer: u64) -> Vec<TargetLoad> {
+        self.peer_loads.expire(now);
+        self.peer_loads.changed().map(|it| self.load_excluding(now, peer, it)).collect()
+    }
+
+    fn load_excluding(&self, now: Duration, peer: u64, member: u64) -> TargetLoad {
+        let mut sum = self.peer_loads.sum_without(peer, member);
+        if let Some(replica) = self.replicas.get(&member) {
+            sum.add(&replica.own_load(now));
         }
-        let busy = sums.iter().filter(|it| *it.1 != LoadCount::default());
-        busy.map(|(member, load)| TargetLoad::new(*member, *load)).collect()
+        TargetLoad::new(member, sum)
+    }
+
+    /// Begins a period of reports: loads that change until the next one are part of its reports.
+    pub fn begin_report_period(&mut self, now: Duration) {
+        let loads: IndexMap<u64, LoadCount> =
+            self.own_loads(now).iter().map(|it| (it.member, it.load())).collect();
+        let before = std::mem::replace(&mut self.reported_own_loads, loads);
+        let after = &self.reported_own_loads;
+        let ended = before.keys().filter(|it| !after.contains_key(*it));
+        let changed = after.iter().filter(|it| before.get(it.0) != Some(it.1));
+        let members: Vec<u64> = ended.chain(changed.map(|it| it.0)).copied().collect();
+        self.peer_loads.begin_period(members.into_iter());
+    }
+
+    /// A digest of what is known of replicas' weights. Commands that are done do not count, as a
+    /// daemon may not have heard of them.
+    pub fn weights_digest(&self) -> u64 {
+        let statuses = self.replicas.values().filter(|it| it.weights > 0);
+        statuses.map(|it| it.weight_status()).fold(0, |digest, it| {
+            let commanded = if it.commanded > it.loaded { it.commanded } else { 0 };
+            let fields = [it.member, it.incarnation, it.loaded, it.accepted, commanded];
+            digest ^ xxh3::xxh3_64(fields.map(u64::to_le_bytes).as_flattened())
+        })
     }
 
     /// A peer's loads as last reported, to be passed on.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,15 +17,17 @@
 use ports::{Clock, SystemClock};
 use tokio::sync::Notify;
 
-use crate::cluster_view::{ClusterView, ViewChange};
+use crate::cluster_view::{ClusterView, TargetListing, ViewChange};
 use crate::config::{ControlState, SiteConfig, TargetEntry};
 use crate::connections::ConnectionTable;
 use crate::dialect::Dialect;
 use crate::directory::{Directory, MemberEntry, Snapshot};
 use crate::fleet::FleetTable;
-use crate::gossip::PrefixRelay;
+use crate::gossip::GossipRelay;
+use crate::listing_change::{self, ListingUpdate};
 use crate::members::MemberTable;
 use crate::metrics::{GaugeSample, Metrics};
+use crate::peer_message::ListingChange;
 use crate::peer_socket::PeerSocket;
 use crate::settings::GatewaySettings;
 
@@ -56,7 +58,7 @@
     pub(crate) started_at: Duration,
     pub(crate) connections: ConnectionTable<SystemClock>,
     pub(crate) peer_socket: PeerSocket,
-    pub(crate) prefix_relay: PrefixRelay,
+    pub(crate) gossip_relay: GossipRelay,
     pub(crate) metrics: Metrics,
     /// Wakes tasks that act on the configuration or the listing of replicas.
     pub(crate) view_changed: Notify,
@@ -110,7 +112,7 @@
             clock,
             connections: ConnectionTable::new(clock),
             peer_socket,
-            prefix_relay: PrefixRelay::default(),
+            gossip_relay: GossipRelay::default(),
             metrics: Metrics::new(),
             view_changed: Notify::new(),
             capacity_freed: Notify::new(),
@@ -251,33 +253,61 @@
         change
     }
 
-    /// Applies a listing of replicas that was read at `read_at`, if it is newer.
+    /// Applies a listing of replicas that was read at `read_at`, if it is newer. Returns what peers
+    /// are to be told of it.
     pub(crate) fn apply_listing(
         &self,
         read_at: Duration,
         snapshot: Snapshot<Vec<TargetEntry>>,
         source: &'static str,
-    ) -> ViewChange {
+    ) -> ListingUpdate {
         let mut view = lock(&self.view);
+        let before = view.listing().cloned();
         let change = view.apply_listing(read_at, snapshot.revision, snapshot.value);
-        if change.listing
-            && let Some(listing) = view.listing()
-        {
-            let count = listing.entries.len();
-            let leaving = listing.entries.iter().filter(|it| it.leaving).count();
-            lock(&self.fleet).apply_listing(&listing.entries);
-            tracing::info!(
-                revision = listing.revision.0,
-                count,
-                leaving,
-                source,
-                "targets: newer listing applied"
-            );
-            drop(view);
-            self.view_changed.notify_waiters();
-            self.capacity_freed.notify_waiters();
+        let Some(after) = view.listing().filter(|_| change.listing).cloned() else {
+            return ListingUpdate::Unchanged;
+        };
+        self.use_listing(view, &after, source);
+        let age = self.now().saturating_sub(read_at);
+        before.map_or(ListingUpdate::Whole, |it| listing_change::compare(&it, &after, age))
+    }
+
+    /// Applies a change of the listing that a peer reports, if it fits the known listing.
+    pub(crate) fn apply_listing_change(&self, read_at: Duration, change: &ListingChange) -> bool {
+        let mut view = lock(&self.view);
+        let known = view.listing().filter(|it| it.revision <= change.revision);
+        let Some(entries) = known.and_then(|it| listing_change::apply(it, change)) else {
+            return false;
+        };
+        if !view.apply_listing(read_at, change.revision, entries).listing {
+            return false;
         }
-        change
+        let Some(after) = view.listing().cloned() else { return false };
+        self.use_listing(view, &after, "peer");
+        true
+    }
+
+    /// Updates the replicas to a new listing. Takes the lock of the view, so that a later listing
+    /// cannot be overtaken.
+    fn use_listing(
+        &self,
+        view: MutexGuard<'_, ClusterView>,
+        listing: &TargetListing,
+        source: &'static str,
+    ) {
+        let count = listing.entries.len();
+        let leaving = listing.entries.iter().filter(|it| it.leaving).count();
+        lock(&self.fleet).apply_listing(&listing.entries);
+        tracing::info!(
+            revision = listing.revision.0,
+            count,
+            leaving,
+            source,
+            "targets: newer listing applied"
+        );
+        drop(view);
+        self.view_changed.notify_waiters();
+        self.capacity_freed.notify_waiters();
     }
 
     /// Adds the share of a retry that a request to a pool earns to the pool's budget.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,15 +5,18 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use indexmap::{IndexMap, IndexSet};
 use policy::rendezvous;
 
 use crate::dialect::Dialect;
 use crate::directory::{Directory, Snapshot};
 use crate::gateway::{Gateway, lock};
 use crate::kv_store::KvStoreView;
+use crate::listing_change::ListingUpdate;
 use crate::members::GOSSIP_PERIOD;
 use crate::peer_message::{
-    DaemonStatus, GossipDirection, GossipReport, PeerMessage, PrefixPlacement, WeightStatus,
+    DaemonStatus, GossipDirection, GossipExtension, GossipReport, PeerMessage, PrefixPlacement,
+    StateDigests, WeightStatus,
 };
 use crate::rate_limit;
 
@@ -25,13 +28,37 @@
 /// once.
 const LAGGING_DIVISOR: usize = 2;
 
-/// Placed prefixes to pass on with the next reports.
+/// The time after which the whole configuration or list of replicas is sent again to a daemon that
+/// still lacks it: it takes some time to arrive.
+const RESEND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What to pass on with the next reports, and what peers were sent.
 #[derive(Debug, Default)]
-pub(crate) struct PrefixRelay {
-    /// Received from the daemons that report to this one as their hub.
-    from_children: Mutex<Vec<PrefixPlacement>>,
-    /// Received from other hubs.
-    from_hubs: Mutex<Vec<PrefixPlacement>>,
+pub(crate) struct GossipRelay {
+    /// Placed prefixes from the daemons that report to this one as their hub.
+    prefixes_from_children: Mutex<Vec<PrefixPlacement>>,
+    /// Placed prefixes from other hubs.
+    prefixes_from_hubs: Mutex<Vec<PrefixPlacement>>,
+    /// The daemons that this one sent a report as their hub in the last round.
+    last_children: Mutex<IndexSet<u64>>,
+    /// When lagging daemons were last sent the whole control state or listing.
+    sent_whole: Mutex<IndexMap<(IpAddr, WholeState), Duration>>,
+}
+
+/// State that is sent whole to a daemon that lags behind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum WholeState {
+    Control,
+    Listing,
+}
+
+impl GossipRelay {
+    /// Whether the state is to be sent to a lagging daemon now, rather than on its way to it.
+    fn begins_sending(&self, now: Duration, to: IpAddr, state: WholeState) -> bool {
+        let mut sent = lock(&self.sent_whole);
+        sent.retain(|_, at| now < *at + RESEND_INTERVAL);
+        sent.insert((to, state), now).is_none()
+    }
 }
 
 /// Sends reports to peers, once a period, until the process ends.
@@ -53,9 +80,16 @@
 
 async fn send_round<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, full: bool) {
     let peers = lock(&gateway.members).gossip_peers(gateway.now());
-    let own_prefixes = lock(&gateway.fleet).take_prefix_placements();
-    let mut prefixes = std::mem::take(&mut *lock(&gateway.prefix_relay.from_children));
-    let from_hubs = std::mem::take(&mut *lock(&gateway.prefix_relay.from_hubs));
+    let own_prefixes = {
+        let mut fleet = lock(&gateway.fleet);
+        fleet.begin_report_period(gateway.now());
+        fleet.take_prefix_placements()
+    };
+    let relay = &gateway.gossip_relay;
+    let mut prefixes = std::mem::take(&mut *lock(&relay.prefixes_from_children));
+    let from_hubs = std::mem::take(&mut *lock(&relay.prefixes_from_hubs));
+    let children: IndexSet<u64> = peers.child_hashes.iter().copied().collect();
+    let last_children = std::mem::replace(&mut *lock(&relay.last_children), children);
     send_report(gateway, &peers.parent, GossipDirection::ToParent, &own_prefixes, full);
     prefixes.extend(own_prefixes);
     send_report(gateway, &peers.hubs, GossipDirection::BetweenHubs, &prefixes, full);
@@ -65,6 +99,7 @@
     let pause = GOSSIP_PERIOD / (peers.children.len() as u32 + 1);
     for (address, member) in peers.children.iter().zip(&peers.child_hashes) {
         tokio::time::sleep(pause).await;
+        let full = full || !last_children.contains(member);
         send_report(gateway, &[*address], GossipDirection::ToChild(*member), &prefixes, full);
     }
 }
@@ -77,7 +112,7 @@
     full: bool,
 ) {
     if !to.is_empty() {
-        let report = build_report(gateway, direction, prefixes, full);
+        let report = build_report(gateway, to, direction, prefixes, full);
         gateway.peer_socket.send(to, &PeerMessage::Gossip(Box::new(report)));
     }
 }
@@ -89,8 +124,11 @@
     send_report(gateway, &peers.hubs, GossipDirection::BetweenHubs, &[], false);
 }
 
+/// Builds a report to the daemons at these addresses. Between two full reports, a child gets only
+/// the loads that changed. A full report leaves out what all its receivers have.
 fn build_report<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
+    to: &[IpAddr],
     direction: GossipDirection,
     prefixes: &[PrefixPlacement],
     full: bool,
@@ -107,11 +145,17 @@
     };
     let members = lock(&gateway.members);
     let mut fleet = lock(&gateway.fleet);
+    let digests = StateDigests { weights: fleet.weights_digest(), members: members.digest() };
+    let (weights_known, members_known) = members.known_to(to, digests);
+    let loads_are_changes = !full && matches!(direction, GossipDirection::ToChild(_));
     let mut daemons = vec![DaemonStatus {
         daemon: rendezvous::hash_member(gateway.own.id.as_str()),
         age: Duration::ZERO,
         leaving: gateway.is_leaving(),
         loads: match direction {
+            GossipDirection::ToChild(child) if loads_are_changes => {
+                fleet.changed_loads_excluding(now, child)
+            }
             GossipDirection::ToChild(child) => fleet.loads_excluding(now, child),
             GossipDirection::ToParent | GossipDirection::BetweenHubs => fleet.own_loads(now),
         },
@@ -135,11 +179,12 @@
         control,
         listing,
         daemons,
-        weights: if full { fleet.weight_statuses() } else { Vec::new() },
+        weights: if full && !weights_known { fleet.weight_statuses() } else { Vec::new() },
         kv_store: fleet.kv_store.map(|it| it.status(now)),
         prefixes: prefixes.to_vec(),
         leaving_targets: fleet.leaving_replicas(),
-        members: if full { members.entries() } else { Vec::new() },
+        members: if full && !members_known { members.entries() } else { Vec::new() },
+        extension: Some(GossipExtension { loads_are_changes, digests }),
     }
 }
 
@@ -152,13 +197,22 @@
     send_control(gateway, &to);
 }
 
-/// Forwards the list of replicas after a change, which came from `source` or from the store.
+/// Forwards an update of the list of replicas, which came from `source` or from the store.
 pub(crate) fn forward_listing<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     source: Option<IpAddr>,
+    update: ListingUpdate,
 ) {
+    if update == ListingUpdate::Unchanged {
+        return;
+    }
     let to = lock(&gateway.members).gossip_peers(gateway.now()).forward_targets(source);
-    send_listing(gateway, &to);
+    match update {
+        ListingUpdate::Partial(change) => {
+            gateway.peer_socket.send(&to, &PeerMessage::ListingChange(change));
+        }
+        _ => send_listing(gateway, &to),
+    }
 }
 
 /// Merges weight statuses, wakes the tasks that wait for them and forwards those that changed
@@ -186,7 +240,7 @@
 pub(crate) async fn receive_loop<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
     let mut buffer = Vec::new();
     loop {
-        let (from, message) = gateway.peer_socket.receive(&mut buffer).await;
+        let (from, message) = gateway.peer_socket.receive(&gateway.clock, &mut buffer).await;
         handle_message(&gateway, from, message);
     }
 }
@@ -207,10 +261,17 @@
         }
         PeerMessage::Listing(revision, age, entries) => {
             let snapshot = Snapshot { revision, store_time: Duration::ZERO, value: entries };
-            if gateway.apply_listing(now.saturating_sub(age), snapshot, "peer").any() {
-                forward_listing(gateway, Some(from));
+            let update = gateway.apply_listing(now.saturating_sub(age), snapshot, "peer");
+            forward_listing(gateway, Some(from), update);
+        }
+        PeerMessage::ListingChange(change) => {
+            let read_at = now.saturating_sub(change.age);
+            if gateway.apply_listing_change(read_at, &change) {
+                forward_listing(gateway, Some(from), ListingUpdate::Partial(change));
             }
         }
+        // The socket joins the parts of a message.
+        PeerMessage::Part(_) => {}
         PeerMessage::Members(entries) => {
             let mut members = lock(&gateway.members);
             entries.iter().for_each(|it| members.add(now, it));
@@ -247,6 +308,7 @@
             known,
             report.direction == GossipDirection::ToParent,
         );
+        members.record_digests(&report.sender.id, report.extension.map(|it| it.digests));
         for it in &report.members {
             members.add(now, it);
         }
@@ -258,11 +320,15 @@
     };
     let lag = compare_state(gateway, report);
     let sender = rendezvous::hash_member(report.sender.id.as_str());
+    let loads_are_changes = report.extension.is_some_and(|it| it.loads_are_changes);
     {
         let mut fleet = lock(&gateway.fleet);
         for it in &report.daemons {
             match report.direction {
                 // The loads of all daemons are summed up in the sender's entry, which may be empty.
+                GossipDirection::ToChild(_) if it.daemon == sender && loads_are_changes => {
+                    fleet.record_load_changes(now, HUB_SUM_KEY, &it.loads);
+                }
                 GossipDirection::ToChild(_) if it.daemon == sender => {
                     fleet.record_peer_loads(now, HUB_SUM_KEY, &it.loads);
                 }
@@ -278,8 +344,8 @@
         fleet.pause_unresponsive(now);
     }
     let relay = match report.direction {
-        GossipDirection::ToParent => Some(&gateway.prefix_relay.from_children),
-        GossipDirection::BetweenHubs => Some(&gateway.prefix_relay.from_hubs),
+        GossipDirection::ToParent => Some(&gateway.gossip_relay.prefixes_from_children),
+        GossipDirection::BetweenHubs => Some(&gateway.gossip_relay.prefixes_from_hubs),
         GossipDirection::ToChild(_) => None,
     };
     if let Some(relay) = relay {
@@ -292,10 +358,11 @@
     if !unknown_to_peer.is_empty() {
         gateway.peer_socket.send(&[from], &PeerMessage::Members(unknown_to_peer));
     }
-    if lag.control {
+    let begins = |state| gateway.gossip_relay.begins_sending(now, from, state);
+    if lag.control && begins(WholeState::Control) {
         send_control(gateway, &[from]);
     }
-    if lag.listing {
+    if lag.listing && begins(WholeState::Listing) {
         send_listing(gateway, &[from]);
     }
 }
--- a/crates/gateway/src/load_table.rs
+++ b/crates/gateway/src/load_table.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use policy::silence::AnswerCount;
 
 use crate::peer_message::TargetLoad;
@@ -20,6 +20,14 @@
     peers: IndexMap<u64, PeerLoads>,
     /// By the hash of the replica's id; replicas without load are left out.
     sums: IndexMap<u64, LoadSum>,
+    changes: LoadChanges,
+}
+
+/// The replicas whose load has changed, in this period of reports and in the one before.
+#[derive(Debug, Default)]
+struct LoadChanges {
+    current: IndexSet<u64>,
+    previous: IndexSet<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -45,13 +53,21 @@
         if self.peers.get(&peer).is_some_and(|it| it.reported_at > reported_at) {
             return;
         }
-        self.remove(peer);
         let loads: IndexMap<u64, LoadCount> =
             loads.iter().map(|it| (it.member, it.load())).collect();
-        for (member, load) in &loads {
-            self.sums.entry(*member).or_default().add(load);
+        let known = self.peers.entry(peer).or_default();
+        known.reported_at = reported_at;
+        let before = std::mem::replace(&mut known.loads, loads);
+        let known = &self.peers[&peer];
+        for (member, load) in &before {
+            if !known.loads.contains_key(member) {
+                change_sum(&mut self.sums, &mut self.changes, *member, *load, LoadCount::default());
+            }
+        }
+        for (member, load) in &known.loads {
+            let before = before.get(member).copied().unwrap_or_default();
+            change_sum(&mut self.sums, &mut self.changes, *member, before, *load);
         }
-        self.peers.insert(peer, PeerLoads { reported_at, loads });
     }
 
     /// Replaces those loads of a peer that changed until `reported_at`; the others are still
@@ -68,15 +84,32 @@
                 true => known.loads.swap_remove(&it.member),
                 false => known.loads.insert(it.member, load),
             };
-            let sum = self.sums.entry(it.member).or_default();
-            sum.subtract(&before.unwrap_or_default());
-            sum.add(&load);
-            if *sum == LoadSum::default() {
-                self.sums.swap_remove(&it.member);
-            }
+            let before = before.unwrap_or_default();
+            change_sum(&mut self.sums, &mut self.changes, it.member, before, load);
         }
     }
 
+    /// Begins a period of reports. `own` are the replicas on which this daemon's own load changed.
+    pub(crate) fn begin_period(&mut self, own: impl Iterator<Item = u64>) {
+        self.changes.previous = std::mem::take(&mut self.changes.current);
+        self.changes.previous.extend(own);
+    }
+
+    /// The replicas whose load changed since the period before this one began.
+    pub(crate) fn changed(&self) -> impl Iterator<Item = u64> {
+        let LoadChanges { current, previous } = &self.changes;
+        previous.iter().chain(current.difference(previous)).copied()
+    }
+
+    /// The load of all peers but one on a replica, given as the hash of its id.
+    pub(crate) fn sum_without(&self, peer: u64, member: u64) -> LoadCount {
+        let mut sum = self.sums.get(&member).copied().unwrap_or_default();
+        if let Some(load) = self.peers.get(&peer).and_then(|it| it.loads.get(&member)) {
+            sum.subtract(load);
+        }
+        sum.count()
+    }
+
     /// Drops reports that are too old to be counted.
     pub(crate) fn expire(&mut self, now: Duration) {
         let expired = |it: &PeerLoads| now >= it.reported_at + PEER_LOAD_TTL;
@@ -90,16 +123,9 @@
         self.sums.get(&member).copied().unwrap_or_default().count()
     }
 
-    /// The loads of all peers but one on all replicas that have any, with the replicas' hashes.
-    pub(crate) fn sums_without(&self, peer: u64) -> impl Iterator<Item = (u64, LoadCount)> {
-        let own = self.peers.get(&peer);
-        self.sums.iter().map(move |(member, sum)| {
-            let mut sum = *sum;
-            if let Some(load) = own.and_then(|it| it.loads.get(member)) {
-                sum.subtract(load);
-            }
-            (*member, sum.count())
-        })
+    /// The replicas on which any peer has a load, as hashes of their ids.
+    pub(crate) fn loaded(&self) -> impl Iterator<Item = u64> {
+        self.sums.keys().copied()
     }
 
     /// A peer's loads as last reported, with the replicas' hashes.
@@ -116,15 +142,31 @@
     fn remove(&mut self, peer: u64) {
         let Some(removed) = self.peers.swap_remove(&peer) else { return };
         for (member, load) in &removed.loads {
-            let Some(sum) = self.sums.get_mut(member) else { continue };
-            sum.subtract(load);
-            if *sum == LoadSum::default() {
-                self.sums.swap_remove(member);
-            }
+            change_sum(&mut self.sums, &mut self.changes, *member, *load, LoadCount::default());
         }
     }
 }
 
+/// Replaces one peer's load in the sum of a replica.
+fn change_sum(
+    sums: &mut IndexMap<u64, LoadSum>,
+    changes: &mut LoadChanges,
+    member: u64,
+    before: LoadCount,
+    after: LoadCount,
+) {
+    if before == after {
+        return;
+    }
+    let sum = sums.entry(member).or_default();
+    sum.subtract(&before);
+    sum.add(&after);
+    if *sum == LoadSum::default() {
+        sums.swap_remove(&member);
+    }
+    changes.current.insert(member);
+}
+
 impl LoadSum {
     fn add(&mut self, load: &LoadCount) {
         self.running += u64::from(load.running);
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -10,8 +10,10 @@
 use indexmap::IndexMap;
 use policy::peer_tree::{self, TreeMember};
 use policy::rendezvous;
+use xxhash_rust::xxh3;
 
 use crate::directory::MemberEntry;
+use crate::peer_message::StateDigests;
 
 /// A daemon not seen for this long counts as unreachable, where all daemons are hubs.
 const REACHABLE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -53,6 +55,8 @@
     unresponsive_at: Option<Duration>,
     /// Number of daemons that it knows, as it reported.
     known_daemons: usize,
+    /// Digests of its state, as it reported last.
+    digests: Option<StateDigests>,
     leaving: bool,
 }
 
@@ -143,6 +147,7 @@
                     added_at: now,
                     unresponsive_at: None,
                     known_daemons: 0,
+                    digests: None,
                     leaving: false,
                 };
                 self.known.insert(member, known);
@@ -167,6 +172,35 @@
         it.child_message_at = if to_hub { Some(now) } else { None };
     }
 
+    /// Records what digests of its state a daemon reported; `None` if it reported none.
+    pub fn record_digests(&mut self, id: &InstanceId, digests: Option<StateDigests>) {
+        if let Some(it) = self.known.get_mut(&rendezvous::hash_member(id.as_str())) {
+            it.digests = digests;
+        }
+    }
+
+    /// Which parts of this daemon's state all daemons at these addresses have too, as far as they
+    /// reported: weights, and known daemons.
+    pub fn known_to(&self, to: &[IpAddr], own: StateDigests) -> (bool, bool) {
+        let at = |address| self.known.values().find(move |it| it.entry.address == address);
+        let digests = to.iter().map(|it| at(*it).and_then(|it| it.digests));
+        digests.fold((true, true), |(weights, members), it| {
+            let equal =
+                |part: fn(&StateDigests) -> u64| it.is_some_and(|it| part(&it) == part(&own));
+            (weights && equal(|it| it.weights), members && equal(|it| it.members))
+        })
+    }
+
+    /// A digest of the daemons that were ever seen.
+    pub fn digest(&self) -> u64 {
+        let known = self.known.values().filter(|it| it.alive_at.is_some());
+        let own = (self.own_member, self.own.incarnation.0);
+        let all = known.map(|it| (it.member, it.entry.incarnation.0)).chain([own]);
+        all.fold(0, |digest, (member, incarnation)| {
+            digest ^ xxh3::xxh3_64_with_seed(&incarnation.to_le_bytes(), member)
+        })
+    }
+
     /// Records that a daemon ran at `alive_at`, unless it was seen later.
     pub fn record_alive(&mut self, member: u64, alive_at: Duration, leaving: bool) {
         let known = self.known.get_mut(&member);
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{CustomerId, Revision};
+use ids::{CustomerId, Revision, TargetId};
 use policy::quarantine::Strike;
 use policy::silence::AnswerCount;
 use serde::{Deserialize, Serialize};
 
 use crate::config::{ControlState, TargetEntry};
 use crate::directory::MemberEntry;
+use crate::message_parts::{MAX_MESSAGE_BYTES, MessagePart};
 use crate::replica::LoadCount;
 
 /// The requests of one or several daemons on one replica, in the compact form sent to peers.
@@ -143,6 +144,45 @@
     pub leaving_targets: Vec<(u64, u64)>,
     /// The daemons that the sender knows; only in full reports.
     pub members: Vec<MemberEntry>,
+    /// Sent behind the report, where daemons that do not know it ignore it.
+    #[serde(skip)]
+    pub extension: Option<GossipExtension>,
+}
+
+/// What lets a report leave out state that its receiver has already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GossipExtension {
+    /// The loads in the sender's entry are those that changed since its last report to this
+    /// receiver, rather than all.
+    pub loads_are_changes: bool,
+    /// What the sender knows, so that the receiver leaves out what is equal.
+    pub digests: StateDigests,
+}
+
+/// Digests of a daemon's state, equal where the state is equal.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateDigests {
+    /// Of what it knows of replicas' weights.
+    pub weights: u64,
+    /// Of the daemons that it knows.
+    pub members: u64,
+}
+
+/// The replicas that differ between two lists. Entries of a list are in the order of their ids.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ListingChange {
+    /// The hash of the list before the change.
+    pub base: u64,
+    /// The hash of the list after it.
+    pub hash: u64,
+    /// The revision of the list after it.
+    pub revision: Revision,
+    /// The age of the list after it when the message was sent.
+    pub age: Duration,
+    /// Entries that are new or different.
+    pub changed: Vec<TargetEntry>,
+    /// Replicas that are not listed any more.
+    pub removed: Vec<TargetId>,
 }
 
 /// Asks the daemon that keeps a customer's bucket for tokens.
@@ -183,6 +223,10 @@
     },
     /// A replica crashed while it ran the request with this fingerprint.
     Strike(Strike),
+    /// A part of a message that is longer than a datagram.
+    Part(MessagePart),
+    /// The part of the list of replicas that changed.
+    ListingChange(ListingChange),
 }
 
 /// Longest datagram in bytes; UDP over IPv4 carries at most 65 507.
@@ -191,16 +235,41 @@
 /// bytes for one on the wire.
 const MAX_DECODED_BYTES: usize = 9 * MAX_DATAGRAM_BYTES;
 
+/// The same for messages that came in parts.
+const MAX_DECODED_MESSAGE_BYTES: usize = 9 * MAX_MESSAGE_BYTES;
+
 /// Encodes a message; `None` if it cannot be encoded.
 pub fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
-    bincode::serde::encode_to_vec(message, bincode::config::standard()).ok()
+    let config = bincode::config::standard();
+    let mut bytes = bincode::serde::encode_to_vec(message, config).ok()?;
+    if let PeerMessage::Gossip(report) = message
+        && let Some(extension) = &report.extension
+    {
+        bytes.extend(bincode::serde::encode_to_vec(extension, config).ok()?);
+    }
+    Some(bytes)
 }
 
-/// Decodes a message; `None` if the bytes are not a valid one.
+/// Decodes a datagram; `None` if the bytes are not a valid message.
 pub fn decode(bytes: &[u8]) -> Option<PeerMessage> {
-    // Without a limit the decoder reserves memory for any length that the message claims, and the
-    // process is aborted if there is not as much.
-    let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
-    let decoded = bincode::serde::decode_from_slice(bytes, config);
-    decoded.ok().map(|it| it.0)
+    decode_limited::<MAX_DECODED_BYTES>(bytes)
+}
+
+/// Decodes a message that came in parts; `None` if the bytes are not a valid one.
+pub fn decode_joined(bytes: &[u8]) -> Option<PeerMessage> {
+    decode_limited::<MAX_DECODED_MESSAGE_BYTES>(bytes)
+}
+
+/// Without a limit the decoder reserves memory for any length that a message claims, and the
+/// process is aborted if there is not as much.
+fn decode_limited<const LIMIT: usize>(bytes: &[u8]) -> Option<PeerMessage> {
+    let config = bincode::config::standard().with_limit::<LIMIT>();
+    let (mut message, length) = bincode::serde::decode_from_slice(bytes, config).ok()?;
+    if let PeerMessage::Gossip(report) = &mut message
+        && length < bytes.len()
+    {
+        let extension = bincode::serde::decode_from_slice(&bytes[length..], config);
+        report.extension = extension.ok().map(|it| it.0);
+    }
+    Some(message)
 }
--- a/crates/gateway/src/peer_socket.rs
+++ b/crates/gateway/src/peer_socket.rs
@@ -2,37 +2,41 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use indexmap::IndexMap;
+use ports::Clock;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
 use crate::gateway::lock;
+use crate::message_parts::{self, PartTable};
 use crate::peer_message::{self, MAX_DATAGRAM_BYTES, PeerMessage};
 
 /// A UDP socket with the pending queries by id.
 #[derive(Debug)]
 pub struct PeerSocket {
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     port: u16,
-    pending: Mutex<IndexMap<u64, oneshot::Sender<Option<std::time::Duration>>>>,
+    pending: Mutex<IndexMap<u64, oneshot::Sender<Option<Duration>>>>,
+    parts: Mutex<PartTable>,
 }
 
 impl PeerSocket {
     /// Opens the socket. All daemons use the same port.
     pub async fn bind(address: IpAddr, port: u16) -> io::Result<PeerSocket> {
         let socket = UdpSocket::bind(SocketAddr::new(address, port)).await?;
-        Ok(PeerSocket { socket, port, pending: Mutex::default() })
+        let (pending, parts) = (Mutex::default(), Mutex::default());
+        Ok(PeerSocket { socket: Arc::new(socket), port, pending, parts })
     }
 
-    /// Sends a message to some daemons. A datagram that cannot be sent at once is dropped; the
-    /// protocol tolerates losses.
+    /// Sends a message to some daemons, in parts if it is longer than a datagram. A datagram that
+    /// cannot be sent at once is dropped; the protocol tolerates losses.
     pub fn send(&self, to: &[IpAddr], message: &PeerMessage) {
         let Some(bytes) = peer_message::encode(message) else { return };
         if bytes.len() > MAX_DATAGRAM_BYTES {
-            tracing::warn!(bytes = bytes.len(), "peers: message dropped, too long for a datagram");
-            return;
+            return self.send_parts(to, &bytes);
         }
         for address in to {
             let sent = self.socket.try_send_to(&bytes, SocketAddr::new(*address, self.port));
@@ -42,14 +46,44 @@
         }
     }
 
+    /// Sends the parts of a message one after the other, each once the socket takes it: the
+    /// socket's buffer does not hold all of them.
+    fn send_parts(&self, to: &[IpAddr], bytes: &[u8]) {
+        let Some(parts) = message_parts::split(rand::random(), bytes) else {
+            tracing::warn!(bytes = bytes.len(), "peers: message dropped, it is too long");
+            return;
+        };
+        let parts = parts.into_iter().map(PeerMessage::Part);
+        let parts: Vec<Vec<u8>> = parts.filter_map(|it| peer_message::encode(&it)).collect();
+        let (socket, port, to) = (self.socket.clone(), self.port, to.to_vec());
+        tokio::spawn(async move {
+            for address in to {
+                for part in &parts {
+                    let sent = socket.send_to(part, SocketAddr::new(address, port)).await;
+                    if let Err(error) = sent {
+                        tracing::debug!(%address, "peers: datagram not sent: {error}");
+                    }
+                }
+            }
+        });
+    }
+
     /// Waits for the next valid message; returns it with its sender's address. `buffer` is reused
     /// between calls.
-    pub async fn receive(&self, buffer: &mut Vec<u8>) -> (IpAddr, PeerMessage) {
+    pub async fn receive(&self, clock: &impl Clock, buffer: &mut Vec<u8>) -> (IpAddr, PeerMessage) {
         loop {
             buffer.resize(MAX_DATAGRAM_BYTES, 0);
             match self.socket.recv_from(buffer).await {
                 Ok((length, from)) => {
-                    if let Some(message) = peer_message::decode(&buffer[..length]) {
+                    let message = match peer_message::decode(&buffer[..length]) {
+                        Some(PeerMessage::Part(part)) => {
+                            let joined = lock(&self.parts).insert(clock.now(), from.ip(), part);
+                            let Some(joined) = joined else { continue };
+                            peer_message::decode_joined(&joined)
+                        }
+                        other => other,
+                    };
+                    if let Some(message) = message {
                         return (from.ip(), message);
                     }
                     tracing::warn!(%from, length, "peers: datagram ignored, it cannot be decoded");
@@ -62,7 +96,7 @@
 
     /// Registers a query; returns its id and the receiver of the reply: the time to wait, or `None`
     /// if the tokens are granted.
-    pub fn register_query(&self) -> (u64, oneshot::Receiver<Option<std::time::Duration>>) {
+    pub fn register_query(&self) -> (u64, oneshot::Receiver<Option<Duration>>) {
         let query_id = rand::random();
         let (sender, receiver) = oneshot::channel();
         let mut pending = lock(&self.pending);
@@ -72,7 +106,7 @@
     }
 
     /// Passes a reply to the query with this id.
-    pub fn complete_query(&self, query_id: u64, wait: Option<std::time::Duration>) {
+    pub fn complete_query(&self, query_id: u64, wait: Option<Duration>) {
         if let Some(sender) = lock(&self.pending).swap_remove(&query_id) {
             // The query may have timed out.
             let _ = sender.send(wait);
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -1,16 +1,11 @@
 //! Datagrams that no daemon sends are rejected, whatever bytes they hold, and cost no memory beyond
 //! their own length.
 
-use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 use gateway::config::TargetEntry;
-use gateway::directory::MemberEntry;
-use gateway::peer_message::{
-    self, DaemonStatus, GossipDirection, GossipReport, MAX_DATAGRAM_BYTES, PeerMessage, QuotaQuery,
-    WeightStatus,
-};
-use ids::{Incarnation, Revision};
+use gateway::peer_message::{self, MAX_DATAGRAM_BYTES, PeerMessage, QuotaQuery, WeightStatus};
+use ids::Revision;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -20,36 +15,8 @@
 /// Number of damaged copies of each message.
 const DAMAGED_COPIES: u64 = 20_000;
 
-fn member(name: &str) -> MemberEntry {
-    MemberEntry {
-        id: name.parse().expect("an id"),
-        incarnation: Incarnation(3),
-        address: IpAddr::V4(Ipv4Addr::LOCALHOST),
-        domain: "a".parse().expect("an id"),
-        capacity: Default::default(),
-    }
-}
-
 fn report() -> PeerMessage {
-    PeerMessage::Gossip(Box::new(GossipReport {
-        sender: member("edge-1"),
-        direction: GossipDirection::ToChild(9),
-        wants_reply: true,
-        known_daemons: 2,
-        control: Some((Revision(7), Duration::from_millis(3), 11)),
-        listing: None,
-        daemons: vec![DaemonStatus {
-            daemon: 5,
-            age: Duration::from_millis(250),
-            leaving: false,
-            loads: Vec::new(),
-        }],
-        weights: Vec::new(),
-        kv_store: None,
-        prefixes: Vec::new(),
-        leaving_targets: vec![(1, 2)],
-        members: vec![member("edge-2")],
-    }))
+    PeerMessage::Gossip(Box::new(fixtures::report()))
 }
 
 fn listing() -> PeerMessage {
@@ -81,7 +48,7 @@
 #[rstest]
 #[case::report(report())]
 #[case::listing(listing())]
-#[case::members(PeerMessage::Members(vec![member("edge-1"), member("edge-2")]))]
+#[case::members(PeerMessage::Members(vec![fixtures::member("edge-1"), fixtures::member("edge-2")]))]
 #[case::quota_query(quota_query())]
 fn damaged_messages_are_rejected_without_a_panic(#[case] message: PeerMessage) {
     let bytes = encode(&message);
