Serve what callers have sent when a planned stop begins

Cause: at the end of the notice time the listener was closed with connections in its backlog, and every idle connection was closed at once, also if a request on it had arrived and was not read yet.

Change: the backlog is accepted after the stop; connections stay open for 250 ms longer, answer with 'Connection: close' and are polled before they are closed; the process ends once all are closed. The stop signal is passed in, so that a test can stop a gateway in its own process.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -14,6 +14,7 @@
 use ids::{ErrorKind, RunState};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time;
 
 use crate::call;
 use crate::caller_request::{self, CallerRequest};
@@ -35,7 +36,12 @@
 /// Idle limit of connections that are opened before a configuration is known.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
 
-/// Accepts connections until `stop` is true; then closes each one after its current request.
+/// How long connections stay open after the listener is closed, for requests that callers have sent
+/// by then.
+const CLOSE_LINGER: Duration = Duration::from_millis(250);
+
+/// Accepts connections until `stop` is true; then serves those that the kernel has accepted, and
+/// closes each one after its current request.
 pub(crate) async fn serve<D: Dialect, S: Directory>(
     gateway: Arc<Gateway<D, S>>,
     listener: TcpListener,
@@ -44,18 +50,22 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = async { drop(stop.wait_for(|it| *it).await) } => return,
+            () = async { drop(stop.wait_for(|it| *it).await) } => break,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 tracing::warn!("front: accept failed, retrying: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
         };
         tokio::spawn(serve_connection(gateway.clone(), stream, stop.clone()));
     }
+    // Callers consider these connections open, and may have sent a request.
+    while let Ok(Ok((stream, _))) = time::timeout(Duration::ZERO, listener.accept()).await {
+        tokio::spawn(serve_connection(gateway.clone(), stream, stop.clone()));
+    }
 }
 
 async fn serve_connection<D: Dialect, S: Directory>(
@@ -63,6 +73,7 @@
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
 ) {
+    let _open = gateway.track_connection();
     // An error is ignored: without this option answers are only slower.
     let _ = stream.set_nodelay(true);
     let idle = gateway.config().map_or(DEFAULT_IDLE_TIME, |it| it.limits.idle_time);
@@ -76,9 +87,15 @@
         .max_buf_size(READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
+    let closing = async {
+        drop(stop.wait_for(|it| *it).await);
+        time::sleep(CLOSE_LINGER).await;
+    };
+    // The connection is polled first, so that a request which has arrived is read before it closes.
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = async { drop(stop.wait_for(|it| *it).await) } => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -160,7 +177,7 @@
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallRefusal> {
     let read = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, read).await {
+    match time::timeout(BODY_TIMEOUT, read).await {
         Ok(Ok(it)) => Ok(it.to_bytes()),
         Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
             Err(CallRefusal::not_run(ErrorKind::BodyTooLarge))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -73,6 +73,8 @@
     settings: Mutex<Arc<GatewaySettings>>,
     retry_budgets: Mutex<IndexMap<PoolId, RetryBudget>>,
     in_flight: AtomicUsize,
+    /// Callers' connections that are open.
+    open_connections: Arc<AtomicUsize>,
     leaving: AtomicBool,
 }
 
@@ -81,6 +83,15 @@
     gateway: Arc<Gateway<D, S>>,
 }
 
+/// Counts a caller's connection as open until this is dropped.
+pub(crate) struct ConnectionGuard(Arc<AtomicUsize>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl<D, S> Drop for InFlightGuard<D, S> {
     fn drop(&mut self) {
         self.gateway.in_flight.fetch_sub(1, Ordering::Relaxed);
@@ -124,6 +135,7 @@
             speed: Mutex::default(),
             retry_budgets: Mutex::default(),
             in_flight: AtomicUsize::new(0),
+            open_connections: Arc::default(),
             leaving: AtomicBool::new(false),
             own,
             started_at: clock.now(),
@@ -196,6 +208,17 @@
         InFlightGuard { gateway: self.clone() }
     }
 
+    /// Counts a caller's connection as open until the returned guard is dropped.
+    pub(crate) fn track_connection(&self) -> ConnectionGuard {
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard(self.open_connections.clone())
+    }
+
+    /// Whether callers have open connections or requests in flight.
+    pub(crate) fn has_callers(&self) -> bool {
+        self.in_flight_count() > 0 || self.open_connections.load(Ordering::Relaxed) > 0
+    }
+
     /// The number of requests in flight.
     pub(crate) fn in_flight_count(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,4 +42,4 @@
 mod target_client;
 mod weight_commands;
 
-pub use serve::serve;
+pub use serve::{serve, serve_until};
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -7,7 +7,7 @@
 
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use web::logs;
 
 use crate::dialect::Dialect;
@@ -29,12 +29,11 @@
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Interval at which the settings are read again, because they may change without a signal.
 const SETTINGS_RELOAD_INTERVAL: Duration = Duration::from_secs(5);
-/// Interval at which a draining daemon checks whether all requests have ended.
+/// Interval at which a draining daemon checks whether all connections are closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Serves until SIGTERM or SIGINT, then drains: requests that end within the grace period are not
-/// cut. Settings are read again from `source` on SIGHUP and every few seconds. Fails if a listener
-/// or the peer socket cannot be opened.
+/// Serves until SIGTERM or SIGINT, then drains as [`serve_until`] does. Settings are read again
+/// from `source` on SIGHUP too.
 pub async fn serve<D: Dialect, S: Directory>(
     settings: GatewaySettings,
     source: impl SettingsSource,
@@ -43,14 +42,44 @@
 ) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let reload = Arc::new(Notify::new());
+    let stop = {
+        let reload = reload.clone();
+        async move {
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => return,
+                    _ = interrupt.recv() => return,
+                    _ = hangup.recv() => {
+                        tracing::info!("daemon: signal to reload settings");
+                        reload.notify_one();
+                    }
+                }
+            }
+        }
+    };
+    serve_until(settings, source, dialect, directory, &reload, stop).await
+}
+
+/// Serves until `stop` is ready, then drains: requests that end within the grace period are not
+/// cut. Settings are read again from `source` every few seconds and when `reload` is notified.
+/// Fails if a listener or the peer socket cannot be opened.
+pub async fn serve_until<D: Dialect, S: Directory>(
+    settings: GatewaySettings,
+    source: impl SettingsSource,
+    dialect: D,
+    directory: S,
+    reload: &Notify,
+    stop: impl Future<Output = ()>,
+) -> io::Result<()> {
     let callers = listen(settings.caller_address)?;
     let readiness = listen(settings.readiness_address)?;
     let peer_socket = PeerSocket::bind(settings.peer_address, settings.peer_port).await?;
     let gateway = Arc::new(Gateway::new(settings, dialect, directory, peer_socket));
     let incarnation = gateway.own.incarnation;
     tracing::info!(instance = %gateway.own.id, %incarnation, "daemon: started");
-    let (stop, stopped) = watch::channel(false);
+    let (stop_sender, stopped) = watch::channel(false);
     tokio::spawn(gossip::receive_loop(gateway.clone()));
     tokio::spawn(gossip::send_reports(gateway.clone()));
     tokio::spawn(store_reader::refresh_control(gateway.clone()));
@@ -61,21 +90,18 @@
     tokio::spawn(readiness::serve(gateway.clone(), readiness));
     tokio::spawn(front::serve(gateway.clone(), callers, stopped));
     let mut dropped = 0;
+    tokio::pin!(stop);
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = reload.recv() => {
-                tracing::info!("daemon: signal to reload settings");
-                reload_settings(&gateway, &source);
-            }
+            () = &mut stop => break,
+            () = reload.notified() => reload_settings(&gateway, &source),
             () = tokio::time::sleep(SETTINGS_RELOAD_INTERVAL) => {
                 reload_settings(&gateway, &source);
                 dropped = log_dropped_lines(dropped);
             }
         }
     }
-    drain(&gateway, &stop).await;
+    drain(&gateway, &stop_sender).await;
     tracing::info!(instance = %gateway.own.id, "daemon: stopped");
     Ok(())
 }
@@ -113,7 +139,7 @@
     tokio::time::sleep(LEAVE_NOTICE_TIME.min(gateway.settings().bounds.grace / 2)).await;
     // Stop accepting requests: later ones could not end within the grace period.
     stop.send_replace(true);
-    while gateway.now() < deadline && gateway.in_flight_count() > 0 {
+    while gateway.now() < deadline && gateway.has_callers() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     // Let the last answers be sent.
