Bound the memory of message bodies of all connections together

Cause: an answer was buffered up to 16 MiB for each call and an event up to 1 MiB for each stream, without a common bound. A replica that sent bytes without end to a hundred calls made the process grow by 366 MiB within their deadline of 2 s; the smallest instances have 88 MiB.

Change: long bodies of answers, parts of events and callers' bodies share an eighth of the instance's memory (policy::buffer_budget); 16 KiB of each always pass, so that sound requests are served beside a flood. A caller whose long body finds no memory gets a 503 that is true.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -9,6 +9,7 @@
 
 use crate::attempt_error::AttemptError;
 use crate::body::CallerBody;
+use crate::buffer_share::BufferShare;
 use crate::call::Call;
 use crate::connections::{CallerResponse, OpenAnswer};
 use crate::dialect::Dialect;
@@ -32,6 +33,7 @@
 ) -> Result<BufferedAnswer, AttemptError> {
     let left = call.deadline.saturating_sub(call.gateway.now());
     let (status, headers, mut body, connection) = answer.split();
+    let mut share = BufferShare::new(&call.gateway.buffers);
     let read = async {
         let mut bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
@@ -42,6 +44,7 @@
             if bytes.len() > MAX_ANSWER_BYTES {
                 return Err(CallError::TooLong(MAX_ANSWER_BYTES));
             }
+            share.resize(bytes.capacity()).map_err(|_| CallError::TooLong(bytes.len()))?;
         }
         Ok(bytes.freeze())
     };
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -12,6 +12,7 @@
 use web::client::{CallError, Connection};
 
 use crate::attempt_error::AttemptError;
+use crate::buffer_share::BufferShare;
 use crate::buffered::{self, BufferedAnswer};
 use crate::caller_request::{self, CallerRequest};
 use crate::config::{RouteKind, RouteRule, SiteConfig};
@@ -67,6 +68,8 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// The memory of the body.
+    _body_share: BufferShare,
     customer: Option<CustomerId>,
     urgency: u8,
     pub(crate) pool: PoolId,
@@ -127,6 +130,7 @@
         uri: request.uri,
         headers: request.headers,
         body: request.body,
+        _body_share: request.body_share,
         customer,
         pool,
         prompt,
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -10,6 +10,7 @@
 use policy::rendezvous;
 use xxhash_rust::xxh3;
 
+use crate::buffer_share::BufferShare;
 use crate::config::{CustomerRule, RouteRule, SiteConfig};
 use crate::dialect::{HeadError, RequestHead};
 use crate::prompt_spec::PromptSpec;
@@ -22,6 +23,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
+    /// The memory of its body.
+    pub(crate) body_share: BufferShare,
     /// When its headers had arrived, on the daemon's clock.
     pub(crate) started_at: Duration,
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -46,6 +46,11 @@
         Some(StreamEvent { id: event_id(&bytes), bytes })
     }
 
+    /// The memory that the buffer takes, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Whether the buffer holds no part of an event, so that the stream may end here.
     pub fn is_at_boundary(&self) -> bool {
         self.buffer.chunk().iter().all(|it| it.is_ascii_whitespace())
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -4,18 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use ids::{ErrorKind, RunState};
+use ids::ErrorKind;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::buffer_share::BufferShare;
 use crate::call;
 use crate::caller_request::{self, CallerRequest};
 use crate::connections::CallerResponse;
@@ -28,6 +29,8 @@
 const READ_BUFFER_BYTES: usize = 64 << 10;
 /// How long a caller may take to send the body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When a caller may send again that was refused because the memory for bodies was used up.
+const BUFFER_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Delay after a failed accept, because it keeps failing while file descriptors are exhausted.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Idle connections are kept this many times longer than the limit, so that a caller that observes
@@ -146,7 +149,8 @@
         if header_bytes(&parts.headers) > config.limits.header_bytes {
             return Err(CallRefusal::not_run(ErrorKind::HeadersTooLarge));
         }
-        let body = read_body(body, config.limits.body_bytes).await?;
+        let mut share = BufferShare::new(&gateway.buffers);
+        let body = read_body(body, config.limits.body_bytes, &mut share).await?;
         // A newer configuration may have been applied while the body was read.
         let config = gateway.config().unwrap_or(config);
         let route = config.route(&head.host, parts.uri.path()).cloned();
@@ -158,6 +162,7 @@
             headers: parts.headers,
             head,
             body,
+            body_share: share,
             started_at,
         };
         call::handle(gateway, config, route, customer, request).await
@@ -175,20 +180,33 @@
     Ok(())
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallRefusal> {
-    let read = Limited::new(body, limit).collect();
-    match time::timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok(it)) => Ok(it.to_bytes()),
-        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
-            Err(CallRefusal::not_run(ErrorKind::BodyTooLarge))
+/// Reads a body of at most `limit` bytes. A caller that sends a long one while the memory for
+/// bodies is used up is refused.
+async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    share: &mut BufferShare,
+) -> Result<Bytes, CallRefusal> {
+    let refuse = |kind| Err(CallRefusal::not_run(kind));
+    let read = async {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            // After an error the caller has disconnected, so this answer is not delivered.
+            let Ok(frame) = frame else { return refuse(ErrorKind::BadRequest) };
+            let Some(data) = frame.data_ref() else { continue };
+            if bytes.len() + data.len() > limit {
+                return refuse(ErrorKind::BodyTooLarge);
+            }
+            bytes.extend_from_slice(data);
+            if share.resize(bytes.capacity()).is_err() {
+                let refusal = CallRefusal::not_run(ErrorKind::QueueFull);
+                return Err(refusal.retry_after(BUFFER_RETRY_DELAY));
+            }
         }
-        // The caller disconnected while sending, so this answer is not delivered.
-        Ok(Err(_)) => Err(CallRefusal::not_run(ErrorKind::BadRequest)),
-        Err(_) => Err(CallRefusal {
-            run: RunState::NotRun,
-            ..CallRefusal::not_run(ErrorKind::CallerTimeout)
-        }),
-    }
+        Ok(bytes.freeze())
+    };
+    let read = time::timeout(BODY_TIMEOUT, read).await;
+    read.unwrap_or_else(|_| refuse(ErrorKind::CallerTimeout))
 }
 
 /// The size of the headers as sent in HTTP/1: name, value, colon, space and line end.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 
 use ids::{Incarnation, PoolId};
 use indexmap::IndexMap;
+use policy::buffer_budget::BufferBudget;
 use policy::customer_quota::{QuotaAllowance, QuotaTable};
 use policy::engine_choice::PrefillSpeed;
 use policy::quarantine::QuarantineTable;
@@ -17,6 +18,7 @@
 use ports::{Clock, SystemClock};
 use tokio::sync::Notify;
 
+use crate::buffer_share::SharedBudget;
 use crate::cluster_view::{ClusterView, TargetListing, ViewChange};
 use crate::config::{ControlState, SiteConfig, TargetEntry};
 use crate::connections::ConnectionTable;
@@ -73,6 +75,8 @@
     settings: Mutex<Arc<GatewaySettings>>,
     retry_budgets: Mutex<IndexMap<PoolId, RetryBudget>>,
     in_flight: AtomicUsize,
+    /// The memory of message bodies.
+    pub(crate) buffers: SharedBudget,
     /// Callers' connections that are open.
     open_connections: Arc<AtomicUsize>,
     leaving: AtomicBool,
@@ -135,6 +139,7 @@
             speed: Mutex::default(),
             retry_budgets: Mutex::default(),
             in_flight: AtomicUsize::new(0),
+            buffers: Arc::new(Mutex::new(BufferBudget::new(settings.memory_bytes))),
             open_connections: Arc::default(),
             leaving: AtomicBool::new(false),
             own,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt_error;
 mod body;
+mod buffer_share;
 mod buffered;
 mod call;
 mod call_log;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,8 @@
     pub worker_threads: usize,
     /// Maximum number of file descriptors used for sockets.
     pub max_sockets: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
     /// Time limits and allowances of this deployment.
     pub bounds: GatewayBounds,
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,6 +14,7 @@
 
 use crate::attempt_error::AttemptError;
 use crate::body::{BodyAborted, CallerBody};
+use crate::buffer_share::BufferShare;
 use crate::buffered;
 use crate::call::{Call, Placement};
 use crate::connections::{CallerResponse, OpenAnswer, ReusableConnection};
@@ -30,6 +31,8 @@
     body: Incoming,
     connection: Option<ReusableConnection>,
     splitter: EventSplitter,
+    /// The memory of the part of an event that has arrived.
+    share: BufferShare,
     /// Events that the caller has not got yet.
     ready: VecDeque<Bytes>,
     last_event_id: Option<u64>,
@@ -57,6 +60,7 @@
     call.log_answer(&placement.target, status);
     let relay = StreamRelay {
         last_event_id: call.head.last_event_id,
+        share: BufferShare::new(&call.gateway.buffers),
         call,
         placement,
         body,
@@ -115,6 +119,8 @@
         let frame = frame.map_err(|error| broken(error.to_string()))?;
         if let Some(data) = frame.data_ref() {
             self.splitter.push(data).map_err(|error| broken(error.to_string()))?;
+            let buffered = self.splitter.buffered_bytes();
+            self.share.resize(buffered).map_err(|error| broken(error.to_string()))?;
         }
         let ready_before = self.ready.len();
         while let Some(event) = self.splitter.next_event() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! numbers, so that tests and simulations exercise the same code as the daemon.
 
 pub mod bucket;
+pub mod buffer_budget;
 pub mod chain;
 pub mod claim;
 pub mod customer_quota;
