Survive token counts that no model has

Cause: a caller's header may state any 64-bit count of tokens. A count near the greatest one leaves a debt that takes longer to repay than a Duration holds, and the conversion panicked: in the home of the customer's bucket that ends the task that receives all messages of peers (large_numbers: 2 of 3 cases panicked before). Sums of such counts overflow.

--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -63,7 +63,9 @@
         if tokens > self.capacity || self.rate <= 0.0 {
             return None;
         }
-        Some(Duration::from_secs_f64((tokens - self.level).max(0.0) / self.rate))
+        let wait = Duration::try_from_secs_f64((tokens - self.level).max(0.0) / self.rate);
+        // A debt may be so large that no clock runs as long.
+        Some(wait.unwrap_or(Duration::MAX))
     }
 
     /// The tokens available at `now`; negative while some are owed.
