Restart background tasks that panic, and refuse encoded answers

Causes: a panic in a background task ended that task alone, and left a daemon that accepts callers without its peers, its reading of the store or its commands. An answer with a Content-Encoding, which the platform says is not the replica's body, was passed on as a success.

--- a/crates/gateway/src/attempt_error.rs
+++ b/crates/gateway/src/attempt_error.rs
@@ -20,6 +20,9 @@
     /// The answer belongs to another request.
     #[error("the answer belongs to another request")]
     WrongAttempt,
+    /// The body is encoded, which no replica does on its own: it is not the replica's body.
+    #[error("the answer has a content encoding")]
+    Encoded,
     /// A successful status without the header that replicas set on every answer.
     #[error("the answer lacks the replica's seal header")]
     Unsealed,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
 use ids::{CustomerId, ErrorKind, PoolId, RunState, TargetId};
 use policy::quarantine::Fingerprint;
@@ -318,6 +318,9 @@
         if head.attempt_id.as_deref() != Some(self.head.attempt_id.as_str()) {
             return Err(AttemptError::WrongAttempt);
         }
+        if answer.headers.contains_key(header::CONTENT_ENCODING) {
+            return Err(AttemptError::Encoded);
+        }
         if answer.status.is_success() && !head.sealed {
             return Err(AttemptError::Unsealed);
         }
@@ -446,7 +449,7 @@
                 fleet.record_failure(now, &placement.target, false);
                 (RetryReason::BrokeEarly, ErrorKind::TargetFailed)
             }
-            AttemptError::WrongAttempt | AttemptError::Unsealed => {
+            AttemptError::WrongAttempt | AttemptError::Encoded | AttemptError::Unsealed => {
                 self.run = RunState::MaybeRun;
                 (RetryReason::CrossedAnswer, ErrorKind::TargetFailed)
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod settings;
 mod store_reader;
 mod stream;
+pub mod supervisor;
 mod target_client;
 mod weight_commands;
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::gateway::Gateway;
 use crate::peer_socket::PeerSocket;
 use crate::settings::{GatewaySettings, SettingsSource};
-use crate::{front, gossip, kv_store, readiness, store_reader, weight_commands};
+use crate::{front, gossip, kv_store, readiness, store_reader, supervisor, weight_commands};
 
 /// Connections that the kernel queues before they are accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -80,13 +80,13 @@
     let incarnation = gateway.own.incarnation;
     tracing::info!(instance = %gateway.own.id, %incarnation, "daemon: started");
     let (stop_sender, stopped) = watch::channel(false);
-    tokio::spawn(gossip::receive_loop(gateway.clone()));
-    tokio::spawn(gossip::send_reports(gateway.clone()));
-    tokio::spawn(store_reader::refresh_control(gateway.clone()));
-    tokio::spawn(store_reader::refresh_targets(gateway.clone()));
-    tokio::spawn(store_reader::announce(gateway.clone()));
-    tokio::spawn(weight_commands::run(gateway.clone()));
-    tokio::spawn(kv_store::probe_loop(gateway.clone()));
+    spawn_restarting(&gateway, "gossip receiver", gossip::receive_loop);
+    spawn_restarting(&gateway, "gossip sender", gossip::send_reports);
+    spawn_restarting(&gateway, "control reader", store_reader::refresh_control);
+    spawn_restarting(&gateway, "targets reader", store_reader::refresh_targets);
+    spawn_restarting(&gateway, "announcer", store_reader::announce);
+    spawn_restarting(&gateway, "weight commands", weight_commands::run);
+    spawn_restarting(&gateway, "kv store probe", kv_store::probe_loop);
     tokio::spawn(readiness::serve(gateway.clone(), readiness));
     tokio::spawn(front::serve(gateway.clone(), callers, stopped));
     let mut dropped = 0;
@@ -106,6 +106,20 @@
     Ok(())
 }
 
+/// Runs a background task of the gateway, and starts it again if it panics.
+fn spawn_restarting<D: Dialect, S: Directory, T>(
+    gateway: &Arc<Gateway<D, S>>,
+    name: &'static str,
+    task: fn(Arc<Gateway<D, S>>) -> T,
+) where
+    T: Future<Output = ()> + Send + 'static,
+{
+    let gateway = gateway.clone();
+    tokio::spawn(async move {
+        supervisor::run_restarting(name, || task(gateway.clone())).await;
+    });
+}
+
 /// Logs how many log lines have been dropped, if more than `logged`, the count that was logged
 /// before. Returns the current count.
 fn log_dropped_lines(logged: usize) -> usize {
