Let daemons that are cut off from their peers go last for the lease on commands

Change: a daemon that reaches half of the others or fewer waits 3.2 s before it tries to take the lease (weight_rollout::lease_delay).

Test: gateway_decisions.

--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -34,8 +34,6 @@
 const ROUND_PERIOD: Duration = Duration::from_millis(60);
 /// The longest time between two rounds while there is nothing to do.
 const IDLE_PERIOD: Duration = Duration::from_secs(1);
-/// How much longer each further rank waits before it tries to take the lease.
-const RANK_DELAY: Duration = Duration::from_millis(400);
 /// How long a replica may take to answer a command or to report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// The first pause between two reports that are fetched to see whether a command is done.
@@ -114,9 +112,12 @@
         }
         let now = gateway.now();
         let since = *lagging_since.get_or_insert(now);
+        let delay = {
+            let members = lock(&gateway.members);
+            weight_rollout::lease_delay(members.rank(now), members.reachable_share(now))
+        };
         // The last holder knows its lease and does not wait.
-        let rank = if held.is_some() { 0 } else { lock(&gateway.members).rank(now) as u32 };
-        if now < since + RANK_DELAY * rank {
+        if held.is_none() && now < since + delay {
             tokio::time::sleep(ROUND_PERIOD).await;
             continue;
         }
--- a/crates/policy/src/weight_rollout.rs
+++ b/crates/policy/src/weight_rollout.rs
@@ -6,8 +6,14 @@
 //! weights go first, so that none is passed over again and again when versions follow fast, and
 //! among them those with the least to finish.
 
+use std::time::Duration;
+
 /// Greatest share of the reachable engines that may be out of service at once.
 const MAX_UNAVAILABLE_SHARE: f64 = 0.34;
+/// How much longer each further rank waits before it tries to take the lease on commands.
+const RANK_DELAY: Duration = Duration::from_millis(400);
+/// How long a daemon waits that reaches half of the others or fewer.
+const PARTITIONED_DELAY: Duration = Duration::from_millis(3_200);
 
 /// An engine whose weights are older than the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +32,17 @@
     pub reachable: bool,
 }
 
+/// How long a daemon waits, from when it learned of newer weights, before it tries to take the lease
+/// on commands. `reachable_share` is the share of all daemons that it reaches, itself included.
+///
+/// Daemons that are cut off from their peers, but not from the store, are each first in rank among
+/// those they reach. Peers would not hear which engines such a holder takes out of service, and
+/// would go on sending them requests, so it lets the daemons that reach most others go first.
+pub fn lease_delay(rank: usize, reachable_share: f64) -> Duration {
+    let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX).min(1_000);
+    if reachable_share > 0.5 { delay } else { delay.max(PARTITIONED_DELAY) }
+}
+
 /// Returns the indices of the lagging engines to command now, beside `ready` engines that have the
 /// newest weights. An engine whose command may have been lost is commanded again at once, as it
 /// serves nothing meanwhile. `overdue` means that lagging engines get no requests any more, so all
--- a/crates/policy/tests/gateway_decisions.rs
+++ b/crates/policy/tests/gateway_decisions.rs
@@ -168,6 +168,20 @@
     assert!(limits[399] < bound.mul_f64(0.7));
 }
 
+/// Of 195 daemons 68 are cut off from all others and each the first among those it reaches. The first
+/// ones of the other part take the lease before any of them.
+#[test]
+fn daemons_that_are_cut_off_let_others_take_the_lease() {
+    let cut_off = weight_rollout::lease_delay(0, 1.0 / 195.0);
+    for rank in 0..8 {
+        assert!(weight_rollout::lease_delay(rank, 127.0 / 195.0) < cut_off, "rank {rank}");
+    }
+    assert_eq!(weight_rollout::lease_delay(0, 1.0), Duration::ZERO);
+    // Where no daemon reaches most others, one of them takes it all the same.
+    assert!(cut_off < Duration::from_secs(4));
+    assert!(weight_rollout::lease_delay(20, 0.1) > cut_off);
+}
+
 /// A few daemons read after a start of all, and none waits longer than for a newer copy.
 #[rstest]
 #[case::depot(2_000)]
