--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -8,6 +8,8 @@
 mod mutant_table;
 mod mutants;
 mod play;
+mod regress;
+mod regression_table;
 mod soak;
 mod test_run;
 
@@ -17,6 +19,8 @@
 
 use argh::FromArgs;
 
+use crate::regress::RegressionRun;
+
 /// Run one development chore.
 #[derive(FromArgs)]
 struct XtaskArgs {
@@ -31,6 +35,7 @@
     Measure(MeasureArgs),
     Mutants(MutantsArgs),
     Play(PlayArgs),
+    Regress(RegressArgs),
     Soak(SoakArgs),
     Test(TestArgs),
 }
@@ -74,6 +79,28 @@
     words: Vec<String>,
 }
 
+/// Score sites on an external bench program, and print one table: score, gate and the worth of each
+/// day, and how each differs from the score before in the journal.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "regress")]
+struct RegressArgs {
+    /// path of the bench program
+    #[argh(positional)]
+    bench: PathBuf,
+    /// paths of the site files
+    #[argh(positional)]
+    sites: Vec<PathBuf>,
+    /// days to play at the same time
+    #[argh(option, default = "3")]
+    jobs: u32,
+    /// a line for the journal
+    #[argh(option)]
+    why: String,
+    /// play only the days that are quick to play
+    #[argh(switch)]
+    quick: bool,
+}
+
 /// Run a small fleet of processes under faults drawn from seeds and check the calls' outcomes.
 /// Without a seed, repeat the recorded seeds that once failed.
 #[derive(FromArgs)]
@@ -103,6 +130,13 @@
         Chore::Measure(it) => measure::run(&it.what, it.seeds).await,
         Chore::Mutants(it) => mutants::run(&it.only),
         Chore::Play(it) => play::run(&it.bench, &it.words),
+        Chore::Regress(it) => regress::run(&RegressionRun {
+            bench: &it.bench,
+            sites: &it.sites,
+            jobs: it.jobs,
+            why: &it.why,
+            quick: it.quick,
+        }),
         Chore::Soak(it) => {
             let seeds = match it.seed {
                 Some(first) => (first..first + it.runs).collect(),
