Send lagging daemons what they lack again

Cause, found in reading this change again: each report of a daemon that lags behind renewed the time at which it was last sent the whole state, so that a list or configuration that got lost was never sent again while it went on reporting; it then read the store for itself.

Change: a refused attempt does not count as sent (resend_limit).

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use policy::rendezvous;
 
 use crate::dialect::Dialect;
@@ -19,6 +19,7 @@
     StateDigests, WeightStatus,
 };
 use crate::rate_limit;
+use crate::resend_limit::{ResendLimit, WholeState};
 
 /// The key under which a daemon keeps the loads of all others, as its hub sums them up.
 const HUB_SUM_KEY: u64 = 0;
@@ -28,10 +29,6 @@
 /// once.
 const LAGGING_DIVISOR: usize = 2;
 
-/// The time after which the whole configuration or list of replicas is sent again to a daemon that
-/// still lacks it: it takes some time to arrive.
-const RESEND_INTERVAL: Duration = Duration::from_millis(500);
-
 /// What to pass on with the next reports, and what peers were sent.
 #[derive(Debug, Default)]
 pub(crate) struct GossipRelay {
@@ -41,24 +38,8 @@
     prefixes_from_hubs: Mutex<Vec<PrefixPlacement>>,
     /// The daemons that this one sent a report as their hub in the last round.
     last_children: Mutex<IndexSet<u64>>,
-    /// When lagging daemons were last sent the whole control state or listing.
-    sent_whole: Mutex<IndexMap<(IpAddr, WholeState), Duration>>,
-}
-
-/// State that is sent whole to a daemon that lags behind.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum WholeState {
-    Control,
-    Listing,
-}
-
-impl GossipRelay {
-    /// Whether the state is to be sent to a lagging daemon now, rather than on its way to it.
-    fn begins_sending(&self, now: Duration, to: IpAddr, state: WholeState) -> bool {
-        let mut sent = lock(&self.sent_whole);
-        sent.retain(|_, at| now < *at + RESEND_INTERVAL);
-        sent.insert((to, state), now).is_none()
-    }
+    /// What lagging daemons were sent.
+    resend_limit: Mutex<ResendLimit>,
 }
 
 /// Sends reports to peers, once a period, until the process ends.
@@ -358,7 +339,7 @@
     if !unknown_to_peer.is_empty() {
         gateway.peer_socket.send(&[from], &PeerMessage::Members(unknown_to_peer));
     }
-    let begins = |state| gateway.gossip_relay.begins_sending(now, from, state);
+    let begins = |state| lock(&gateway.gossip_relay.resend_limit).begin(now, from, state);
     if lag.control && begins(WholeState::Control) {
         send_control(gateway, &[from]);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod readiness;
 mod refusal;
 pub mod replica;
+pub mod resend_limit;
 mod serve;
 pub mod settings;
 mod store_reader;
