--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -38,13 +38,11 @@
         let mut bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| CallError::Broken(error.to_string().into()))?;
-            if let Some(data) = frame.data_ref() {
-                bytes.extend_from_slice(data);
-            }
+            let Some(data) = frame.data_ref() else { continue };
+            share.extend(&mut bytes, data).map_err(|_| CallError::TooLong(bytes.len()))?;
             if bytes.len() > MAX_ANSWER_BYTES {
                 return Err(CallError::TooLong(MAX_ANSWER_BYTES));
             }
-            share.resize(bytes.capacity()).map_err(|_| CallError::TooLong(bytes.len()))?;
         }
         Ok(bytes.freeze())
     };
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -197,8 +197,7 @@
             if bytes.len() + data.len() > limit {
                 return refuse(ErrorKind::BodyTooLarge);
             }
-            bytes.extend_from_slice(data);
-            if share.resize(bytes.capacity()).is_err() {
+            if share.extend(&mut bytes, data).is_err() {
                 let refusal = CallRefusal::not_run(ErrorKind::QueueFull);
                 return Err(refusal.retry_after(BUFFER_RETRY_DELAY));
             }
