Search a stream's bytes once for the ends of events

The splitter looked at each byte twice, pair by pair, and once more for each event that arrived with others. Change: one search for line ends (memchr).

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -57,13 +57,14 @@
     }
 }
 
+/// The length of the first event, with the empty line that ends it. Looks at each byte once, also if
+/// many events have arrived together.
 fn event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).position(|it| it == b"\n\n").map(|it| it + 2);
-    let crlf = bytes.windows(4).position(|it| it == b"\r\n\r\n").map(|it| it + 4);
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-        (lf, crlf) => lf.or(crlf),
-    }
+    memchr::memchr_iter(b'\n', bytes).find_map(|at| match &bytes[at + 1..] {
+        [b'\n', ..] => Some(at + 2),
+        [b'\r', b'\n', ..] if at > 0 && bytes[at - 1] == b'\r' => Some(at + 3),
+        _ => None,
+    })
 }
 
 fn event_id(bytes: &[u8]) -> Option<u64> {
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -20,6 +20,9 @@
 #[case::two_at_once(&["id:1\n\nid:2\n\n"], &[("id:1\n\n", Some(1)), ("id:2\n\n", Some(2))], true)]
 #[case::cut_inside_lines(&["id: 1\nda", "ta: a\n", "\n"], &[("id: 1\ndata: a\n\n", Some(1))], true)]
 #[case::carriage_returns(&["id: 3\r\ndata: a\r\n\r", "\n"], &[("id: 3\r\ndata: a\r\n\r\n", Some(3))], true)]
+#[case::blank_line_of_mixed_ends(&["id: 4\r\n\n"], &[("id: 4\r\n\n", Some(4))], true)]
+#[case::both_line_ends(&["id: 5\r\n\r\nid: 6\n\n"], &[("id: 5\r\n\r\n", Some(5)), ("id: 6\n\n", Some(6))], true)]
+#[case::blank_line_first(&["\r\n\r\nid: 7\n\n"], &[("\r\n\r\n", None), ("id: 7\n\n", Some(7))], true)]
 #[case::without_id(&["data: a\n\n"], &[("data: a\n\n", None)], true)]
 #[case::ends_inside_an_event(&["id: 1\n\nid: 2\nda"], &[("id: 1\n\n", Some(1))], false)]
 fn chunks_are_split_into_whole_events(
