--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,7 +9,7 @@
 use ids::{CustomerId, ErrorKind, PoolId, RunState, TargetId};
 use policy::quarantine::Fingerprint;
 use policy::retry::RetryReason;
-use web::client::{CallError, Connection};
+use web::client::Connection;
 
 use crate::attempt_error::AttemptError;
 use crate::buffer_share::BufferShare;
@@ -28,7 +28,7 @@
 use crate::stream;
 
 /// Attempts of one request that reached no replica or were rejected unrun, before it is refused.
-const MAX_UNSENT_ATTEMPTS: u32 = 6;
+pub(crate) const MAX_UNSENT_ATTEMPTS: u32 = 6;
 /// How long a request waits for a replica when none can take it, as a share of its objective.
 const PLACEMENT_WAIT_SHARE: f64 = 0.5;
 /// Longest time between two searches for a replica: nothing signals the end of a replica's pause.
@@ -76,7 +76,7 @@
     pub(crate) prompt: Option<PromptSpec>,
     pub(crate) fingerprint: Option<Fingerprint>,
     /// Replicas on which an attempt of this request failed.
-    excluded: Vec<TargetId>,
+    pub(crate) excluded: Vec<TargetId>,
     /// Attempts that surely did not run it.
     pub(crate) unsent_attempts: u32,
     _in_flight: InFlightGuard<D, S>,
@@ -204,7 +204,7 @@
         self.route.kind.is_repeatable() && self.attempts < self.route.max_attempts
     }
 
-    fn retry_delay(&self) -> Duration {
+    pub(crate) fn retry_delay(&self) -> Duration {
         self.route.objective.mul_f64(RETRY_AFTER_SHARE)
     }
 
@@ -372,102 +372,6 @@
         request
     }
 
-    /// Records a failed attempt; fails with a refusal if the request is not to be sent again.
-    pub(crate) fn handle_failure(
-        &mut self,
-        placement: &Placement<D, S>,
-        error: &AttemptError,
-    ) -> Result<(), CallRefusal> {
-        let (reason, kind) = self.record_failure(placement, error);
-        if let AttemptError::Connection(CallError::Broken(_) | CallError::TooLong(_)) = error {
-            crash_reports::report_crash(&self.gateway, self.fingerprint, &placement.target);
-        }
-        self.excluded.push(placement.target.id.clone());
-        tracing::info!(
-            request = %self.head.attempt_id, target = %placement.target.id, reason = reason.code(),
-            "call: attempt failed: {error}"
-        );
-        let refusal = CallRefusal { run: self.run, ..CallRefusal::not_run(kind) };
-        let refusal = refusal.retry_after(self.retry_delay());
-        let deadline_passed = self.gateway.now() >= self.deadline;
-        let may_retry = match error {
-            AttemptError::Connection(CallError::NotSent(_)) => {
-                self.unsent_attempts += 1;
-                self.unsent_attempts < MAX_UNSENT_ATTEMPTS
-            }
-            AttemptError::NotRun(..) => {
-                self.unsent_attempts += 1;
-                self.unsent_attempts < MAX_UNSENT_ATTEMPTS && self.gateway.spend_retry(&self.pool)
-            }
-            AttemptError::TooSlow => true,
-            _ => self.may_run_again() && self.gateway.spend_retry(&self.pool),
-        };
-        if deadline_passed || !may_retry {
-            return Err(self.qualify_refusal(refusal));
-        }
-        self.gateway.metrics.record_retry(reason.code());
-        Ok(())
-    }
-
-    /// Applies a failed attempt to the replica's health and to the run state. Returns the reason
-    /// for a retry, and the error for the caller if there is no retry.
-    fn record_failure(
-        &mut self,
-        placement: &Placement<D, S>,
-        error: &AttemptError,
-    ) -> (RetryReason, ErrorKind) {
-        let now = self.gateway.now();
-        let mut fleet = lock(&self.gateway.fleet);
-        match error {
-            AttemptError::Connection(CallError::NotSent(_)) => {
-                self.attempts -= 1;
-                fleet.record_failure(now, &placement.target, true);
-                (RetryReason::ConnectFailed, ErrorKind::NoTarget)
-            }
-            AttemptError::NotRun(status, head) => {
-                self.attempts -= 1;
-                let is_other =
-                    head.target.as_deref().is_some_and(|it| it != placement.target.id.as_str());
-                if *status == StatusCode::MISDIRECTED_REQUEST && is_other {
-                    fleet.mark_leaving(&placement.target);
-                } else if let (StatusCode::MISDIRECTED_REQUEST, Some(version)) =
-                    (*status, head.version)
-                {
-                    fleet.record_weights(&placement.target, version);
-                } else {
-                    fleet.mark_full(now, &placement.target);
-                }
-                (RetryReason::TargetBusy, ErrorKind::QueueFull)
-            }
-            AttemptError::Connection(CallError::Timeout(_)) | AttemptError::TooSlow => {
-                self.run = RunState::MaybeRun;
-                fleet.record_failure(now, &placement.target, false);
-                (RetryReason::FirstByteTimeout, ErrorKind::TargetTimeout)
-            }
-            AttemptError::Connection(CallError::Broken(_) | CallError::TooLong(_)) => {
-                self.run = RunState::MaybeRun;
-                fleet.record_failure(now, &placement.target, false);
-                (RetryReason::BrokeEarly, ErrorKind::TargetFailed)
-            }
-            AttemptError::WrongAttempt | AttemptError::Encoded | AttemptError::Unsealed => {
-                self.run = RunState::MaybeRun;
-                (RetryReason::CrossedAnswer, ErrorKind::TargetFailed)
-            }
-        }
-    }
-
-    /// Adapts a refusal to the run state: it must not claim that the request did not run if it may
-    /// have.
-    pub(crate) fn qualify_refusal(&self, refusal: CallRefusal) -> CallRefusal {
-        let kind = match (self.run, refusal.kind) {
-            (RunState::NotRun, kind) => kind,
-            // These two kinds tell callers that the request did not run.
-            (_, ErrorKind::NoTarget | ErrorKind::QueueFull) => ErrorKind::TargetFailed,
-            (_, kind) => kind,
-        };
-        CallRefusal { kind, run: self.run, ..refusal }
-    }
-
     /// Records the first token, which came `elapsed` after the request was sent: the replica has
     /// prefilled the prompt and now caches its prefixes.
     pub(crate) fn record_first_token(&self, placement: &mut Placement<D, S>, elapsed: Duration) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod buffer_share;
 mod buffered;
 mod call;
+mod call_failure;
 mod call_log;
 mod caller_request;
 pub mod cluster_view;
