Carry out rollouts that operators order in the store

A release under rollout got no request while another one ran, nothing was judged, and no state was written. Change: a share of the requests goes to the new release, daemons sum up outcomes along the tree of hubs and judge the sums, traffic grows while nothing speaks against the release, and the first daemons in rank write the state on condition.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,6 +9,7 @@
 use ids::{CustomerId, ErrorKind, PoolId, RunState, TargetId};
 use policy::quarantine::Fingerprint;
 use policy::retry::RetryReason;
+use policy::rollout_trial::AttemptOutcome;
 use web::client::Connection;
 
 use crate::attempt_error::AttemptError;
@@ -20,11 +21,13 @@
 use crate::crash_reports;
 use crate::dialect::{Dialect, EngineParams, ForwardParams, RequestHead};
 use crate::directory::Directory;
+use crate::fleet::FleetTable;
 use crate::gateway::{Gateway, InFlightGuard, lock};
-use crate::placement::{PlacedTarget, PlacementQuery, PromptQuery};
+use crate::placement::{PlacedTarget, PlacementQuery, PromptQuery, ReleaseFilter};
 use crate::prompt_spec::PromptSpec;
 use crate::rate_limit;
 use crate::refusal::CallRefusal;
+use crate::rollout_choice::{ReleaseChoice, ReleaseDraw, ReleaseEvidence};
 use crate::stream;
 
 /// Attempts of one request that reached no replica or were rejected unrun, before it is refused.
@@ -75,6 +78,8 @@
     pub(crate) pool: PoolId,
     pub(crate) prompt: Option<PromptSpec>,
     pub(crate) fingerprint: Option<Fingerprint>,
+    /// Decides whether it runs on a release that is rolled out.
+    pub(crate) release_draw: ReleaseDraw,
     /// Replicas on which an attempt of this request failed.
     pub(crate) excluded: Vec<TargetId>,
     /// Attempts that surely did not run it.
@@ -86,6 +91,8 @@
 pub(crate) struct Placement<D: Dialect, S: Directory> {
     gateway: Arc<Gateway<D, S>>,
     pub(crate) target: PlacedTarget,
+    /// Set while a release is on trial in the pool.
+    pub(crate) evidence: Option<ReleaseEvidence>,
     /// Whether its prompt no longer counts as pending.
     prefilled: bool,
 }
@@ -135,6 +142,7 @@
         pool,
         prompt,
         fingerprint,
+        release_draw: ReleaseDraw::random(),
         excluded: Vec::new(),
         unsent_attempts: 0,
         _in_flight: gateway.track_request(),
@@ -159,6 +167,9 @@
                 Ok(answer) => buffered::collect(&self, answer).await,
                 Err(error) => Err(error),
             };
+            if let Ok(answer) = &outcome {
+                self.record_answer(&placement, answer.status);
+            }
             match outcome {
                 Ok(answer) if self.retries_failure(answer.status) => {
                     tracing::info!(
@@ -184,6 +195,15 @@
         }
     }
 
+    fn record_answer(&mut self, placement: &Placement<D, S>, status: StatusCode) {
+        let elapsed = self.gateway.now().saturating_sub(self.sent_at);
+        let outcome = match status.is_server_error() {
+            true => AttemptOutcome::Failed,
+            false => AttemptOutcome::Answered(elapsed),
+        };
+        self.record_outcome(placement, outcome);
+    }
+
     fn forward_answer(&self, target: &PlacedTarget, answer: BufferedAnswer) -> CallerResponse {
         lock(&self.gateway.fleet).record_success(self.gateway.now(), target);
         self.log_answer(target, answer.status);
@@ -252,34 +272,49 @@
             let min_version = |prompt: &PromptSpec| view.min_weights(&prompt.model, now, age);
             (view.rollout(&self.pool).cloned(), self.prompt.as_ref().map_or(0, min_version))
         };
+        let rollout = rollout.map(|it| {
+            let stage = lock(&gateway.rollouts).stage(&self.pool, it.revision);
+            (it, stage)
+        });
         let (peers, gossip_delay) = {
             let members = lock(&gateway.members);
             (members.reachable(now).count(), members.gossip_delay())
         };
         let mut fleet = lock(&gateway.fleet);
-        // FIXME: rollouts send no trial traffic: the new release gets no request while replicas of
-        // another one are listed.
-        let excluded_rollout = rollout.filter(|it| fleet.has_other_release(&self.pool, &it.to));
-        let query = PlacementQuery {
-            pool: &self.pool,
-            excluded_release: excluded_rollout.as_ref().map(|it| &*it.to),
-            excluded_targets: &self.excluded,
-            min_weights,
-        };
+        let choice = rollout.map(|(rollout, stage)| {
+            ReleaseChoice::new(&fleet, &self.pool, rollout, stage, self.release_draw)
+        });
         let engine = self.config.pools.get(&self.pool).and_then(|it| it.engine.as_ref());
-        let target = match (&self.prompt, engine) {
-            (Some(prompt), Some(engine)) => {
-                let old_weights_s = self.route.objective.as_secs_f64() * OLD_WEIGHTS_COST_SHARE;
-                let prompt_query =
-                    PromptQuery { prompt, engine, speed, old_weights_s, peers, gossip_delay };
-                fleet.place_prompt(now, query, prompt_query)?
+        let place = |fleet: &mut FleetTable, releases: ReleaseFilter<'_>| {
+            let query = PlacementQuery {
+                pool: &self.pool,
+                releases,
+                excluded_targets: &self.excluded,
+                min_weights,
+            };
+            match (&self.prompt, engine) {
+                (Some(prompt), Some(engine)) => {
+                    let old_weights_s = self.route.objective.as_secs_f64() * OLD_WEIGHTS_COST_SHARE;
+                    let prompt_query =
+                        PromptQuery { prompt, engine, speed, old_weights_s, peers, gossip_delay };
+                    fleet.place_prompt(now, query, prompt_query)
+                }
+                _ => fleet.place_plain(now, query),
+            }
+        };
+        let (target, evidence) = match &choice {
+            None => (place(&mut fleet, ReleaseFilter::Any)?, None),
+            Some(choice) => {
+                let filters = choice.filters(&fleet);
+                let target = filters.into_iter().find_map(|it| place(&mut fleet, it))?;
+                let release = fleet.get(&target.id).map(|it| &it.entry.release);
+                (target, release.and_then(|it| choice.evidence(it)))
             }
-            _ => fleet.place_plain(now, query)?,
         };
         let load_age = fleet.load_age(now);
         drop(fleet);
         self.log_placement(&target, load_age);
-        Some(Placement { gateway: gateway.clone(), target, prefilled: false })
+        Some(Placement { gateway: gateway.clone(), target, evidence, prefilled: false })
     }
 
     /// Sends the request to a replica and waits for the answer's headers. `last_event_id` is the
@@ -374,8 +409,13 @@
 
     /// Records the first token, which came `elapsed` after the request was sent: the replica has
     /// prefilled the prompt and now caches its prefixes.
-    pub(crate) fn record_first_token(&self, placement: &mut Placement<D, S>, elapsed: Duration) {
+    pub(crate) fn record_first_token(
+        &mut self,
+        placement: &mut Placement<D, S>,
+        elapsed: Duration,
+    ) {
         placement.prefilled = true;
+        self.record_outcome(placement, AttemptOutcome::Answered(elapsed));
         let target = &placement.target;
         let gateway = &self.gateway;
         let now = gateway.now();
--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -3,6 +3,7 @@
 use http::StatusCode;
 use ids::{ErrorKind, RunState};
 use policy::retry::RetryReason;
+use policy::rollout_trial::AttemptOutcome;
 use web::client::CallError;
 
 use crate::attempt_error::AttemptError;
@@ -21,6 +22,12 @@
         error: &AttemptError,
     ) -> Result<(), CallRefusal> {
         let (reason, kind) = self.record_failure(placement, error);
+        if !matches!(
+            error,
+            AttemptError::Connection(CallError::NotSent(_)) | AttemptError::NotRun(..)
+        ) {
+            self.record_outcome(placement, AttemptOutcome::Failed);
+        }
         if let AttemptError::Connection(CallError::Broken(_) | CallError::TooLong(_)) = error {
             crash_reports::report_crash(&self.gateway, self.fingerprint, &placement.target);
         }
--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -88,6 +88,12 @@
         self.rollouts.get(pool).map(|it| &it.0)
     }
 
+    /// The newest rollout of each pool, with the time since this daemon learned of it.
+    pub fn rollouts(&self, now: Duration) -> Vec<(PoolRollout, Duration)> {
+        let known = self.rollouts.values();
+        known.map(|(it, at)| (it.clone(), now.saturating_sub(*at))).collect()
+    }
+
     /// The newest list of replicas; `None` until the first was read.
     pub fn listing(&self) -> Option<&TargetListing> {
         self.listing.as_ref()
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -155,6 +155,8 @@
     pub to: Box<str>,
     /// The revision of the row that holds the rollout.
     pub revision: Revision,
+    /// The time within which the move is to end.
+    pub duration: Duration,
 }
 
 /// A replica as the platform lists it.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -5,7 +5,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use ids::{FailureDomain, Incarnation, InstanceId, Revision};
+use ids::{FailureDomain, Incarnation, InstanceId, PoolId, Revision};
 use policy::peer_tree::InstanceCapacity;
 use ports::{CommitResult, StoreError};
 use serde::{Deserialize, Serialize};
@@ -49,6 +49,26 @@
     pub renewed_at: Duration,
 }
 
+/// How far a rollout is, as the platform is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RolloutState {
+    /// The new release is on trial, or its traffic grows.
+    Running,
+    /// All traffic has moved: the platform stops the old replicas at once.
+    Completed,
+    /// The new release was found bad: the platform stops its replicas.
+    RolledBack,
+}
+
+/// The state of a pool's rollout, a row in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutStatus {
+    /// The release that the pool moves to.
+    pub to: Box<str>,
+    /// How far it is.
+    pub state: RolloutState,
+}
+
 /// The site's store. A call returns what the store held, or why it is not known.
 pub trait Directory: Send + Sync + 'static {
     /// Reads the control state: configuration, weight versions and rollouts.
@@ -70,6 +90,21 @@
     fn announce(&self, member: &MemberEntry)
     -> impl Future<Output = Result<(), StoreError>> + Send;
 
+    /// Reads the state of a pool's rollout with its row's revision; `None` if there is no row.
+    fn read_rollout(
+        &self,
+        pool: &PoolId,
+    ) -> impl Future<Output = Result<Snapshot<Option<(RolloutStatus, Revision)>>, StoreError>> + Send;
+
+    /// Writes the state of a pool's rollout if its row still has the revision `expected`, or if
+    /// there is no row and `expected` is `None`.
+    fn write_rollout(
+        &self,
+        pool: &PoolId,
+        status: &RolloutStatus,
+        expected: Option<Revision>,
+    ) -> impl Future<Output = Result<CommitResult, StoreError>> + Send;
+
     /// Reads the lease with its row's revision; `None` if there is no row.
     fn read_lease(
         &self,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,8 +1,8 @@
 //! The state that all requests and tasks of one daemon share.
 //!
 //! Lock order, where two locks are held at once: view, members, fleet, speed, quotas,
-//! retry_budgets. The settings are never locked together with another one. No lock is held across
-//! an await.
+//! retry_budgets. The rollouts and the settings are never locked together with another one. No lock
+//! is held across an await.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -31,6 +31,7 @@
 use crate::metrics::{GaugeSample, Metrics};
 use crate::peer_message::ListingChange;
 use crate::peer_socket::PeerSocket;
+use crate::rollout_table::RolloutTable;
 use crate::settings::GatewaySettings;
 
 /// Share of the configured retry ratio that a daemon uses, so that the sum over all daemons stays
@@ -71,6 +72,7 @@
     pub(crate) fleet: Mutex<FleetTable>,
     pub(crate) quotas: Mutex<QuotaTable>,
     pub(crate) quarantine: Mutex<QuarantineTable>,
+    pub(crate) rollouts: Mutex<RolloutTable>,
     pub(crate) speed: Mutex<PrefillSpeed>,
     settings: Mutex<Arc<GatewaySettings>>,
     retry_budgets: Mutex<IndexMap<PoolId, RetryBudget>>,
@@ -136,6 +138,7 @@
             fleet: Mutex::new(FleetTable::new(settings.domain.clone(), settings.bounds.version)),
             quotas: Mutex::new(QuotaTable::new(allowance)),
             quarantine: Mutex::default(),
+            rollouts: Mutex::default(),
             speed: Mutex::default(),
             retry_budgets: Mutex::default(),
             in_flight: AtomicUsize::new(0),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -20,6 +20,7 @@
 };
 use crate::rate_limit;
 use crate::resend_limit::{ResendLimit, WholeState};
+use crate::rollouts;
 
 /// The key under which a daemon keeps the loads of all others, as its hub sums them up.
 const HUB_SUM_KEY: u64 = 0;
@@ -262,6 +263,9 @@
         PeerMessage::QuotaReply { query_id, wait } => {
             gateway.peer_socket.complete_query(query_id, wait)
         }
+        PeerMessage::Rollouts { sender, reports } => {
+            rollouts::handle_reports(gateway, from, sender, &reports);
+        }
         PeerMessage::Strike(strike) => {
             if lock(&gateway.quarantine).record_strike(now, strike) {
                 let to = lock(&gateway.members).gossip_peers(now).forward_targets(Some(from));
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -300,6 +300,11 @@
         Some(address)
     }
 
+    /// The hash of the id of the hub that this daemon reports to; `None` if it is a hub.
+    pub fn parent(&self) -> Option<u64> {
+        self.parent.map(|it| it.member)
+    }
+
     /// Number of daemons that this one knows, itself included.
     pub fn known_count(&self) -> usize {
         self.known.len() + 1
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{CustomerId, Revision, TargetId};
+use ids::{CustomerId, PoolId, Revision, TargetId};
 use policy::quarantine::Strike;
+use policy::rollout_stage::RolloutStage;
+use policy::rollout_trial::RouteEvidence;
 use policy::silence::AnswerCount;
 use serde::{Deserialize, Serialize};
 
@@ -185,6 +187,20 @@
     pub removed: Vec<TargetId>,
 }
 
+/// How far a rollout is, as far as the sender knows, and its evidence about the new release.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// The pool whose traffic moves.
+    pub pool: PoolId,
+    /// The revision of the operator's row.
+    pub order: Revision,
+    /// `None` if the sender does not know it yet.
+    pub stage: Option<RolloutStage>,
+    /// Outcomes of requests: those of the daemons that the report covers, by its direction in the
+    /// tree of hubs.
+    pub evidence: Vec<RouteEvidence>,
+}
+
 /// Asks the daemon that keeps a customer's bucket for tokens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaQuery {
@@ -227,6 +243,13 @@
     Part(MessagePart),
     /// The part of the list of replicas that changed.
     ListingChange(ListingChange),
+    /// The rollouts that are not over yet.
+    Rollouts {
+        /// The hash of the sender's id (`rendezvous::hash_member`).
+        sender: u64,
+        /// One for each rollout.
+        reports: Vec<RolloutReport>,
+    },
 }
 
 /// Longest datagram in bytes; UDP over IPv4 carries at most 65 507.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -9,8 +9,9 @@
 use policy::health::HealthState;
 use policy::plain_choice::PlainView;
 use policy::prefix_table::{PrefixHolder, PromptPrefix};
+use policy::rollout_stage::{self, TrafficShare};
 
-use crate::config::EngineRule;
+use crate::config::{EngineRule, PoolRollout};
 use crate::fleet::FleetTable;
 use crate::kv_store::KvStoreView;
 use crate::peer_message::PrefixPlacement;
@@ -57,13 +58,36 @@
     epoch: u64,
 }
 
+/// The software releases whose replicas may get a request.
+#[derive(Debug, Clone, Copy)]
+pub enum ReleaseFilter<'a> {
+    /// All of them.
+    Any,
+    /// All but one.
+    Without(&'a str),
+    /// Only this one, and of its replicas those with these hashes of their ids.
+    Only(&'a str, &'a [u64]),
+}
+
+impl ReleaseFilter<'_> {
+    fn allows(&self, replica: &Replica) -> bool {
+        match self {
+            ReleaseFilter::Any => true,
+            ReleaseFilter::Without(release) => *replica.entry.release != **release,
+            ReleaseFilter::Only(release, members) => {
+                *replica.entry.release == **release && members.contains(&replica.member)
+            }
+        }
+    }
+}
+
 /// Restricts the replicas that may get a request.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementQuery<'a> {
     /// The pool that the replica must belong to.
     pub pool: &'a PoolId,
-    /// A software release whose replicas get no request.
-    pub excluded_release: Option<&'a str>,
+    /// The software releases whose replicas may get the request.
+    pub releases: ReleaseFilter<'a>,
     /// Replicas that the request was already sent to without success.
     pub excluded_targets: &'a [TargetId],
     /// The lowest version of weights that the request may start on.
@@ -96,7 +120,7 @@
     ) -> impl Iterator<Item = &'a Replica> {
         self.replicas.values().filter(move |it| {
             it.entry.pool == *query.pool
-                && query.excluded_release.is_none_or(|release| *it.entry.release != *release)
+                && query.releases.allows(it)
                 && it.accepts_requests(now)
                 && it.weights >= query.min_weights
                 && !query.excluded_targets.contains(&it.entry.id)
@@ -109,6 +133,32 @@
         pool.any(|it| *it.entry.release != *release)
     }
 
+    /// Number of replicas that accept requests, of the release that a rollout moves to and of
+    /// others.
+    pub fn count_by_release(&self, now: Duration, rollout: &PoolRollout) -> (usize, usize) {
+        let pool = self.replicas.values().filter(|it| it.entry.pool == rollout.pool);
+        let open = pool.filter(|it| it.accepts_requests(now));
+        let (new, old): (Vec<_>, Vec<_>) = open.partition(|it| it.entry.release == rollout.to);
+        (new.len(), old.len())
+    }
+
+    /// Whether any request runs on another release than the one that a rollout moves to.
+    pub fn runs_other_release(&self, now: Duration, rollout: &PoolRollout) -> bool {
+        let mut pool = self.replicas.values().filter(|it| it.entry.pool == rollout.pool);
+        pool.any(|it| it.entry.release != rollout.to && self.load(now, it).running > 0)
+    }
+
+    /// The hashes of the ids of replicas of this release that get its requests at this share. All
+    /// daemons select the same ones.
+    pub fn trial_members(&self, pool: &PoolId, release: &str, share: TrafficShare) -> Vec<u64> {
+        let pool = self.replicas.values().filter(|it| it.entry.pool == *pool && !it.leaving);
+        let mut members: Vec<u64> =
+            pool.filter(|it| *it.entry.release == *release).map(|it| it.member).collect();
+        members.sort_unstable();
+        members.truncate(rollout_stage::trial_replicas(share, members.len()));
+        members
+    }
+
     /// Whether a pool has a replica that is not leaving, so that it accepts requests now or later.
     pub fn has_active_replica(&self, pool: &PoolId) -> bool {
         self.replicas.values().any(|it| it.entry.pool == *pool && !it.leaving)
--- /dev/null
+++ b/crates/gateway/src/rollout_table.rs
@@ -0,0 +1,196 @@
+//! What this daemon knows of rollouts: their stages, its own evidence and that of its peers.
+
+use std::time::Duration;
+
+use ids::{PoolId, Revision};
+use indexmap::IndexMap;
+use policy::rollout_stage::RolloutStage;
+use policy::rollout_trial::{AttemptOutcome, RolloutEvidence, RolloutTrial, RouteEvidence};
+use policy::version_trial::TrialFault;
+
+use crate::peer_message::{GossipDirection, RolloutReport};
+
+/// Evidence of a peer that has sent nothing for this long no longer counts: it may now come by way
+/// of another hub.
+const EVIDENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long peers are told of a rollout that has ended; later ones ask for it.
+const END_REPORT_TIME: Duration = Duration::from_secs(10);
+
+/// One rollout.
+#[derive(Debug, Default)]
+struct PoolTrial {
+    /// The revision of the operator's row.
+    order: Revision,
+    /// `None` until the store or a peer says how far it is.
+    stage: Option<RolloutStage>,
+    /// When a peer last moved it on.
+    heard_at: Option<Duration>,
+    /// When it reached a stage in which nothing is left to do.
+    ended_at: Option<Duration>,
+    own: RolloutEvidence,
+    /// The evidence of each peer, by the hash of its id; a hub's is that of its children too.
+    peers: IndexMap<u64, (Duration, RolloutEvidence)>,
+    trial: RolloutTrial,
+    /// When requests last ran on an older release, or the new one did not have all traffic.
+    old_busy_at: Duration,
+}
+
+/// What the evidence says about a new release.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReleaseVerdict {
+    /// Requests that ended on it.
+    pub new_requests: u64,
+    /// The evidence leans against it, if not enough for a fault.
+    pub suspect: bool,
+    /// The fault found.
+    pub fault: Option<TrialFault>,
+}
+
+/// The rollouts known to this daemon, by pool.
+#[derive(Debug, Default)]
+pub struct RolloutTable {
+    pools: IndexMap<PoolId, PoolTrial>,
+}
+
+impl RolloutTable {
+    /// How far this rollout is; `None` if that is not known yet.
+    pub fn stage(&self, pool: &PoolId, order: Revision) -> Option<RolloutStage> {
+        self.pools.get(pool).filter(|it| it.order == order)?.stage
+    }
+
+    /// The time since a peer last moved the rollout on; `None` if none has.
+    pub fn unheard(&self, now: Duration, pool: &PoolId, order: Revision) -> Option<Duration> {
+        let trial = self.pools.get(pool).filter(|it| it.order == order)?;
+        trial.heard_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether there is still something to do or to tell peers about this rollout.
+    pub fn is_active(&self, now: Duration, pool: &PoolId, order: Revision) -> bool {
+        let trial = self.pools.get(pool).filter(|it| it.order == order);
+        trial.and_then(|it| it.ended_at).is_none_or(|at| now < at + END_REPORT_TIME)
+    }
+
+    /// Moves a rollout on; an earlier stage than the known one changes nothing.
+    pub fn advance(&mut self, now: Duration, pool: &PoolId, order: Revision, stage: RolloutStage) {
+        let Some(trial) = self.trial_mut(pool, order) else { return };
+        if trial.stage.is_some_and(|it| it >= stage) {
+            return;
+        }
+        trial.stage = Some(stage);
+        trial.old_busy_at = now;
+        if !matches!(stage, RolloutStage::Running(_)) {
+            trial.ended_at = Some(now);
+        }
+        tracing::info!(%pool, order = order.0, ?stage, "rollout: stage");
+    }
+
+    /// Records how a request of this pool ended here.
+    pub fn record(
+        &mut self,
+        pool: &PoolId,
+        order: Revision,
+        route: u64,
+        on_new: bool,
+        outcome: AttemptOutcome,
+    ) {
+        if let Some(trial) = self.trial_mut(pool, order) {
+            trial.own.record(route, on_new, outcome);
+        }
+    }
+
+    /// Merges the report of a peer with the hash `sender`. Returns whether the peer lacks a stage
+    /// that is known here.
+    pub fn merge(&mut self, now: Duration, sender: u64, report: &RolloutReport) -> bool {
+        let before = self.stage(&report.pool, report.order);
+        if let Some(stage) = report.stage {
+            self.advance(now, &report.pool, report.order, stage);
+        }
+        let Some(trial) = self.trial_mut(&report.pool, report.order) else { return false };
+        if trial.stage > before {
+            trial.heard_at = Some(now);
+        }
+        let evidence = RolloutEvidence::from_routes(&report.evidence);
+        trial.peers.insert(sender, (now, evidence));
+        trial.stage > report.stage
+    }
+
+    /// The report of one rollout to send in this direction, by a daemon with these children.
+    pub fn report(
+        &self,
+        now: Duration,
+        pool: &PoolId,
+        order: Revision,
+        direction: GossipDirection,
+        children: &[u64],
+    ) -> RolloutReport {
+        let trial = self.pools.get(pool).filter(|it| it.order == order);
+        let evidence = trial.map(|it| match direction {
+            GossipDirection::ToParent => it.own.clone(),
+            GossipDirection::BetweenHubs => it.sum(now, |peer| children.contains(&peer)),
+            GossipDirection::ToChild(_) => it.sum(now, |_| true),
+        });
+        let evidence: Vec<RouteEvidence> =
+            evidence.iter().flat_map(RolloutEvidence::routes).copied().collect();
+        RolloutReport { pool: pool.clone(), order, stage: trial.and_then(|it| it.stage), evidence }
+    }
+
+    /// Judges the new release by the evidence of all daemons. `from_hub` is the hash of this
+    /// daemon's hub, if it has one, whose evidence covers all daemons.
+    pub fn judge(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        order: Revision,
+        from_hub: Option<u64>,
+    ) -> ReleaseVerdict {
+        let Some(trial) = self.trial_mut(pool, order) else { return ReleaseVerdict::default() };
+        trial.peers.retain(|_, it| now < it.0 + EVIDENCE_TIMEOUT);
+        let total = match from_hub.and_then(|it| trial.peers.get(&it)) {
+            Some((_, evidence)) => evidence.clone(),
+            None => trial.sum(now, |_| true),
+        };
+        let fault = trial.trial.observe(&total);
+        let suspect = trial.trial.is_suspect();
+        ReleaseVerdict { new_requests: total.new_requests(), suspect, fault }
+    }
+
+    /// Records whether requests run on older releases, and returns for how long none has.
+    pub fn observe_old_release(
+        &mut self,
+        now: Duration,
+        pool: &PoolId,
+        order: Revision,
+        busy: bool,
+    ) -> Duration {
+        let Some(trial) = self.trial_mut(pool, order) else { return Duration::ZERO };
+        if busy {
+            trial.old_busy_at = now;
+        }
+        now.saturating_sub(trial.old_busy_at)
+    }
+
+    /// The state of this rollout, begun anew if the known one is older; `None` if it is newer.
+    fn trial_mut(&mut self, pool: &PoolId, order: Revision) -> Option<&mut PoolTrial> {
+        let trial = self.pools.entry(pool.clone()).or_default();
+        if trial.order > order {
+            return None;
+        }
+        if trial.order < order {
+            *trial = PoolTrial { order, ..PoolTrial::default() };
+        }
+        Some(trial)
+    }
+}
+
+impl PoolTrial {
+    /// This daemon's evidence and that of the peers which are selected.
+    fn sum(&self, now: Duration, selected: impl Fn(u64) -> bool) -> RolloutEvidence {
+        let mut sum = self.own.clone();
+        for (peer, (at, evidence)) in &self.peers {
+            if selected(*peer) && now < *at + EVIDENCE_TIMEOUT {
+                sum.add(evidence);
+            }
+        }
+        sum
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -15,7 +15,9 @@
 use crate::gateway::Gateway;
 use crate::peer_socket::PeerSocket;
 use crate::settings::{GatewaySettings, SettingsSource};
-use crate::{front, gossip, kv_store, readiness, store_reader, supervisor, weight_commands};
+use crate::{
+    front, gossip, kv_store, readiness, rollouts, store_reader, supervisor, weight_commands,
+};
 
 /// Connections that the kernel queues before they are accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -86,6 +88,7 @@
     spawn_restarting(&gateway, "targets reader", store_reader::refresh_targets);
     spawn_restarting(&gateway, "announcer", store_reader::announce);
     spawn_restarting(&gateway, "weight commands", weight_commands::run);
+    spawn_restarting(&gateway, "rollouts", rollouts::run);
     spawn_restarting(&gateway, "kv store probe", kv_store::probe_loop);
     tokio::spawn(readiness::serve(gateway.clone(), readiness));
     tokio::spawn(front::serve(gateway.clone(), callers, stopped));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -75,4 +75,6 @@
     pub lease: Duration,
     /// Time within which published weights are loaded on all replicas.
     pub version: Duration,
+    /// Share of a pool's requests that a bad release may get while it is rolled out.
+    pub rollout_exposure: f64,
 }
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -4,8 +4,12 @@
 use std::time::Duration;
 
 use gateway::config::TargetEntry;
-use gateway::peer_message::{self, MAX_DATAGRAM_BYTES, PeerMessage, QuotaQuery, WeightStatus};
+use gateway::peer_message::{
+    self, MAX_DATAGRAM_BYTES, PeerMessage, QuotaQuery, RolloutReport, WeightStatus,
+};
 use ids::Revision;
+use policy::rollout_stage::{RolloutStage, TrafficShare};
+use policy::rollout_trial::{AttemptOutcome, RolloutEvidence};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -34,6 +38,22 @@
     })
 }
 
+fn rollouts() -> PeerMessage {
+    let mut evidence = RolloutEvidence::default();
+    for number in 0..40 {
+        let latency = Duration::from_millis(number * number);
+        evidence.record(number % 3, number % 2 == 0, AttemptOutcome::Answered(latency));
+        evidence.record(number % 3, number % 4 == 0, AttemptOutcome::Failed);
+    }
+    let report = RolloutReport {
+        pool: "desk".parse().expect("an id"),
+        order: Revision(9),
+        stage: Some(RolloutStage::Running(TrafficShare(80))),
+        evidence: evidence.routes().copied().collect(),
+    };
+    PeerMessage::Rollouts { sender: 5, reports: vec![report] }
+}
+
 fn encode(message: &PeerMessage) -> Vec<u8> {
     peer_message::encode(message).expect("a message of this version")
 }
@@ -50,6 +70,7 @@
 #[case::listing(listing())]
 #[case::members(PeerMessage::Members(vec![fixtures::member("edge-1"), fixtures::member("edge-2")]))]
 #[case::quota_query(quota_query())]
+#[case::rollouts(rollouts())]
 fn damaged_messages_are_rejected_without_a_panic(#[case] message: PeerMessage) {
     let bytes = encode(&message);
     assert_eq!(peer_message::decode(&bytes), Some(message));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,8 @@
 pub mod read_schedule;
 pub mod rendezvous;
 pub mod retry;
+pub mod rollout_stage;
+pub mod rollout_trial;
 pub mod silence;
 pub mod spend_guard;
 pub mod stream_order;
