--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,6 +112,7 @@
         dialect: D,
         directory: S,
         peer_socket: PeerSocket,
+        metrics: Metrics,
     ) -> Gateway<D, S> {
         let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = MemberEntry {
@@ -130,7 +131,7 @@
             connections: ConnectionTable::new(clock),
             peer_socket,
             gossip_relay: GossipRelay::default(),
-            metrics: Metrics::new(),
+            metrics,
             view_changed: Notify::new(),
             capacity_freed: Notify::new(),
             view: Mutex::default(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     /// Calls to the store that have ended, also failed ones.
     store_calls: IntCounterVec,
     store_errors: IntCounterVec,
+    /// Bytes sent to other daemons, by kind of message.
+    peer_bytes: IntCounterVec,
     /// Time from a request to the headers of its answer.
     first_byte: Histogram,
     /// Time from a request to its stream's first event.
@@ -159,6 +161,11 @@
                 "Calls that failed",
                 "call",
             ),
+            peer_bytes: builder.counter(
+                "kingcupshift_peer_bytes_total",
+                "Bytes sent to other daemons",
+                "message",
+            ),
             first_byte: builder.histogram("kingcupshift_first_byte_seconds", "Time to an answer"),
             first_event: builder
                 .histogram("kingcupshift_first_event_seconds", "Time to a stream's first event"),
@@ -179,6 +186,11 @@
         }
     }
 
+    /// The counter of bytes sent to other daemons, by kind of message.
+    pub fn peer_bytes(&self) -> IntCounterVec {
+        self.peer_bytes.clone()
+    }
+
     /// The names of all metrics, in the order of registration.
     pub fn names(&self) -> &[Box<str>] {
         &self.names
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -252,6 +252,29 @@
     },
 }
 
+impl PeerMessage {
+    /// What kind of message it is, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            PeerMessage::Gossip(report) => match report.direction {
+                GossipDirection::ToParent => "report_to_hub",
+                GossipDirection::BetweenHubs => "report_between_hubs",
+                GossipDirection::ToChild(_) => "report_to_child",
+            },
+            PeerMessage::Control(..) => "control",
+            PeerMessage::Listing(..) => "listing",
+            PeerMessage::Members(_) => "members",
+            PeerMessage::Weights(_) => "weights",
+            PeerMessage::QuotaQuery(_) => "quota_query",
+            PeerMessage::QuotaReply { .. } => "quota_reply",
+            PeerMessage::Strike(_) => "strike",
+            PeerMessage::Part(_) => "part",
+            PeerMessage::ListingChange(_) => "listing_change",
+            PeerMessage::Rollouts { .. } => "rollouts",
+        }
+    }
+}
+
 /// Longest datagram in bytes; UDP over IPv4 carries at most 65 507.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
 /// Limit of the decoder, which counts integers and lengths by their size in memory: up to eight
--- a/crates/gateway/src/peer_socket.rs
+++ b/crates/gateway/src/peer_socket.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use ports::Clock;
+use prometheus::IntCounterVec;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
@@ -21,20 +22,29 @@
     port: u16,
     pending: Mutex<IndexMap<u64, oneshot::Sender<Option<Duration>>>>,
     parts: Mutex<PartTable>,
+    /// Bytes sent to peers, by kind of message.
+    sent_bytes: IntCounterVec,
 }
 
 impl PeerSocket {
-    /// Opens the socket. All daemons use the same port.
-    pub async fn bind(address: IpAddr, port: u16) -> io::Result<PeerSocket> {
+    /// Opens the socket. All daemons use the same port. Counts what it sends in `sent_bytes`, by
+    /// [`PeerMessage::kind`].
+    pub async fn bind(
+        address: IpAddr,
+        port: u16,
+        sent_bytes: IntCounterVec,
+    ) -> io::Result<PeerSocket> {
         let socket = UdpSocket::bind(SocketAddr::new(address, port)).await?;
         let (pending, parts) = (Mutex::default(), Mutex::default());
-        Ok(PeerSocket { socket: Arc::new(socket), port, pending, parts })
+        Ok(PeerSocket { socket: Arc::new(socket), port, pending, parts, sent_bytes })
     }
 
     /// Sends a message to some daemons, in parts if it is longer than a datagram. A datagram that
     /// cannot be sent at once is dropped; the protocol tolerates losses.
     pub fn send(&self, to: &[IpAddr], message: &PeerMessage) {
         let Some(bytes) = peer_message::encode(message) else { return };
+        let sent_bytes = self.sent_bytes.with_label_values(&[message.kind()]);
+        sent_bytes.inc_by((bytes.len() * to.len()) as u64);
         if bytes.len() > MAX_DATAGRAM_BYTES {
             return self.send_parts(to, &bytes);
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,6 +13,7 @@
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::Gateway;
+use crate::metrics::Metrics;
 use crate::peer_socket::PeerSocket;
 use crate::settings::{GatewaySettings, SettingsSource};
 use crate::{
@@ -77,8 +78,10 @@
 ) -> io::Result<()> {
     let callers = listen(settings.caller_address)?;
     let readiness = listen(settings.readiness_address)?;
-    let peer_socket = PeerSocket::bind(settings.peer_address, settings.peer_port).await?;
-    let gateway = Arc::new(Gateway::new(settings, dialect, directory, peer_socket));
+    let metrics = Metrics::new();
+    let (address, port) = (settings.peer_address, settings.peer_port);
+    let peer_socket = PeerSocket::bind(address, port, metrics.peer_bytes()).await?;
+    let gateway = Arc::new(Gateway::new(settings, dialect, directory, peer_socket, metrics));
     let incarnation = gateway.own.incarnation;
     tracing::info!(instance = %gateway.own.id, %incarnation, "daemon: started");
     let (stop_sender, stopped) = watch::channel(false);
