Send no whole list to a daemon that was just sent its change

Cause: reports that a daemon sent before a change of the list of replicas reached it name the list before, so that its peers sent it the whole list of 3,000 replicas, 256 kB, after each change. A third of what hubs of 300 daemons sent were such lists. Change: a change that is sent counts as the state sent; the whole follows 500 ms later if it is lacking.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -176,9 +176,20 @@
     source: Option<IpAddr>,
 ) {
     let to = lock(&gateway.members).gossip_peers(gateway.now()).forward_targets(source);
+    record_change(gateway, &to, WholeState::Control);
     send_control(gateway, &to);
 }
 
+fn record_change<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    to: &[IpAddr],
+    state: WholeState,
+) {
+    let now = gateway.now();
+    let mut limit = lock(&gateway.gossip_relay.resend_limit);
+    to.iter().for_each(|it| limit.record_change(now, *it, state));
+}
+
 /// Forwards an update of the list of replicas, which came from `source` or from the store.
 pub(crate) fn forward_listing<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
@@ -189,6 +200,7 @@
         return;
     }
     let to = lock(&gateway.members).gossip_peers(gateway.now()).forward_targets(source);
+    record_change(gateway, &to, WholeState::Listing);
     match update {
         ListingUpdate::Partial(change) => {
             gateway.peer_socket.send(&to, &PeerMessage::ListingChange(change));
--- a/crates/gateway/src/resend_limit.rs
+++ b/crates/gateway/src/resend_limit.rs
@@ -35,4 +35,10 @@
         self.sent.insert((to, state), now);
         true
     }
+
+    /// Records that the daemon at this address was sent a change of the state. Its reports may
+    /// still name the state before, and what it lacks is on its way.
+    pub fn record_change(&mut self, now: Duration, to: IpAddr, state: WholeState) {
+        self.sent.insert((to, state), now);
+    }
 }
--- a/crates/gateway/tests/resend_limit.rs
+++ b/crates/gateway/tests/resend_limit.rs
@@ -16,6 +16,19 @@
     assert_eq!(sent, 20, "twice a second for ten seconds");
 }
 
+/// A change reaches a daemon later than a report that the daemon has sent already.
+#[test]
+fn a_daemon_that_was_just_sent_a_change_does_not_lag() {
+    let mut limit = ResendLimit::default();
+    let (to, now) = (IpAddr::V4(Ipv4Addr::LOCALHOST), Duration::from_secs(30));
+    limit.record_change(now, to, WholeState::Listing);
+    let soon = now + Duration::from_millis(250);
+    assert!(!limit.begin(soon, to, WholeState::Listing));
+    assert!(limit.begin(soon, to, WholeState::Control));
+    // The change may have got lost.
+    assert!(limit.begin(now + Duration::from_millis(500), to, WholeState::Listing));
+}
+
 #[test]
 fn each_daemon_and_each_state_is_limited_alone() {
     let mut limit = ResendLimit::default();
