Make no weak daemon a hub if nearly enough are capable

Cause: of 300 daemons 18 are hubs and 15 were capable (half a core). Change: hubs are only the daemons with at least half the cores of the first, if these are half as many as a fleet of equal instances has. The new cases of the test failed to compile before, as the count did not look at capacities.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -335,7 +335,8 @@
 
     /// Whether this daemon is a hub.
     pub fn is_hub(&self, now: Duration) -> bool {
-        self.rank(now) < peer_tree::hub_count(self.candidates(now).len())
+        let (members, hubs) = self.hubs(now);
+        hubs.iter().any(|it| members[*it].member == self.own_member)
     }
 
     /// The home of a customer: the hub that keeps its token bucket; `None` if it is this daemon.
@@ -358,7 +359,7 @@
     fn hubs(&self, now: Duration) -> (Vec<TreeMember>, Vec<usize>) {
         let members = self.candidates(now);
         let mut order = peer_tree::rank_members(&members);
-        order.truncate(peer_tree::hub_count(members.len()));
+        order.truncate(peer_tree::count_hubs(&members, &order));
         (members, order)
     }
 
--- a/crates/policy/src/peer_tree.rs
+++ b/crates/policy/src/peer_tree.rs
@@ -12,6 +12,11 @@
 /// Largest fleet in which every daemon is a hub.
 const MAX_FLAT_FLEET: usize = 12;
 
+/// An instance with this many times the cores is much more capable.
+const MUCH_MORE_CAPABLE: u32 = 2;
+/// How many times as many children hubs may have so that all of them are capable.
+const MOST_CHILDREN_FACTOR: usize = 2;
+
 /// The capacity of a daemon's instance. Instances are compared by cores first, then by link; the
 /// greater one becomes a hub first.
 #[derive(
@@ -40,6 +45,20 @@
     if fleet <= MAX_FLAT_FLEET { fleet } else { (fleet as f64).sqrt().ceil() as usize }
 }
 
+/// The number of hubs among these daemons, of which `order` is the order in which they become hubs.
+/// Fewer than for a fleet of equal instances if only so many are much more capable than the others:
+/// the load of a hub exhausts a weak instance, and the customers whose buckets it keeps are refused.
+pub fn count_hubs(members: &[TreeMember], order: &[usize]) -> usize {
+    let count = hub_count(members.len());
+    let millicores = |rank: usize| members[order[rank]].capacity.millicores;
+    if count == members.len() {
+        return count;
+    }
+    let is_weak = |rank: usize| millicores(rank) * MUCH_MORE_CAPABLE <= millicores(0);
+    let strong = (0..count).find(|rank| is_weak(*rank)).unwrap_or(count);
+    if strong * MOST_CHILDREN_FACTOR >= count { strong } else { count }
+}
+
 /// Returns the indices of all daemons in the order in which they become hubs: greatest capacity
 /// first, ties by the hash of the id. Every daemon with the same list computes the same order.
 pub fn rank_members(members: &[TreeMember]) -> Vec<usize> {
--- a/crates/policy/tests/gateway_decisions.rs
+++ b/crates/policy/tests/gateway_decisions.rs
@@ -108,6 +108,25 @@
     assert_eq!(peer_tree::hub_count(fleet), hubs);
 }
 
+/// Capable and weak instances in one fleet.
+#[rstest]
+#[case::enough_capable(40, 300, 18)]
+#[case::nearly_enough(15, 300, 15)]
+#[case::too_few(3, 300, 18)]
+#[case::none(0, 300, 18)]
+#[case::all(300, 300, 18)]
+#[case::small_fleet(2, 8, 8)]
+fn weak_daemons_are_no_hubs_if_nearly_enough_are_capable(
+    #[case] capable: usize,
+    #[case] fleet: u64,
+    #[case] hubs: usize,
+) {
+    let mut fleet = members(fleet);
+    fleet.iter_mut().take(capable).for_each(|it| it.capacity = self::capacity(500));
+    let order = peer_tree::rank_members(&fleet);
+    assert_eq!(peer_tree::count_hubs(&fleet, &order), hubs);
+}
+
 #[test]
 fn the_most_capable_daemon_ranks_first_in_any_order_of_input() {
     let mut fleet = members(20);
