Name the daemons that a hub reaches once instead of in each report

Cause: each report of a hub to a child, four a second, held the status of all daemons: of 300 some 7 kB, which with weak links delayed all that the hub sends. Change: reports carry a digest; the list is sent only to children that do not have it. A daemon that the hub does not reach any more is unreachable for the children at once, not after a timeout of theirs.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,7 +13,7 @@
 use crate::gateway::{Gateway, lock};
 use crate::kv_store::KvStoreView;
 use crate::listing_change::ListingUpdate;
-use crate::members::GOSSIP_PERIOD;
+use crate::members::{GOSSIP_PERIOD, MemberTable};
 use crate::peer_message::{
     DaemonStatus, GossipDirection, GossipExtension, GossipReport, PeerMessage, PrefixPlacement,
     StateDigests, WeightStatus,
@@ -143,7 +143,14 @@
         },
     }];
     let children = members.children(now);
-    for (daemon, age, leaving) in members.reachable(now) {
+    let (reachable, are_named) = match direction {
+        GossipDirection::ToChild(child) => {
+            let digest = members.reachable_digest(now);
+            (digest, members.has_reachable(child, digest))
+        }
+        GossipDirection::ToParent | GossipDirection::BetweenHubs => (members.named_digest(), false),
+    };
+    for (daemon, age, leaving) in members.reachable(now).filter(|_| !are_named) {
         let loads = match direction {
             GossipDirection::ToParent => continue,
             GossipDirection::BetweenHubs if children.contains(&daemon) => fleet.peer_loads(daemon),
@@ -166,7 +173,7 @@
         prefixes: prefixes.to_vec(),
         leaving_targets: fleet.leaving_replicas(),
         members: if full && !members_known { members.entries() } else { Vec::new() },
-        extension: Some(GossipExtension { loads_are_changes, digests }),
+        extension: Some(GossipExtension { loads_are_changes, digests, reachable }),
     }
 }
 
@@ -305,13 +312,11 @@
             known,
             report.direction == GossipDirection::ToParent,
         );
-        members.record_digests(&report.sender.id, report.extension.map(|it| it.digests));
+        members.record_extension(&report.sender.id, report.extension);
         for it in &report.members {
             members.add(now, it);
         }
-        for it in &report.daemons {
-            members.record_alive(it.daemon, now.saturating_sub(it.age), it.leaving);
-        }
+        record_daemons(&mut members, now, report);
         let is_lagging = known < members.known_count() / LAGGING_DIVISOR;
         if is_lagging { members.entries() } else { Vec::new() }
     };
@@ -364,6 +369,25 @@
     }
 }
 
+/// Records which daemons the sender has seen.
+fn record_daemons(members: &mut MemberTable, now: Duration, report: &GossipReport) {
+    let sender = rendezvous::hash_member(report.sender.id.as_str());
+    if let (GossipDirection::ToChild(_), Some(extension)) = (report.direction, report.extension) {
+        members.record_alive(
+            sender,
+            now,
+            report.daemons.iter().any(|it| it.leaving && it.daemon == sender),
+        );
+        let others = report.daemons.iter().filter(|it| it.daemon != sender);
+        let others: Vec<_> = others.map(|it| (it.daemon, it.age, it.leaving)).collect();
+        members.record_named(now, sender, extension.reachable, &others);
+        return;
+    }
+    for it in &report.daemons {
+        members.record_alive(it.daemon, now.saturating_sub(it.age), it.leaving);
+    }
+}
+
 /// The parts of the state for which a peer has an older revision.
 #[derive(Debug, Clone, Copy)]
 struct PeerLag {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3;
 
 use crate::directory::MemberEntry;
-use crate::peer_message::StateDigests;
+use crate::peer_message::{GossipExtension, StateDigests};
 
 /// A daemon not seen for this long counts as unreachable, where all daemons are hubs.
 const REACHABLE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -57,6 +57,8 @@
     known_daemons: usize,
     /// Digests of its state, as it reported last.
     digests: Option<StateDigests>,
+    /// The digest of the daemons that this one named to it last, as it reported.
+    reported_reachable: Option<u64>,
     leaving: bool,
 }
 
@@ -68,6 +70,16 @@
     since: Duration,
 }
 
+/// The daemons that a hub reaches, as it named them last.
+#[derive(Debug, Default)]
+struct NamedDaemons {
+    /// The hash of the hub's id.
+    hub: u64,
+    digest: u64,
+    /// The hashes of the daemons' ids, and whether each is leaving.
+    daemons: Vec<(u64, bool)>,
+}
+
 /// The other daemons by the hash of their id, and the place of this one among them.
 #[derive(Debug)]
 pub struct MemberTable {
@@ -77,6 +89,8 @@
     seeds: Vec<IpAddr>,
     known: IndexMap<u64, KnownDaemon>,
     parent: Option<ParentHub>,
+    /// The daemons that a hub named last.
+    named: NamedDaemons,
     /// Hubs that sent nothing, by the hash of their id, and until when each is avoided.
     avoided_parents: IndexMap<u64, Duration>,
 }
@@ -118,6 +132,7 @@
             seeds,
             known: IndexMap::new(),
             parent: None,
+            named: NamedDaemons::default(),
             avoided_parents: IndexMap::new(),
         }
     }
@@ -148,6 +163,7 @@
                     unresponsive_at: None,
                     known_daemons: 0,
                     digests: None,
+                    reported_reachable: None,
                     leaving: false,
                 };
                 self.known.insert(member, known);
@@ -172,10 +188,11 @@
         it.child_message_at = if to_hub { Some(now) } else { None };
     }
 
-    /// Records what digests of its state a daemon reported; `None` if it reported none.
-    pub fn record_digests(&mut self, id: &InstanceId, digests: Option<StateDigests>) {
+    /// Records what a daemon reported that it has; `None` if it reported nothing of it.
+    pub fn record_extension(&mut self, id: &InstanceId, extension: Option<GossipExtension>) {
         if let Some(it) = self.known.get_mut(&rendezvous::hash_member(id.as_str())) {
-            it.digests = digests;
+            it.digests = extension.map(|it| it.digests);
+            it.reported_reachable = extension.map(|it| it.reachable);
         }
     }
 
@@ -210,6 +227,59 @@
         }
     }
 
+    /// A digest of the reachable daemons, this one left out.
+    pub fn reachable_digest(&self, now: Duration) -> u64 {
+        self.reachable(now).fold(0, |digest, (member, _, leaving)| {
+            digest ^ xxh3::xxh3_64_with_seed(&[u8::from(leaving)], member)
+        })
+    }
+
+    /// Whether a daemon, given as the hash of its id, has the list of reachable daemons with this
+    /// digest.
+    pub fn has_reachable(&self, member: u64, digest: u64) -> bool {
+        self.known.get(&member).is_some_and(|it| it.reported_reachable == Some(digest))
+    }
+
+    /// The digest of the daemons that this daemon's hub named last; 0 if it named none.
+    pub fn named_digest(&self) -> u64 {
+        let parent = self.parent.map(|it| it.member);
+        if parent == Some(self.named.hub) { self.named.digest } else { 0 }
+    }
+
+    /// Records the digest of the daemons that a hub reaches, and the list if it sent one: hashes of
+    /// ids with ages and whether they are leaving. Without a list, the daemons that it named last
+    /// are still reachable if the digest is theirs.
+    pub fn record_named(
+        &mut self,
+        now: Duration,
+        hub: u64,
+        digest: u64,
+        list: &[(u64, Duration, bool)],
+    ) {
+        if !list.is_empty() {
+            let daemons = list.iter().map(|it| (it.0, it.2)).collect();
+            let before = std::mem::replace(&mut self.named, NamedDaemons { hub, digest, daemons });
+            let unreachable_at = now.saturating_sub(self.reachable_timeout());
+            for (member, _) in before.daemons.iter().filter(|_| before.hub == hub) {
+                // The hub has waited for it already.
+                if !list.iter().any(|it| it.0 == *member)
+                    && let Some(known) = self.known.get_mut(member)
+                {
+                    known.alive_at = known.alive_at.map(|at| at.min(unreachable_at));
+                }
+            }
+            for (member, age, leaving) in list {
+                self.record_alive(*member, now.saturating_sub(*age), *leaving);
+            }
+        } else if self.named.hub == hub && self.named.digest == digest {
+            let named = std::mem::take(&mut self.named.daemons);
+            for (member, leaving) in &named {
+                self.record_alive(*member, now, *leaving);
+            }
+            self.named.daemons = named;
+        }
+    }
+
     /// Forgets daemons that were not seen for long.
     pub fn sweep(&mut self, now: Duration) {
         let limit = if self.reachable_share(now) > 0.5 {
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -159,6 +159,9 @@
     pub loads_are_changes: bool,
     /// What the sender knows, so that the receiver leaves out what is equal.
     pub digests: StateDigests,
+    /// In a report to a child, the digest of the daemons that the hub reaches; they are left out if
+    /// the child has them. In a report to a hub, the digest of those that the hub named last.
+    pub reachable: u64,
 }
 
 /// Digests of a daemon's state, equal where the state is equal.
--- a/crates/gateway/tests/listing_changes.rs
+++ b/crates/gateway/tests/listing_changes.rs
@@ -193,6 +193,7 @@
 fn reports_are_understood_with_and_without_what_follows_them() {
     let report = fixtures::report();
     let extension = GossipExtension {
+        reachable: 3,
         loads_are_changes: true,
         digests: StateDigests { weights: 1, members: 2 },
     };
