Let hubs that reach few daemons turn to those that should be hubs

Change: a hub sends its reports also to three of the daemons in turn that would be hubs if all known ones were reachable, and are not.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -75,6 +75,7 @@
     send_report(gateway, &peers.parent, GossipDirection::ToParent, &own_prefixes, full);
     prefixes.extend(own_prefixes);
     send_report(gateway, &peers.hubs, GossipDirection::BetweenHubs, &prefixes, full);
+    send_report(gateway, &peers.lost_hubs, GossipDirection::BetweenHubs, &[], full);
     prefixes.extend(from_hubs);
     // Spread over the period: a link that gets all of a hub's reports at once drops other
     // datagrams.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod front;
 mod gateway;
 mod gossip;
+pub mod gossip_peers;
 mod kv_store;
 pub mod listing_change;
 mod load_table;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3;
 
 use crate::directory::MemberEntry;
+use crate::gossip_peers::GossipPeers;
 use crate::peer_message::{GossipExtension, StateDigests};
 
 /// A daemon not seen for this long counts as unreachable, where all daemons are hubs.
@@ -36,6 +37,9 @@
 /// How long it then avoids that hub.
 const PARENT_AVOID_TIME: Duration = Duration::from_secs(3);
 
+/// The number of unreachable daemons that a hub sends its reports to in each round.
+const LOST_HUBS_PER_ROUND: usize = 3;
+
 /// What this daemon knows of another one.
 #[derive(Debug)]
 struct KnownDaemon {
@@ -91,38 +95,12 @@
     parent: Option<ParentHub>,
     /// The daemons that a hub named last.
     named: NamedDaemons,
+    /// Where to go on among the unreachable daemons that would be hubs.
+    next_lost_hub: usize,
     /// Hubs that sent nothing, by the hash of their id, and until when each is avoided.
     avoided_parents: IndexMap<u64, Duration>,
 }
 
-/// The addresses to which a daemon sends its reports, by direction.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct GossipPeers {
-    /// The hub of this daemon; empty if it is a hub itself.
-    pub parent: Vec<IpAddr>,
-    /// The other hubs, if this daemon is one. Seeds too, while it reaches no other daemon.
-    pub hubs: Vec<IpAddr>,
-    /// Daemons that report to this one as their hub.
-    pub children: Vec<IpAddr>,
-    /// The hashes of the ids of `children`, in the same order.
-    pub child_hashes: Vec<u64>,
-}
-
-impl GossipPeers {
-    /// The addresses to which a change is forwarded that came from `source`, or arose here if
-    /// `None`. What a hub sent goes to children only, since hubs send it to each other directly.
-    pub fn forward_targets(&self, source: Option<IpAddr>) -> Vec<IpAddr> {
-        let from_hub =
-            source.is_some_and(|it| self.hubs.contains(&it) || self.parent.contains(&it));
-        let hubs = self.parent.iter().chain(&self.hubs).filter(|_| !from_hub);
-        let all = hubs.chain(&self.children).copied();
-        let mut all: Vec<IpAddr> = all.filter(|it| Some(*it) != source).collect();
-        all.sort();
-        all.dedup();
-        all
-    }
-}
-
 impl MemberTable {
     /// A table that knows only its own daemon and the addresses of seeds.
     pub fn new(own: MemberEntry, seeds: Vec<IpAddr>) -> MemberTable {
@@ -133,6 +111,7 @@
             known: IndexMap::new(),
             parent: None,
             named: NamedDaemons::default(),
+            next_lost_hub: 0,
             avoided_parents: IndexMap::new(),
         }
     }
@@ -341,6 +320,9 @@
             peers.hubs.sort();
             peers.hubs.dedup();
         }
+        if peers.parent.is_empty() {
+            peers.lost_hubs = self.lost_hubs(now);
+        }
         for child in self.known.values().filter(|it| it.is_child(now)) {
             peers.children.push(child.entry.address);
             peers.child_hashes.push(child.member);
@@ -348,6 +330,31 @@
         peers
     }
 
+    /// Some of the daemons that would be hubs if all known ones were reachable, but are not: others
+    /// with each call. Without reports to these, daemons that started together and found only each
+    /// other would stay apart from the rest of the fleet.
+    fn lost_hubs(&mut self, now: Duration) -> Vec<IpAddr> {
+        let known = self.known.values().filter(|it| !it.leaving);
+        let members = known.map(|it| self.tree_member(&it.entry, it.member));
+        let own = self.tree_member(&self.own, self.own_member);
+        let members: Vec<TreeMember> = members.chain([own]).collect();
+        let order = peer_tree::rank_members(&members);
+        let count = peer_tree::count_hubs(&members, &order);
+        let reachable_timeout = self.reachable_timeout();
+        let expected = order[..count].iter().filter_map(|it| self.known.get(&members[*it].member));
+        let lost = expected.filter(|it| !it.is_reachable(now, reachable_timeout));
+        let lost: Vec<IpAddr> = lost.map(|it| it.entry.address).collect();
+        let first = self.next_lost_hub;
+        self.next_lost_hub = first.wrapping_add(LOST_HUBS_PER_ROUND);
+        let chosen = LOST_HUBS_PER_ROUND.min(lost.len());
+        (0..chosen).map(|it| lost[first.wrapping_add(it) % lost.len()]).collect()
+    }
+
+    fn tree_member(&self, entry: &MemberEntry, member: u64) -> TreeMember {
+        let same_domain = entry.domain == self.own.domain;
+        TreeMember { member, capacity: entry.capacity, same_domain }
+    }
+
     /// The address of the hub to report to: the first in `order` that is not avoided, or the first
     /// of all if each is avoided.
     fn choose_parent(&mut self, now: Duration, order: &[u64]) -> Option<IpAddr> {
@@ -435,16 +442,11 @@
 
     /// The daemons that may be hubs: reachable or newly named, not leaving, this one included.
     fn candidates(&self, now: Duration) -> Vec<TreeMember> {
-        let tree = |entry: &MemberEntry, member| TreeMember {
-            member,
-            capacity: entry.capacity,
-            same_domain: entry.domain == self.own.domain,
-        };
         let reachable_timeout = self.reachable_timeout();
         let known = self.known.values().filter(|it| !it.leaving);
         let known = known.filter(|it| it.is_reachable(now, reachable_timeout) || it.is_new(now));
-        let known = known.map(|it| tree(&it.entry, it.member));
-        std::iter::once(tree(&self.own, self.own_member)).chain(known).collect()
+        let known = known.map(|it| self.tree_member(&it.entry, it.member));
+        std::iter::once(self.tree_member(&self.own, self.own_member)).chain(known).collect()
     }
 
     /// The average age of a peer's status when it arrives.
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -130,6 +130,29 @@
     assert_eq!(hubs, 10);
 }
 
+/// Daemons that start together may find only each other at first.
+#[test]
+fn a_hub_that_reaches_few_daemons_turns_to_those_that_should_be_hubs() {
+    let expected: Vec<u8> = (0..90).filter(|it| fleet(*it, 90, ms(10)).is_hub(ms(10))).collect();
+    let own = expected[0];
+    let mut table = fleet(own, 90, ms(10));
+    let later = ms(5_000);
+    for number in (0..90).filter(|it| *it % 30 == 0) {
+        table.record_alive(hash(&member(number)), later, false);
+    }
+    let mut addresses = Vec::new();
+    for round in 0..4 {
+        let peers = table.gossip_peers(later + ms(250 * round));
+        assert!(peers.lost_hubs.len() <= 3, "a round costs little");
+        addresses.extend(peers.lost_hubs);
+    }
+    for number in expected.into_iter().filter(|it| *it != own && it % 30 != 0) {
+        assert!(addresses.contains(&member(number).address), "{number}");
+    }
+    // Nothing is lost while all are reachable.
+    assert!(fleet(own, 90, ms(10)).gossip_peers(ms(10)).lost_hubs.is_empty());
+}
+
 #[test]
 fn a_daemon_leaves_a_silent_hub_for_another_one() {
     let own = (0..90).find(|it| !fleet(*it, 90, ms(10)).is_hub(ms(10))).expect("not all are hubs");
