Log how old a daemon's evidence of the operator state was

The line now states the source by address, the age of the evidence and the age of the copy before. No change of behaviour; not measured.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,8 @@
 //! retry_budgets. The rollouts and the settings are never locked together with another one. No lock
 //! is held across an await.
 
+use std::fmt;
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -84,6 +86,23 @@
     leaving: AtomicBool,
 }
 
+/// Where a daemon got shared state from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StateSource {
+    Store,
+    /// The daemon at this address.
+    Peer(IpAddr),
+}
+
+impl fmt::Display for StateSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StateSource::Store => f.write_str("store"),
+            StateSource::Peer(address) => write!(f, "peer {address}"),
+        }
+    }
+}
+
 /// Counts a request as in flight until this is dropped.
 pub(crate) struct InFlightGuard<D, S> {
     gateway: Arc<Gateway<D, S>>,
@@ -262,21 +281,26 @@
         &self,
         read_at: Duration,
         snapshot: Snapshot<ControlState>,
-        source: &'static str,
+        source: StateSource,
     ) -> ViewChange {
         // A daemon that has just started may use older weights for the time that it needs to learn
         // of newer ones, however long ago those were published.
         let startup_time = self.settings().bounds.contact.mul_f64(STARTUP_SHARE);
         let unknown_age = self.max_old_weights_age().saturating_sub(startup_time);
-        let change = {
+        let now = self.now();
+        let (confirmed_before, change) = {
             let mut view = lock(&self.view);
-            view.apply_control(self.now(), read_at, unknown_age, snapshot)
+            let confirmed_before = view.control_confirmed_at();
+            (confirmed_before, view.apply_control(now, read_at, unknown_age, snapshot))
         };
         if change.any() {
             let config = self.config().map_or(0, |it| it.revision.0);
+            let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
             tracing::info!(
                 config,
-                source,
+                %source,
+                age_ms = age_ms(read_at),
+                previous_age_ms = confirmed_before.map(age_ms),
                 weights = change.weights,
                 "control: newer operator state applied"
             );
@@ -291,7 +315,7 @@
         &self,
         read_at: Duration,
         snapshot: Snapshot<Vec<TargetEntry>>,
-        source: &'static str,
+        source: StateSource,
     ) -> ListingUpdate {
         let mut view = lock(&self.view);
         let before = view.listing().cloned();
@@ -305,7 +329,12 @@
     }
 
     /// Applies a change of the listing that a peer reports, if it fits the known listing.
-    pub(crate) fn apply_listing_change(&self, read_at: Duration, change: &ListingChange) -> bool {
+    pub(crate) fn apply_listing_change(
+        &self,
+        read_at: Duration,
+        change: &ListingChange,
+        source: StateSource,
+    ) -> bool {
         let mut view = lock(&self.view);
         let known = view.listing().filter(|it| it.revision <= change.revision);
         let Some(entries) = known.and_then(|it| listing_change::apply(it, change)) else {
@@ -315,7 +344,7 @@
             return false;
         }
         let Some(after) = view.listing().cloned() else { return false };
-        self.use_listing(view, &after, "peer");
+        self.use_listing(view, &after, source);
         true
     }
 
@@ -325,7 +354,7 @@
         &self,
         view: MutexGuard<'_, ClusterView>,
         listing: &TargetListing,
-        source: &'static str,
+        source: StateSource,
     ) {
         let count = listing.entries.len();
         let leaving = listing.entries.iter().filter(|it| it.leaving).count();
@@ -334,7 +363,7 @@
             revision = listing.revision.0,
             count,
             leaving,
-            source,
+            %source,
             "targets: newer listing applied"
         );
         drop(view);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,7 +10,7 @@
 
 use crate::dialect::Dialect;
 use crate::directory::{Directory, Snapshot};
-use crate::gateway::{Gateway, lock};
+use crate::gateway::{Gateway, StateSource, lock};
 use crate::kv_store::KvStoreView;
 use crate::listing_change::ListingUpdate;
 use crate::members::{GOSSIP_PERIOD, MemberTable};
@@ -257,18 +257,22 @@
         PeerMessage::Gossip(report) => handle_report(gateway, from, &report),
         PeerMessage::Control(revision, age, state) => {
             let snapshot = Snapshot { revision, store_time: Duration::ZERO, value: *state };
-            if gateway.apply_control(now.saturating_sub(age), snapshot, "peer").any() {
+            if gateway
+                .apply_control(now.saturating_sub(age), snapshot, StateSource::Peer(from))
+                .any()
+            {
                 forward_control(gateway, Some(from));
             }
         }
         PeerMessage::Listing(revision, age, entries) => {
             let snapshot = Snapshot { revision, store_time: Duration::ZERO, value: entries };
-            let update = gateway.apply_listing(now.saturating_sub(age), snapshot, "peer");
+            let update =
+                gateway.apply_listing(now.saturating_sub(age), snapshot, StateSource::Peer(from));
             forward_listing(gateway, Some(from), update);
         }
         PeerMessage::ListingChange(change) => {
             let read_at = now.saturating_sub(change.age);
-            if gateway.apply_listing_change(read_at, &change) {
+            if gateway.apply_listing_change(read_at, &change, StateSource::Peer(from)) {
                 forward_listing(gateway, Some(from), ListingUpdate::Partial(change));
             }
         }
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -10,7 +10,7 @@
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
-use crate::gateway::{Gateway, lock};
+use crate::gateway::{Gateway, StateSource, lock};
 use crate::gossip;
 
 /// The pause after a failed read; it doubles with each further failure.
@@ -95,7 +95,7 @@
     let failed = match subject {
         StoreSubject::Control => match gateway.directory.read_control().await {
             Ok(snapshot) => {
-                let change = gateway.apply_control(asked_at, snapshot, "store");
+                let change = gateway.apply_control(asked_at, snapshot, StateSource::Store);
                 if change.any() {
                     gossip::forward_control(gateway, None);
                 }
@@ -105,7 +105,7 @@
         },
         StoreSubject::Targets => match gateway.directory.read_targets().await {
             Ok(snapshot) => {
-                let update = gateway.apply_listing(asked_at, snapshot, "store");
+                let update = gateway.apply_listing(asked_at, snapshot, StateSource::Store);
                 gossip::forward_listing(gateway, None, update);
                 None
             }
