Count what peers report from the time of its sending

Callers' keys stayed valid after they were withdrawn, or routes missing: a daemon handled requests by a configuration older than the bound allows.

Cause: the age of a peer's evidence was subtracted from the time at which the message was handled. What it spent in a queue (slow link, process that stood still, parts that wait for the socket) was not counted, so each late report with an equal hash renewed the permission to believe the copy and put off the daemon's own read, and so on with each hop. A forwarded change of the listing kept the age of its first sender.

Change: each message ends with a stamp, from which the receiver knows the earliest time at which it can have been sent without a common clock (policy::peer_clock, gateway::message_stamp). Configuration, listing, ages of weights, loads, liveness and the KV store's probe count from it; without an answer to own stamps, configuration and listing count from the start of the daemon.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Merges a control state that was current at `read_at`. If this daemon knew no version of a
+    /// Merges a control state that was current at `read_at`. Its ages are as of `now`. If this daemon knew no version of a
     /// model before and the state does not say how old the version is, it is taken to have been
     /// published `initial_age` ago.
     pub fn apply_control(
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -41,7 +41,7 @@
         lock(&gateway.fleet).record_failure(now, &target, true);
         if lock(&gateway.quarantine).record_strike(now, strike) {
             let to = lock(&gateway.members).gossip_peers(now).forward_targets(None);
-            gateway.peer_socket.send(&to, &PeerMessage::Strike(strike));
+            gateway.peer_socket.send(now, &to, &PeerMessage::Strike(strike));
             tracing::info!(
                 target = %target.id, fingerprint = fingerprint.0,
                 "call: replica crashed under a request, counted against it"
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,9 +8,9 @@
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use ids::{Incarnation, PoolId};
+use ids::PoolId;
 use indexmap::IndexMap;
 use policy::buffer_budget::BufferBudget;
 use policy::customer_quota::{QuotaAllowance, QuotaTable};
@@ -124,8 +124,8 @@
 }
 
 impl<D: Dialect, S: Directory> Gateway<D, S> {
-    /// A daemon without any knowledge of configuration, replicas or peers. Its incarnation is the
-    /// current Unix time in microseconds.
+    /// A daemon without any knowledge of configuration, replicas or peers, with the incarnation of
+    /// its socket.
     pub fn new(
         settings: GatewaySettings,
         dialect: D,
@@ -133,10 +133,9 @@
         peer_socket: PeerSocket,
         metrics: Metrics,
     ) -> Gateway<D, S> {
-        let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = MemberEntry {
             id: settings.instance.clone(),
-            incarnation: Incarnation(time.as_micros() as u64),
+            incarnation: peer_socket.incarnation(),
             address: settings.peer_address,
             domain: settings.domain.clone(),
             capacity: settings.capacity,
@@ -276,10 +275,19 @@
         }
     }
 
-    /// Applies what operators configured, as read at `read_at`, if it is newer.
+    /// A time on this daemon's clock at which something was true that a peer reports to be of this
+    /// age. `sent_at` is the earliest time at which the message may have been sent; if that is not
+    /// known, the message may have waited since the start of this daemon.
+    pub(crate) fn evidence_time(&self, sent_at: Option<Duration>, age: Duration) -> Duration {
+        sent_at.unwrap_or(self.started_at).saturating_sub(age)
+    }
+
+    /// Applies what operators configured, as read at `read_at`, if it is newer. Ages in the state are
+    /// as of `stated_at`.
     pub(crate) fn apply_control(
         &self,
         read_at: Duration,
+        stated_at: Duration,
         snapshot: Snapshot<ControlState>,
         source: StateSource,
     ) -> ViewChange {
@@ -291,7 +299,7 @@
         let (confirmed_before, change) = {
             let mut view = lock(&self.view);
             let confirmed_before = view.control_confirmed_at();
-            (confirmed_before, view.apply_control(now, read_at, unknown_age, snapshot))
+            (confirmed_before, view.apply_control(stated_at, read_at, unknown_age, snapshot))
         };
         if change.any() {
             let config = self.config().map_or(0, |it| it.revision.0);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -18,6 +18,7 @@
     DaemonStatus, GossipDirection, GossipExtension, GossipReport, PeerMessage, PrefixPlacement,
     StateDigests, WeightStatus,
 };
+use crate::peer_socket::ReceivedMessage;
 use crate::rate_limit;
 use crate::resend_limit::{ResendLimit, WholeState};
 use crate::rollouts;
@@ -95,8 +96,9 @@
     full: bool,
 ) {
     if !to.is_empty() {
-        let report = build_report(gateway, to, direction, prefixes, full);
-        gateway.peer_socket.send(to, &PeerMessage::Gossip(Box::new(report)));
+        let now = gateway.now();
+        let report = build_report(gateway, now, to, direction, prefixes, full);
+        gateway.peer_socket.send(now, to, &PeerMessage::Gossip(Box::new(report)));
     }
 }
 
@@ -111,12 +113,12 @@
 /// the loads that changed. A full report leaves out what all its receivers have.
 fn build_report<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
+    now: Duration,
     to: &[IpAddr],
     direction: GossipDirection,
     prefixes: &[PrefixPlacement],
     full: bool,
 ) -> GossipReport {
-    let now = gateway.now();
     let (control, listing) = {
         let view = lock(&gateway.view);
         let control = view
@@ -207,11 +209,12 @@
     if update == ListingUpdate::Unchanged {
         return;
     }
-    let to = lock(&gateway.members).gossip_peers(gateway.now()).forward_targets(source);
+    let now = gateway.now();
+    let to = lock(&gateway.members).gossip_peers(now).forward_targets(source);
     record_change(gateway, &to, WholeState::Listing);
     match update {
         ListingUpdate::Partial(change) => {
-            gateway.peer_socket.send(&to, &PeerMessage::ListingChange(change));
+            gateway.peer_socket.send(now, &to, &PeerMessage::ListingChange(change));
         }
         _ => send_listing(gateway, &to),
     }
@@ -235,44 +238,42 @@
     gateway.view_changed.notify_waiters();
     gateway.capacity_freed.notify_waiters();
     let to = lock(&gateway.members).gossip_peers(now).forward_targets(source);
-    gateway.peer_socket.send(&to, &PeerMessage::Weights(changed));
+    gateway.peer_socket.send(now, &to, &PeerMessage::Weights(changed));
 }
 
 /// Handles messages of peers until the process ends.
 pub(crate) async fn receive_loop<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
     let mut buffer = Vec::new();
     loop {
-        let (from, message) = gateway.peer_socket.receive(&gateway.clock, &mut buffer).await;
-        handle_message(&gateway, from, message);
+        let received = gateway.peer_socket.receive(&gateway.clock, &mut buffer).await;
+        handle_message(&gateway, received);
     }
 }
 
-fn handle_message<D: Dialect, S: Directory>(
-    gateway: &Gateway<D, S>,
-    from: IpAddr,
-    message: PeerMessage,
-) {
+fn handle_message<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, received: ReceivedMessage) {
     let now = gateway.now();
+    let ReceivedMessage { from, message, sent_at } = received;
+    let source = StateSource::Peer(from);
     match message {
-        PeerMessage::Gossip(report) => handle_report(gateway, from, &report),
+        PeerMessage::Gossip(report) => handle_report(gateway, from, sent_at, &report),
         PeerMessage::Control(revision, age, state) => {
             let snapshot = Snapshot { revision, store_time: Duration::ZERO, value: *state };
-            if gateway
-                .apply_control(now.saturating_sub(age), snapshot, StateSource::Peer(from))
-                .any()
-            {
+            let read_at = gateway.evidence_time(sent_at, age);
+            let stated_at = sent_at.unwrap_or(now);
+            if gateway.apply_control(read_at, stated_at, snapshot, source).any() {
                 forward_control(gateway, Some(from));
             }
         }
         PeerMessage::Listing(revision, age, entries) => {
             let snapshot = Snapshot { revision, store_time: Duration::ZERO, value: entries };
-            let update =
-                gateway.apply_listing(now.saturating_sub(age), snapshot, StateSource::Peer(from));
+            let read_at = gateway.evidence_time(sent_at, age);
+            let update = gateway.apply_listing(read_at, snapshot, source);
             forward_listing(gateway, Some(from), update);
         }
-        PeerMessage::ListingChange(change) => {
-            let read_at = now.saturating_sub(change.age);
-            if gateway.apply_listing_change(read_at, &change, StateSource::Peer(from)) {
+        PeerMessage::ListingChange(mut change) => {
+            let read_at = gateway.evidence_time(sent_at, change.age);
+            if gateway.apply_listing_change(read_at, &change, source) {
+                change.age = gateway.now().saturating_sub(read_at);
                 forward_listing(gateway, Some(from), ListingUpdate::Partial(change));
             }
         }
@@ -293,7 +294,7 @@
         PeerMessage::Strike(strike) => {
             if lock(&gateway.quarantine).record_strike(now, strike) {
                 let to = lock(&gateway.members).gossip_peers(now).forward_targets(Some(from));
-                gateway.peer_socket.send(&to, &PeerMessage::Strike(strike));
+                gateway.peer_socket.send(now, &to, &PeerMessage::Strike(strike));
             }
         }
     }
@@ -302,9 +303,12 @@
 fn handle_report<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     from: IpAddr,
+    sent_at: Option<Duration>,
     report: &GossipReport,
 ) {
     let now = gateway.now();
+    // Loads and liveness from a daemon whose clock is not known yet count as of now.
+    let reported_at = sent_at.unwrap_or(now);
     if report.sender.id == gateway.own.id {
         return;
     }
@@ -321,11 +325,11 @@
         for it in &report.members {
             members.add(now, it);
         }
-        record_daemons(&mut members, now, report);
+        record_daemons(&mut members, reported_at, report);
         let is_lagging = known < members.known_count() / LAGGING_DIVISOR;
         if is_lagging { members.entries() } else { Vec::new() }
     };
-    let lag = compare_state(gateway, report);
+    let lag = compare_state(gateway, sent_at, report);
     let sender = rendezvous::hash_member(report.sender.id.as_str());
     let loads_are_changes = report.extension.is_some_and(|it| it.loads_are_changes);
     {
@@ -334,18 +338,22 @@
             match report.direction {
                 // The loads of all daemons are summed up in the sender's entry, which may be empty.
                 GossipDirection::ToChild(_) if it.daemon == sender && loads_are_changes => {
-                    fleet.record_load_changes(now, HUB_SUM_KEY, &it.loads);
+                    fleet.record_load_changes(reported_at, HUB_SUM_KEY, &it.loads);
                 }
                 GossipDirection::ToChild(_) if it.daemon == sender => {
-                    fleet.record_peer_loads(now, HUB_SUM_KEY, &it.loads);
+                    fleet.record_peer_loads(reported_at, HUB_SUM_KEY, &it.loads);
                 }
                 GossipDirection::ToChild(_) => {}
-                _ => fleet.record_peer_loads(now.saturating_sub(it.age), it.daemon, &it.loads),
+                _ => fleet.record_peer_loads(
+                    reported_at.saturating_sub(it.age),
+                    it.daemon,
+                    &it.loads,
+                ),
             }
         }
         fleet.apply_leaving(&report.leaving_targets);
         if let Some(status) = report.kv_store {
-            fleet.record_kv_store(KvStoreView::from_peer(now, status));
+            fleet.record_kv_store(KvStoreView::from_peer(reported_at, status));
         }
         fleet.record_prefixes(now, &report.prefixes);
         fleet.pause_unresponsive(now);
@@ -363,7 +371,7 @@
         send_report(gateway, &[from], GossipDirection::ToChild(sender), &[], true);
     }
     if !unknown_to_peer.is_empty() {
-        gateway.peer_socket.send(&[from], &PeerMessage::Members(unknown_to_peer));
+        gateway.peer_socket.send(now, &[from], &PeerMessage::Members(unknown_to_peer));
     }
     let begins = |state| lock(&gateway.gossip_relay.resend_limit).begin(now, from, state);
     if lag.control && begins(WholeState::Control) {
@@ -374,22 +382,22 @@
     }
 }
 
-/// Records which daemons the sender has seen.
-fn record_daemons(members: &mut MemberTable, now: Duration, report: &GossipReport) {
+/// Records which daemons the sender has seen, with ages as of `reported_at`.
+fn record_daemons(members: &mut MemberTable, reported_at: Duration, report: &GossipReport) {
     let sender = rendezvous::hash_member(report.sender.id.as_str());
     if let (GossipDirection::ToChild(_), Some(extension)) = (report.direction, report.extension) {
         members.record_alive(
             sender,
-            now,
+            reported_at,
             report.daemons.iter().any(|it| it.leaving && it.daemon == sender),
         );
         let others = report.daemons.iter().filter(|it| it.daemon != sender);
         let others: Vec<_> = others.map(|it| (it.daemon, it.age, it.leaving)).collect();
-        members.record_named(now, sender, extension.reachable, &others);
+        members.record_named(reported_at, sender, extension.reachable, &others);
         return;
     }
     for it in &report.daemons {
-        members.record_alive(it.daemon, now.saturating_sub(it.age), it.leaving);
+        members.record_alive(it.daemon, reported_at.saturating_sub(it.age), it.leaving);
     }
 }
 
@@ -403,14 +411,14 @@
 /// Records state that the peer knew to be current at a later time, and finds what the peer lacks.
 fn compare_state<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
+    sent_at: Option<Duration>,
     report: &GossipReport,
 ) -> PeerLag {
-    let now = gateway.now();
     let mut view = lock(&gateway.view);
     let mut lag = PeerLag { control: false, listing: false };
     match report.control {
         Some((revision, age, hash)) if hash == view.control_hash() => {
-            view.confirm_control(revision, now.saturating_sub(age));
+            view.confirm_control(revision, gateway.evidence_time(sent_at, age));
         }
         Some((revision, ..)) => lag.control = revision < view.control_revision(),
         None => lag.control = view.control_confirmed_at().is_some(),
@@ -418,7 +426,7 @@
     let Some(listing) = view.listing() else { return lag };
     match report.listing {
         Some((revision, age, hash)) if hash == listing.hash => {
-            view.confirm_listing(revision, now.saturating_sub(age));
+            view.confirm_listing(revision, gateway.evidence_time(sent_at, age));
         }
         Some((revision, ..)) => lag.listing = revision < listing.revision,
         None => lag.listing = true,
@@ -427,22 +435,23 @@
 }
 
 fn send_control<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, to: &[IpAddr]) {
+    let now = gateway.now();
     let message = {
         let view = lock(&gateway.view);
         let Some(at) = view.control_confirmed_at() else { return };
-        let now = gateway.now();
         let age = now.saturating_sub(at);
         PeerMessage::Control(view.control_revision(), age, Box::new(view.control(now)))
     };
-    gateway.peer_socket.send(to, &message);
+    gateway.peer_socket.send(now, to, &message);
 }
 
 fn send_listing<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, to: &[IpAddr]) {
+    let now = gateway.now();
     let message = {
         let view = lock(&gateway.view);
         let Some(listing) = view.listing() else { return };
-        let age = gateway.now().saturating_sub(listing.read_at);
+        let age = now.saturating_sub(listing.read_at);
         PeerMessage::Listing(listing.revision, age, listing.entries.to_vec())
     };
-    gateway.peer_socket.send(to, &message);
+    gateway.peer_socket.send(now, to, &message);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod load_table;
 pub mod members;
 pub mod message_parts;
+pub mod message_stamp;
 pub mod metrics;
 pub mod peer_message;
 mod peer_socket;
--- a/crates/gateway/src/message_parts.rs
+++ b/crates/gateway/src/message_parts.rs
@@ -9,12 +9,13 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use crate::message_stamp::MAX_STAMP_BYTES;
 use crate::peer_message::MAX_DATAGRAM_BYTES;
 
 /// Longest message in bytes that is sent or accepted in parts.
 pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
-/// Bytes of a message in one part; the rest of the datagram is for its other fields.
-const PART_BYTES: usize = MAX_DATAGRAM_BYTES - 64;
+/// Bytes of a message in one part; the rest of the datagram is for its other fields and the stamp.
+const PART_BYTES: usize = MAX_DATAGRAM_BYTES - 64 - MAX_STAMP_BYTES;
 /// How long the parts of a message are kept while others are missing.
 const PART_TIMEOUT: Duration = Duration::from_secs(1);
 /// Most messages of which some parts are kept; the one begun first is dropped for a further one.
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -14,6 +14,7 @@
 use crate::config::{ControlState, TargetEntry};
 use crate::directory::MemberEntry;
 use crate::message_parts::{MAX_MESSAGE_BYTES, MessagePart};
+use crate::message_stamp::MessageStamp;
 use crate::replica::LoadCount;
 
 /// The requests of one or several daemons on one replica, in the compact form sent to peers.
@@ -299,26 +300,30 @@
     Some(bytes)
 }
 
-/// Decodes a datagram; `None` if the bytes are not a valid message.
-pub fn decode(bytes: &[u8]) -> Option<PeerMessage> {
+/// Decodes a datagram and the stamp behind it, if there is one; `None` if the bytes are not a valid
+/// message.
+pub fn decode(bytes: &[u8]) -> Option<(PeerMessage, Option<MessageStamp>)> {
     decode_limited::<MAX_DECODED_BYTES>(bytes)
 }
 
-/// Decodes a message that came in parts; `None` if the bytes are not a valid one.
+/// Decodes a message that came in parts, each of which has the stamp; `None` if the bytes are not a
+/// valid message.
 pub fn decode_joined(bytes: &[u8]) -> Option<PeerMessage> {
-    decode_limited::<MAX_DECODED_MESSAGE_BYTES>(bytes)
+    decode_limited::<MAX_DECODED_MESSAGE_BYTES>(bytes).map(|it| it.0)
 }
 
 /// Without a limit the decoder reserves memory for any length that a message claims, and the
 /// process is aborted if there is not as much.
-fn decode_limited<const LIMIT: usize>(bytes: &[u8]) -> Option<PeerMessage> {
+fn decode_limited<const LIMIT: usize>(bytes: &[u8]) -> Option<(PeerMessage, Option<MessageStamp>)> {
     let config = bincode::config::standard().with_limit::<LIMIT>();
     let (mut message, length) = bincode::serde::decode_from_slice(bytes, config).ok()?;
+    let mut rest = &bytes[length..];
     if let PeerMessage::Gossip(report) = &mut message
-        && length < bytes.len()
+        && let Ok((extension, length)) = bincode::serde::decode_from_slice(rest, config)
     {
-        let extension = bincode::serde::decode_from_slice(&bytes[length..], config);
-        report.extension = extension.ok().map(|it| it.0);
+        report.extension = Some(extension);
+        rest = &rest[length..];
     }
-    Some(message)
+    let stamp = bincode::serde::decode_from_slice(rest, config).ok().map(|it| it.0);
+    Some((message, stamp))
 }
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -80,9 +80,11 @@
     let source = source_as_home(gateway, customer, *substitute);
     let (now, rate) = (gateway.now(), rule.quota_rate());
     let result = lock(&gateway.quotas).take_once(now, *query_id, customer, rate, *tokens, source);
-    gateway
-        .peer_socket
-        .send(&[from], &PeerMessage::QuotaReply { query_id: *query_id, wait: result.err() });
+    gateway.peer_socket.send(
+        now,
+        &[from],
+        &PeerMessage::QuotaReply { query_id: *query_id, wait: result.err() },
+    );
 }
 
 /// The bucket that this daemon takes tokens from for a query: the home's or a substitute's. A peer
@@ -120,7 +122,7 @@
     let query = QuotaQuery { query_id, customer: customer.clone(), tokens, substitute };
     let query = PeerMessage::QuotaQuery(query);
     for _ in 0..QUERY_ATTEMPTS {
-        gateway.peer_socket.send(&[home.address], &query);
+        gateway.peer_socket.send(gateway.now(), &[home.address], &query);
         match tokio::time::timeout(QUERY_TIMEOUT, &mut receiver).await {
             Ok(Ok(None)) => return HomeReply::Answered(Ok(())),
             Ok(Ok(Some(wait))) => return HomeReply::Answered(Err(wait)),
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -301,7 +301,7 @@
             |it: &PoolRollout| rollouts.report(now, &it.pool, it.revision, direction, children);
         active.iter().map(|it| report(&it.0)).collect()
     };
-    gateway.peer_socket.send(to, &PeerMessage::Rollouts { sender, reports });
+    gateway.peer_socket.send(now, to, &PeerMessage::Rollouts { sender, reports });
 }
 
 /// Handles the reports of a peer; tells it the stages that it lacks.
@@ -324,6 +324,6 @@
     if !lacking.is_empty() {
         let sender = rendezvous::hash_member(gateway.own.id.as_str());
         let message = PeerMessage::Rollouts { sender, reports: lacking };
-        gateway.peer_socket.send(&[from], &message);
+        gateway.peer_socket.send(now, &[from], &message);
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,8 +3,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use ids::Incarnation;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
@@ -80,9 +81,9 @@
     let readiness = listen(settings.readiness_address)?;
     let metrics = Metrics::new();
     let (address, port) = (settings.peer_address, settings.peer_port);
-    let peer_socket = PeerSocket::bind(address, port, metrics.peer_bytes()).await?;
+    let incarnation = start_incarnation();
+    let peer_socket = PeerSocket::bind(address, port, incarnation, metrics.peer_bytes()).await?;
     let gateway = Arc::new(Gateway::new(settings, dialect, directory, peer_socket, metrics));
-    let incarnation = gateway.own.incarnation;
     tracing::info!(instance = %gateway.own.id, %incarnation, "daemon: started");
     let (stop_sender, stopped) = watch::channel(false);
     spawn_restarting(&gateway, "gossip receiver", gossip::receive_loop);
@@ -112,6 +113,12 @@
     Ok(())
 }
 
+/// The current Unix time in microseconds.
+fn start_incarnation() -> Incarnation {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(time.as_micros() as u64)
+}
+
 /// Runs a background task of the gateway, and starts it again if it panics.
 fn spawn_restarting<D: Dialect, S: Directory, T>(
     gateway: &Arc<Gateway<D, S>>,
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -95,7 +95,8 @@
     let failed = match subject {
         StoreSubject::Control => match gateway.directory.read_control().await {
             Ok(snapshot) => {
-                let change = gateway.apply_control(asked_at, snapshot, StateSource::Store);
+                let change =
+                    gateway.apply_control(asked_at, gateway.now(), snapshot, StateSource::Store);
                 if change.any() {
                     gossip::forward_control(gateway, None);
                 }
--- a/crates/gateway/tests/listing_changes.rs
+++ b/crates/gateway/tests/listing_changes.rs
@@ -204,7 +204,7 @@
     let extended_bytes = peer_message::encode(&PeerMessage::Gossip(Box::new(extended.clone())));
     let extended_bytes = extended_bytes.expect("a message");
     assert_eq!(extended_bytes[..plain.len()], plain);
-    assert_eq!(peer_message::decode(&plain), Some(PeerMessage::Gossip(Box::new(report))));
+    assert_eq!(peer_message::decode(&plain), Some((PeerMessage::Gossip(Box::new(report)), None)));
     let decoded = peer_message::decode(&extended_bytes);
-    assert_eq!(decoded, Some(PeerMessage::Gossip(Box::new(extended))));
+    assert_eq!(decoded, Some((PeerMessage::Gossip(Box::new(extended)), None)));
 }
--- a/crates/gateway/tests/message_parts.rs
+++ b/crates/gateway/tests/message_parts.rs
@@ -35,7 +35,7 @@
     for part in parts.iter().chain(&parts) {
         let encoded = peer_message::encode(&PeerMessage::Part(part.clone())).expect("a message");
         assert!(encoded.len() <= MAX_DATAGRAM_BYTES, "{}", encoded.len());
-        let Some(PeerMessage::Part(part)) = peer_message::decode(&encoded) else {
+        let Some((PeerMessage::Part(part), None)) = peer_message::decode(&encoded) else {
             panic!("a part is decoded");
         };
         assert_eq!(table.insert(NOW, sender(1), part), None);
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -73,7 +73,7 @@
 #[case::rollouts(rollouts())]
 fn damaged_messages_are_rejected_without_a_panic(#[case] message: PeerMessage) {
     let bytes = encode(&message);
-    assert_eq!(peer_message::decode(&bytes), Some(message));
+    assert_eq!(peer_message::decode(&bytes), Some((message, None)));
     for seed in 0..DAMAGED_COPIES {
         let mut random = StdRng::seed_from_u64(seed);
         let mut damaged = bytes.clone();
@@ -121,5 +121,5 @@
         "{}",
         bytes.len()
     );
-    assert_eq!(peer_message::decode(&bytes), Some(message));
+    assert_eq!(peer_message::decode(&bytes), Some((message, None)));
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod isolation;
 pub mod move_plan;
+pub mod peer_clock;
 pub mod peer_tree;
 pub mod placement;
 pub mod plain_choice;
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -219,6 +219,14 @@
         package: "daemon",
         test: "config_force::a_daemon_restarted_in_an_outage_has_the_newest_catalog",
     },
+    Mutant {
+        name: "6 a peer's report counts from the time of its sending",
+        file: "crates/gateway/src/gateway.rs",
+        original: "sent_at.unwrap_or(self.started_at).saturating_sub(age)",
+        replacement: "sent_at.map_or(self.now(), |_| self.now()).saturating_sub(age)",
+        package: "platform",
+        test: "delayed_reports::reports_that_arrive_late_do_not_keep_an_old_configuration_in_force::case_4_twice_the_bound",
+    },
     Mutant {
         name: "7 a leaving daemon waits for requests in flight",
         file: "crates/daemon/src/serve.rs",
