--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -29,7 +29,8 @@
             self.record_outcome(placement, AttemptOutcome::Failed);
         }
         if let AttemptError::Connection(CallError::Broken(_) | CallError::TooLong(_)) = error {
-            crash_reports::report_crash(&self.gateway, self.fingerprint, &placement.target);
+            let target = &placement.target;
+            crash_reports::report_crash(&self.gateway, self.fingerprint, &self.head, target);
         }
         self.excluded.push(placement.target.id.clone());
         tracing::info!(
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -4,7 +4,7 @@
 
 use policy::quarantine::{Fingerprint, Strike};
 
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, RequestHead};
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
 use crate::peer_message::PeerMessage;
@@ -28,9 +28,11 @@
 pub(crate) fn report_crash<D: Dialect, S: Directory>(
     gateway: &Arc<Gateway<D, S>>,
     fingerprint: Option<Fingerprint>,
+    head: &RequestHead,
     target: &PlacedTarget,
 ) {
     let Some(fingerprint) = fingerprint else { return };
+    let shared_parts = head.shared_parts().iter().map(|it| &*it.id).collect::<Vec<_>>().join(",");
     let (gateway, target) = (gateway.clone(), target.clone());
     tokio::spawn(async move {
         if !gateway.connections.refuses_connections(target.address).await {
@@ -43,7 +45,7 @@
             let to = lock(&gateway.members).gossip_peers(now).forward_targets(None);
             gateway.peer_socket.send(now, &to, &PeerMessage::Strike(strike));
             tracing::info!(
-                target = %target.id, fingerprint = fingerprint.0,
+                target = %target.id, fingerprint = fingerprint.0, shared_parts,
                 "call: replica crashed under a request, counted against it"
             );
         }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -28,6 +28,13 @@
     pub last_event_id: Option<u64>,
 }
 
+impl RequestHead {
+    /// The parts that other prompts may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |it| it.1)
+    }
+}
+
 /// A part of a prompt that other prompts may share.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptPart {
