Refuse requests with a prompt part that crashes replicas

Cause: crashes were counted against a hash of customer, path and body. Requests that are not alike but for a part each had a record of their own, and none reached the limit. The class: evidence filed under a key finer than its cause. Strikes also travelled in one datagram without repetition, so that a daemon that restarts never learned of them.

Change: each shared part is a suspect beside the request itself (policy::crash_suspects). Three crashes refuse it, an answer that ends clears it, crashes at the same moment count once, and a part is refused only if what follows it differed. A suspect that is not proven is tried again after 15 s. Daemons of the version before ignore the new message; theirs are still understood.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,7 +7,6 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
 use ids::{CustomerId, ErrorKind, PoolId, RunState, TargetId};
-use policy::quarantine::Fingerprint;
 use policy::retry::RetryReason;
 use policy::rollout_trial::AttemptOutcome;
 use web::client::Connection;
@@ -18,7 +17,7 @@
 use crate::caller_request::{self, CallerRequest};
 use crate::config::{RouteKind, RouteRule, SiteConfig};
 use crate::connections::{CallerResponse, OpenAnswer};
-use crate::crash_reports;
+use crate::crash_reports::{self, CrashKeys};
 use crate::dialect::{Dialect, EngineParams, ForwardParams, RequestHead};
 use crate::directory::Directory;
 use crate::fleet::FleetTable;
@@ -63,6 +62,8 @@
     pub(crate) deadline: Duration,
     /// When it was last sent to a replica.
     pub(crate) sent_at: Duration,
+    /// When the replica that has it now sent its first event.
+    pub(crate) begun_at: Option<Duration>,
     /// Whether a replica has run it, as far as known.
     pub(crate) run: RunState,
     /// Attempts that may have run it.
@@ -77,7 +78,7 @@
     urgency: u8,
     pub(crate) pool: PoolId,
     pub(crate) prompt: Option<PromptSpec>,
-    pub(crate) fingerprint: Option<Fingerprint>,
+    pub(crate) crash_keys: CrashKeys,
     /// Decides whether it runs on a release that is rolled out.
     pub(crate) release_draw: ReleaseDraw,
     /// Replicas on which an attempt of this request failed.
@@ -109,16 +110,14 @@
     let rule = customer.as_ref().and_then(|it| config.customers.get(it));
     let started_at = request.started_at;
     let timeout = request.head.deadline.map_or(route.timeout, |it| it.min(route.timeout));
-    let fingerprint = caller_request::fingerprint(customer.as_ref(), &request);
-    if crash_reports::is_crash_suspect(gateway, fingerprint) {
-        return Err(CallRefusal::not_run(ErrorKind::CrashSuspect));
-    }
+    let pool =
+        caller_request::choose_pool(&route).ok_or(CallRefusal::not_run(ErrorKind::NoTarget))?;
+    let crash_keys = caller_request::crash_keys(customer.as_ref(), &pool, &request);
+    crash_reports::check(gateway, &crash_keys)?;
     if let (Some(id), Some(rule)) = (&customer, rule) {
         let tokens = rule.cost(request.head.tokens.map(|it| it.0.0 + it.1.0));
         rate_limit::take(gateway, &request.head.attempt_id, id, rule, tokens).await?;
     }
-    let pool =
-        caller_request::choose_pool(&route).ok_or(CallRefusal::not_run(ErrorKind::NoTarget))?;
     gateway.earn_retry(&pool);
     let prompt =
         caller_request::prompt_spec(&config, &pool, customer.as_ref(), rule, &request.head);
@@ -131,6 +130,7 @@
         started_at,
         deadline: started_at + timeout.saturating_sub(ANSWER_MARGIN),
         sent_at: started_at,
+        begun_at: None,
         run: RunState::NotRun,
         attempts: 0,
         method: request.method,
@@ -141,7 +141,7 @@
         customer,
         pool,
         prompt,
-        fingerprint,
+        crash_keys,
         release_draw: ReleaseDraw::random(),
         excluded: Vec::new(),
         unsent_attempts: 0,
@@ -202,6 +202,9 @@
             false => AttemptOutcome::Answered(elapsed),
         };
         self.record_outcome(placement, outcome);
+        if status.is_success() {
+            self.clear_crash_suspects();
+        }
     }
 
     fn forward_answer(&self, target: &PlacedTarget, answer: BufferedAnswer) -> CallerResponse {
@@ -230,6 +233,7 @@
 
     /// Reserves capacity on a replica, waiting for a share of the objective if none is available.
     pub(crate) async fn acquire_placement(&mut self) -> Result<Placement<D, S>, CallRefusal> {
+        self.check_crash_suspect()?;
         let asked_at = self.gateway.now();
         let res = self.wait_for_placement().await;
         let waited = self.gateway.now().saturating_sub(asked_at);
@@ -325,6 +329,7 @@
         last_event_id: Option<u64>,
     ) -> Result<OpenAnswer, AttemptError> {
         self.sent_at = self.gateway.now();
+        self.begun_at = None;
         let left = self.deadline.saturating_sub(self.sent_at);
         let request = self.target_request(placement, last_event_id, left);
         let target = &placement.target;
--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -8,7 +8,6 @@
 
 use crate::attempt_error::AttemptError;
 use crate::call::{Call, MAX_UNSENT_ATTEMPTS, Placement};
-use crate::crash_reports;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::lock;
@@ -29,8 +28,7 @@
             self.record_outcome(placement, AttemptOutcome::Failed);
         }
         if let AttemptError::Connection(CallError::Broken(_) | CallError::TooLong(_)) = error {
-            let target = &placement.target;
-            crash_reports::report_crash(&self.gateway, self.fingerprint, &self.head, target);
+            self.report_crash(&placement.target);
         }
         self.excluded.push(placement.target.id.clone());
         tracing::info!(
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use ids::{CustomerId, ErrorKind, KeyDigest, PoolId};
+use policy::crash_suspects::SuspectKey;
 use policy::prefix_table::PromptPrefix;
 use policy::quarantine::Fingerprint;
 use policy::rendezvous;
@@ -12,7 +13,8 @@
 
 use crate::buffer_share::BufferShare;
 use crate::config::{CustomerRule, RouteRule, SiteConfig};
-use crate::dialect::{HeadError, RequestHead};
+use crate::crash_reports::CrashKeys;
+use crate::dialect::{HeadError, PromptPart, RequestHead};
 use crate::prompt_spec::PromptSpec;
 use crate::refusal::CallRefusal;
 
@@ -99,12 +101,27 @@
     })
 }
 
-/// A hash by which a request is recognised when it is sent again: of its customer, path and body.
-/// `None` without a body, because many unrelated requests would share the hash.
-pub(crate) fn fingerprint(
+/// What of a request to a pool may crash replicas: the request itself and its shared prompt parts.
+pub(crate) fn crash_keys(
     customer: Option<&CustomerId>,
+    pool: &PoolId,
     request: &CallerRequest,
-) -> Option<Fingerprint> {
+) -> CrashKeys {
+    let mut keys = CrashKeys::default();
+    if let Some(fingerprint) = fingerprint(customer, request) {
+        keys.add(SuspectKey::Request(fingerprint), None);
+    }
+    let seed = rendezvous::hash_member(pool.as_str());
+    let hash = |part: &PromptPart| xxh3::xxh3_64_with_seed(part.id.as_bytes(), seed);
+    for pair in request.head.parts.windows(2) {
+        keys.add(SuspectKey::Part(hash(&pair[0])), Some(hash(&pair[1])));
+    }
+    keys
+}
+
+/// A hash by which a request is recognised when it is sent again: of its customer, path and body.
+/// `None` without a body, because many unrelated requests would share the hash.
+fn fingerprint(customer: Option<&CustomerId>, request: &CallerRequest) -> Option<Fingerprint> {
     if request.body.is_empty() {
         return None;
     }
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -1,53 +1,172 @@
-//! Detects requests that crash the replicas that run them, and shares the findings with all peers.
+//! Detects requests and prompt parts that crash the replicas that run them, and shares the findings
+//! with all peers.
 
+use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use policy::quarantine::{Fingerprint, Strike};
+use ids::ErrorKind;
+use policy::crash_suspects::{SuspectKey, SuspectReport, SuspectVerdict};
+use policy::quarantine::Strike;
+use policy::rendezvous;
 
-use crate::dialect::{Dialect, RequestHead};
+use crate::call::Call;
+use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
 use crate::peer_message::PeerMessage;
 use crate::placement::PlacedTarget;
+use crate::refusal::CallRefusal;
 
-/// Replicas that may crash under a request before it is refused. A crash is counted against all
-/// requests that ran on the replica; by chance alone none reaches this many.
-const MAX_CRASHED_REPLICAS: usize = 3;
+/// How long after its first event a stream may still be what crashed its replica.
+const BEGIN_TIME: Duration = Duration::from_secs(1);
 
-/// Whether requests like this one have crashed too many replicas.
-pub(crate) fn is_crash_suspect<D: Dialect, S: Directory>(
+/// What a request consists of that may crash replicas.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct CrashKeys {
+    keys: Vec<SuspectKey>,
+    /// The hash of what follows each key in the prompt; `None` for the whole request.
+    successors: Vec<Option<u64>>,
+}
+
+impl CrashKeys {
+    pub(crate) fn add(&mut self, key: SuspectKey, successor: Option<u64>) {
+        self.keys.push(key);
+        self.successors.push(successor);
+    }
+
+    /// The keys, each with what follows it when the request ran on `replica`.
+    fn with_successors(&self, replica: u64) -> Vec<(SuspectKey, u64)> {
+        let successors = self.successors.iter().map(|it| it.unwrap_or(replica));
+        self.keys.iter().copied().zip(successors).collect()
+    }
+}
+
+/// Fails if requests like this one have crashed too many replicas.
+pub(crate) fn check<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
-    fingerprint: Option<Fingerprint>,
-) -> bool {
-    let members = fingerprint.map(|it| lock(&gateway.quarantine).members(it).len());
-    members.is_some_and(|it| it >= MAX_CRASHED_REPLICAS)
+    keys: &CrashKeys,
+) -> Result<SuspectVerdict, CallRefusal> {
+    let now = gateway.now();
+    let mut verdict = lock(&gateway.suspects).verdict(now, &keys.keys, 0);
+    // The rank is costly and matters only to a suspect.
+    if verdict == SuspectVerdict::Probe {
+        let rank = lock(&gateway.members).rank(now);
+        verdict = lock(&gateway.suspects).verdict(now, &keys.keys, rank);
+    }
+    match verdict {
+        SuspectVerdict::Refused => Err(CallRefusal::not_run(ErrorKind::CrashSuspect)),
+        other => Ok(other),
+    }
 }
 
-/// Called after a connection broke under a request. If the replica then refuses connections, it has
-/// crashed: this is recorded against the request here and at all peers.
-pub(crate) fn report_crash<D: Dialect, S: Directory>(
-    gateway: &Arc<Gateway<D, S>>,
-    fingerprint: Option<Fingerprint>,
-    head: &RequestHead,
-    target: &PlacedTarget,
-) {
-    let Some(fingerprint) = fingerprint else { return };
-    let shared_parts = head.shared_parts().iter().map(|it| &*it.id).collect::<Vec<_>>().join(",");
-    let (gateway, target) = (gateway.clone(), target.clone());
-    tokio::spawn(async move {
-        if !gateway.connections.refuses_connections(target.address).await {
-            return;
-        }
-        let now = gateway.now();
-        let strike = Strike { fingerprint, member: target.member };
-        lock(&gateway.fleet).record_failure(now, &target, true);
-        if lock(&gateway.quarantine).record_strike(now, strike) {
-            let to = lock(&gateway.members).gossip_peers(now).forward_targets(None);
-            gateway.peer_socket.send(now, &to, &PeerMessage::Strike(strike));
+impl<D: Dialect, S: Directory> Call<D, S> {
+    /// Called before the request is sent to a replica. Fails if requests like it have crashed too
+    /// many since it was accepted.
+    pub(crate) fn check_crash_suspect(&self) -> Result<(), CallRefusal> {
+        let verdict =
+            check(&self.gateway, &self.crash_keys).map_err(|it| self.qualify_refusal(it))?;
+        if verdict == SuspectVerdict::Probe {
+            let now = self.gateway.now();
+            let reports = lock(&self.gateway.suspects).record_probe(now, &self.crash_keys.keys);
             tracing::info!(
-                target = %target.id, fingerprint = fingerprint.0, shared_parts,
-                "call: replica crashed under a request, counted against it"
+                request = %self.head.attempt_id,
+                "call: tries whether requests like this one still crash replicas"
             );
+            tell_peers(&self.gateway, now, None, reports);
         }
-    });
+        Ok(())
+    }
+
+    /// Called after a connection broke under the request. If the replica then refuses connections,
+    /// it has crashed: this is recorded against the request here and at all peers.
+    pub(crate) fn report_crash(&self, target: &PlacedTarget) {
+        let now = self.gateway.now();
+        let has_just_begun = self.begun_at.is_none_or(|it| now < it + BEGIN_TIME);
+        let shared_parts = self.head.shared_parts().iter().map(|it| &*it.id);
+        let shared_parts = shared_parts.collect::<Vec<_>>().join(",");
+        let (gateway, keys, target) =
+            (self.gateway.clone(), self.crash_keys.clone(), target.clone());
+        tokio::spawn(async move {
+            if !gateway.connections.refuses_connections(target.address).await {
+                return;
+            }
+            lock(&gateway.fleet).record_failure(gateway.now(), &target, true);
+            if has_just_begun {
+                tracing::info!(
+                    target = %target.id, shared_parts,
+                    "call: replica crashed under a request that had just begun, counted against it"
+                );
+                record_crash(&gateway, now, &keys, &target);
+            }
+        });
+    }
+
+    /// Records that an answer came to its end: nothing in the request crashes replicas.
+    pub(crate) fn clear_crash_suspects(&self) {
+        let now = self.gateway.now();
+        let reports = lock(&self.gateway.suspects).clear(now, &self.crash_keys.keys);
+        tell_peers(&self.gateway, now, None, reports);
+    }
+}
+
+fn record_crash<D: Dialect, S: Directory>(
+    gateway: &Arc<Gateway<D, S>>,
+    crashed_at: Duration,
+    keys: &CrashKeys,
+    target: &PlacedTarget,
+) {
+    let replica = rendezvous::weight(target.member, target.incarnation);
+    let keys = keys.with_successors(replica);
+    let reports = lock(&gateway.suspects).record_crash(crashed_at, &keys, replica);
+    tell_peers(gateway, crashed_at, None, reports);
+}
+
+/// Merges what a peer knew at `reported_at`, and passes on what is new.
+pub(crate) fn merge_reports<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    from: IpAddr,
+    reported_at: Duration,
+    reports: &[SuspectReport],
+) {
+    let now = gateway.now();
+    let news = {
+        let mut suspects = lock(&gateway.suspects);
+        let news = reports.iter().filter(|it| suspects.merge(reported_at, it));
+        let keys: Vec<SuspectKey> = news.map(|it| it.key).collect();
+        keys.into_iter().filter_map(|it| suspects.report(now, it)).collect()
+    };
+    tell_peers(gateway, now, Some(from), news);
+}
+
+/// Merges a crash that a daemon of the version before reports.
+pub(crate) fn merge_strike<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    from: IpAddr,
+    strike: Strike,
+) {
+    let now = gateway.now();
+    let keys = [(SuspectKey::Request(strike.fingerprint), strike.member)];
+    let reports = lock(&gateway.suspects).record_crash(now, &keys, strike.member);
+    tell_peers(gateway, now, Some(from), reports);
+}
+
+/// Tells peers of the suspects again, for those that have missed it or have just started.
+pub(crate) fn repeat_reports<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) {
+    let now = gateway.now();
+    let reports = lock(&gateway.suspects).repeat_reports(now);
+    tell_peers(gateway, now, None, reports);
+}
+
+fn tell_peers<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    now: Duration,
+    source: Option<IpAddr>,
+    reports: Vec<SuspectReport>,
+) {
+    if reports.is_empty() {
+        return;
+    }
+    let to = lock(&gateway.members).gossip_peers(now).forward_targets(source);
+    gateway.peer_socket.send(now, &to, &PeerMessage::Suspects(reports));
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,9 +13,9 @@
 use ids::PoolId;
 use indexmap::IndexMap;
 use policy::buffer_budget::BufferBudget;
+use policy::crash_suspects::SuspectTable;
 use policy::customer_quota::{QuotaAllowance, QuotaTable};
 use policy::engine_choice::PrefillSpeed;
-use policy::quarantine::QuarantineTable;
 use policy::retry::RetryBudget;
 use ports::{Clock, SystemClock};
 use tokio::sync::Notify;
@@ -73,7 +73,7 @@
     pub(crate) members: Mutex<MemberTable>,
     pub(crate) fleet: Mutex<FleetTable>,
     pub(crate) quotas: Mutex<QuotaTable>,
-    pub(crate) quarantine: Mutex<QuarantineTable>,
+    pub(crate) suspects: Mutex<SuspectTable>,
     pub(crate) rollouts: Mutex<RolloutTable>,
     pub(crate) speed: Mutex<PrefillSpeed>,
     settings: Mutex<Arc<GatewaySettings>>,
@@ -156,7 +156,7 @@
             members: Mutex::new(MemberTable::new(own.clone(), settings.seeds.clone())),
             fleet: Mutex::new(FleetTable::new(settings.domain.clone(), settings.bounds.version)),
             quotas: Mutex::new(QuotaTable::new(allowance)),
-            quarantine: Mutex::default(),
+            suspects: Mutex::default(),
             rollouts: Mutex::default(),
             speed: Mutex::default(),
             retry_budgets: Mutex::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexSet;
 use policy::rendezvous;
 
+use crate::crash_reports;
 use crate::dialect::Dialect;
 use crate::directory::{Directory, Snapshot};
 use crate::gateway::{Gateway, StateSource, lock};
@@ -27,6 +28,8 @@
 const HUB_SUM_KEY: u64 = 0;
 /// One report in this many is a full one, which adds state that changes rarely.
 const FULL_REPORT_ROUNDS: u32 = 8;
+/// In one of this many rounds, peers are told again of requests that may crash replicas.
+const SUSPECT_ROUNDS: u32 = 4;
 /// A peer that knows less than one in this many of the daemons known here is sent all of them at
 /// once.
 const LAGGING_DIVISOR: usize = 2;
@@ -52,6 +55,9 @@
     loop {
         let round_start = gateway.now();
         send_round(&gateway, round.is_multiple_of(FULL_REPORT_ROUNDS)).await;
+        if round.is_multiple_of(SUSPECT_ROUNDS) {
+            crash_reports::repeat_reports(&gateway);
+        }
         round = round.wrapping_add(1);
         let now = gateway.now();
         lock(&gateway.members).sweep(now);
@@ -291,11 +297,9 @@
         PeerMessage::Rollouts { sender, reports } => {
             rollouts::handle_reports(gateway, from, sender, &reports);
         }
-        PeerMessage::Strike(strike) => {
-            if lock(&gateway.quarantine).record_strike(now, strike) {
-                let to = lock(&gateway.members).gossip_peers(now).forward_targets(Some(from));
-                gateway.peer_socket.send(now, &to, &PeerMessage::Strike(strike));
-            }
+        PeerMessage::Strike(strike) => crash_reports::merge_strike(gateway, from, strike),
+        PeerMessage::Suspects(reports) => {
+            crash_reports::merge_reports(gateway, from, sent_at.unwrap_or(now), &reports);
         }
     }
 }
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ids::{CustomerId, PoolId, Revision, TargetId};
+use policy::crash_suspects::SuspectReport;
 use policy::quarantine::Strike;
 use policy::rollout_stage::RolloutStage;
 use policy::rollout_trial::RouteEvidence;
@@ -241,7 +242,8 @@
         /// The time until the tokens will be there; `None` if they are granted.
         wait: Option<Duration>,
     },
-    /// A replica crashed while it ran the request with this fingerprint.
+    /// A replica crashed while it ran the request with this fingerprint. Only daemons of the version
+    /// before send it.
     Strike(Strike),
     /// A part of a message that is longer than a datagram.
     Part(MessagePart),
@@ -254,6 +256,8 @@
         /// One for each rollout.
         reports: Vec<RolloutReport>,
     },
+    /// Requests and prompt parts that may crash replicas.
+    Suspects(Vec<SuspectReport>),
 }
 
 impl PeerMessage {
@@ -275,6 +279,7 @@
             PeerMessage::Part(_) => "part",
             PeerMessage::ListingChange(_) => "listing_change",
             PeerMessage::Rollouts { .. } => "rollouts",
+            PeerMessage::Suspects(_) => "suspects",
         }
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -147,6 +147,7 @@
         if !self.has_first_event {
             self.has_first_event = true;
             let now = self.call.gateway.now();
+            self.call.begun_at = Some(now);
             let after = now.saturating_sub(self.call.sent_at);
             if self.first_event_after.is_none() {
                 let after = now.saturating_sub(self.call.started_at);
@@ -159,6 +160,7 @@
 
     /// Returns the connection to the pool and logs the end of the stream.
     fn finish(&mut self) {
+        self.call.clear_crash_suspects();
         if let Some(connection) = self.connection.take() {
             self.call.gateway.connections.put_back(connection);
         }
--- /dev/null
+++ b/crates/policy/src/crash_suspects.rs
@@ -0,0 +1,288 @@
+//! Requests that crash the replicas that run them: the same request again, or requests that share one
+//! part of their prompts.
+//!
+//! When a replica crashes, every request that had just begun on it is a suspect, and so is each part
+//! that its prompt shares with others. Chance puts a request on a crashing replica now and then, so
+//! it takes several crashes, and one answer that comes to its end clears all that its request
+//! consists of. A part is refused only if what follows it in the prompts differed: otherwise that
+//! is what crashes replicas, and other requests with the part are sound.
+//!
+//! Load pattern: a few such requests a second between many sound ones, on any daemon, while up to
+//! all requests on a crashed replica break at once.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+
+use crate::quarantine::Fingerprint;
+
+/// Crashes after which requests are refused.
+pub const CRASH_LIMIT: usize = 3;
+/// Crashes after which a refused part is not tried again.
+const PROVEN_CRASHES: usize = 5;
+/// Replicas that crash within this time count once against a part: a rack that fails takes
+/// replicas with it on which requests with the same part ran.
+const CRASH_SEPARATION: Duration = Duration::from_millis(200);
+/// How long after its last crash a refused part is tried again.
+const PROBE_DELAY: Duration = Duration::from_secs(15);
+/// What each further rank among the daemons waits beyond that, so that one of them tries.
+const PROBE_RANK_DELAY: Duration = Duration::from_millis(250);
+/// The most that ranks add.
+const MAX_PROBE_RANK_DELAY: Duration = Duration::from_secs(10);
+/// How long crashes count.
+const RETENTION: Duration = Duration::from_secs(3_600);
+/// How long peers are told that a suspect was cleared.
+const CLEARED_RETENTION: Duration = Duration::from_secs(20);
+/// A later clearance counts as news from this difference on; ages from peers vary by less.
+const CLEARANCE_STEP: Duration = Duration::from_secs(1);
+/// Upper limit of suspects on record. At the limit a new one drops the one recorded first.
+pub const MAX_SUSPECTS: usize = 10_000;
+/// Crashes kept of one suspect.
+const MAX_EVENTS: usize = 16;
+/// Suspects that peers are told of again and again.
+const MAX_REPEATED: usize = 64;
+
+/// What is suspected of crashing replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum SuspectKey {
+    /// One request, which may be sent again.
+    Request(Fingerprint),
+    /// All requests with this part of their prompts, given as a hash.
+    Part(u64),
+}
+
+/// A crash of a replica on which a suspect had just begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEvent {
+    /// A hash of the replica and its incarnation.
+    pub replica: u64,
+    /// A hash of the part that followed in the prompt; equal to `replica` for a whole request.
+    pub successor: u64,
+    /// How long ago it was when the event was reported.
+    pub age: Duration,
+}
+
+/// What a daemon knows of a suspect, as sent to its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectReport {
+    /// The suspect.
+    pub key: SuspectKey,
+    /// The crashes that count.
+    pub events: Vec<CrashEvent>,
+    /// How long ago it was cleared.
+    pub cleared: Option<Duration>,
+    /// How long ago it was last tried in spite of the crashes.
+    pub probed: Option<Duration>,
+}
+
+/// Whether a request may be sent to a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectVerdict {
+    /// It may.
+    Allowed,
+    /// It may although it is a suspect, to find out whether it still crashes replicas.
+    Probe,
+    /// It must not.
+    Refused,
+}
+
+/// The suspects that one daemon knows of, from its own requests and its peers.
+#[derive(Debug, Default)]
+pub struct SuspectTable {
+    records: IndexMap<SuspectKey, SuspectRecord>,
+}
+
+#[derive(Debug, Default)]
+struct SuspectRecord {
+    /// In the order of their times.
+    events: Vec<TimedCrash>,
+    cleared_at: Option<Duration>,
+    probed_at: Option<Duration>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct TimedCrash {
+    replica: u64,
+    successor: u64,
+    at: Duration,
+}
+
+impl SuspectTable {
+    /// Whether a request with these keys may be sent by the daemon of this rank, 0 the first.
+    pub fn verdict(&self, now: Duration, keys: &[SuspectKey], rank: usize) -> SuspectVerdict {
+        let mut verdict = SuspectVerdict::Allowed;
+        for key in keys {
+            let Some(record) = self.records.get(key) else { continue };
+            let crashes = record.independent_crashes(now, *key);
+            if crashes < CRASH_LIMIT {
+                continue;
+            }
+            if crashes >= PROVEN_CRASHES || now < record.next_probe_at(rank) {
+                return SuspectVerdict::Refused;
+            }
+            verdict = SuspectVerdict::Probe;
+        }
+        verdict
+    }
+
+    /// Records that a suspect is being tried. Returns what to tell peers.
+    pub fn record_probe(&mut self, now: Duration, keys: &[SuspectKey]) -> Vec<SuspectReport> {
+        let mut reports = Vec::new();
+        for key in keys {
+            let Some(record) = self.records.get_mut(key) else { continue };
+            if record.independent_crashes(now, *key) >= CRASH_LIMIT {
+                record.probed_at = Some(now);
+                reports.push(record.report(now, *key));
+            }
+        }
+        reports
+    }
+
+    /// Records that a replica crashed on which a request with these keys, each with its successor,
+    /// had just begun. Returns what to tell peers.
+    pub fn record_crash(
+        &mut self,
+        now: Duration,
+        keys: &[(SuspectKey, u64)],
+        replica: u64,
+    ) -> Vec<SuspectReport> {
+        let mut reports = Vec::new();
+        for (key, successor) in keys {
+            let crash = TimedCrash { replica, successor: *successor, at: now };
+            let record = self.record_mut(*key);
+            if record.add(crash) {
+                reports.push(record.report(now, *key));
+            }
+        }
+        reports
+    }
+
+    /// Clears suspects whose request was answered to its end. Returns what to tell peers.
+    pub fn clear(&mut self, now: Duration, keys: &[SuspectKey]) -> Vec<SuspectReport> {
+        let mut reports = Vec::new();
+        for key in keys {
+            let record = self.records.get_mut(key).filter(|it| !it.events.is_empty());
+            let Some(record) = record else { continue };
+            record.events.clear();
+            record.cleared_at = Some(now);
+            reports.push(record.report(now, *key));
+        }
+        reports
+    }
+
+    /// Merges what a peer knew at `reported_at`. Returns whether anything was new.
+    pub fn merge(&mut self, reported_at: Duration, report: &SuspectReport) -> bool {
+        let record = self.record_mut(report.key);
+        let mut is_news = false;
+        if let Some(age) = report.cleared {
+            let cleared_at = reported_at.saturating_sub(age);
+            if record.cleared_at.is_none_or(|it| it + CLEARANCE_STEP < cleared_at) {
+                record.cleared_at = Some(cleared_at);
+                record.events.retain(|it| it.at > cleared_at);
+                is_news = true;
+            }
+        }
+        if let Some(age) = report.probed {
+            let probed_at = reported_at.saturating_sub(age);
+            record.probed_at = record.probed_at.max(Some(probed_at));
+        }
+        for CrashEvent { replica, successor, age } in report.events.iter().copied() {
+            let crash = TimedCrash { replica, successor, at: reported_at.saturating_sub(age) };
+            is_news |= record.add(crash);
+        }
+        is_news
+    }
+
+    /// What is known of a suspect, to be passed on.
+    pub fn report(&self, now: Duration, key: SuspectKey) -> Option<SuspectReport> {
+        self.records.get(&key).map(|it| it.report(now, key))
+    }
+
+    /// What peers are to be told again: suspects of more than one crash, and those that were
+    /// cleared lately. Forgets what is too old to count.
+    pub fn repeat_reports(&mut self, now: Duration) -> Vec<SuspectReport> {
+        self.records.retain(|_, it| !it.is_expired(now));
+        let repeated = self.records.iter().rev().filter(|(_, it)| it.is_repeated(now));
+        repeated.take(MAX_REPEATED).map(|(key, it)| it.report(now, *key)).collect()
+    }
+
+    fn record_mut(&mut self, key: SuspectKey) -> &mut SuspectRecord {
+        if !self.records.contains_key(&key) && self.records.len() >= MAX_SUSPECTS {
+            self.records.shift_remove_index(0);
+        }
+        self.records.entry(key).or_default()
+    }
+}
+
+impl SuspectRecord {
+    /// Adds a crash; false if it is known or older than the last clearance.
+    fn add(&mut self, crash: TimedCrash) -> bool {
+        let same = |it: &TimedCrash| it.replica == crash.replica && it.successor == crash.successor;
+        let is_cleared = self.cleared_at.is_some_and(|it| crash.at <= it);
+        if is_cleared || self.events.iter().any(same) {
+            return false;
+        }
+        if self.events.len() == MAX_EVENTS {
+            self.events.remove(0);
+        }
+        let position = self.events.partition_point(|it| it.at <= crash.at);
+        self.events.insert(position, crash);
+        true
+    }
+
+    /// Crashes that cannot have one common cause other than the suspect.
+    fn independent_crashes(&self, now: Duration, key: SuspectKey) -> usize {
+        let mut replicas = IndexSet::new();
+        let mut successors = IndexSet::new();
+        let mut last_at = None;
+        for crash in self.events.iter().filter(|it| now < it.at + RETENTION) {
+            let is_part = matches!(key, SuspectKey::Part(_));
+            let is_separate =
+                last_at.is_none_or(|it| !is_part || it + CRASH_SEPARATION <= crash.at);
+            let is_known =
+                replicas.contains(&crash.replica) || successors.contains(&crash.successor);
+            if is_separate && !is_known {
+                replicas.insert(crash.replica);
+                successors.insert(crash.successor);
+                last_at = Some(crash.at);
+            }
+        }
+        replicas.len()
+    }
+
+    fn next_probe_at(&self, rank: usize) -> Duration {
+        let last_at = self.events.last().map(|it| it.at).max(self.probed_at);
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        let rank_delay = PROBE_RANK_DELAY.saturating_mul(rank).min(MAX_PROBE_RANK_DELAY);
+        last_at.unwrap_or_default() + PROBE_DELAY + rank_delay
+    }
+
+    fn is_repeated(&self, now: Duration) -> bool {
+        self.events.len() > 1 || self.was_cleared_lately(now)
+    }
+
+    fn was_cleared_lately(&self, now: Duration) -> bool {
+        self.cleared_at.is_some_and(|it| now < it + CLEARED_RETENTION)
+    }
+
+    fn is_expired(&self, now: Duration) -> bool {
+        let counts = self.events.last().is_some_and(|it| now < it.at + RETENTION);
+        !counts && !self.was_cleared_lately(now)
+    }
+
+    fn report(&self, now: Duration, key: SuspectKey) -> SuspectReport {
+        let age = |at: Duration| now.saturating_sub(at);
+        let event = |it: &TimedCrash| CrashEvent {
+            replica: it.replica,
+            successor: it.successor,
+            age: age(it.at),
+        };
+        SuspectReport {
+            key,
+            events: self.events.iter().map(event).collect(),
+            cleared: self.cleared_at.map(age),
+            probed: self.probed_at.map(age),
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod buffer_budget;
 pub mod chain;
 pub mod claim;
+pub mod crash_suspects;
 pub mod customer_quota;
 pub mod demand;
 pub mod engine_choice;
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -307,4 +307,20 @@
         package: "daemon",
         test: "poison::a_poison_request_sent_again_to_every_daemon_crashes_two_replicas",
     },
+    Mutant {
+        name: "9 a prompt part that crashes replicas is refused",
+        file: "crates/gateway/src/caller_request.rs",
+        original: "keys.add(SuspectKey::Part(hash(&pair[0])), Some(hash(&pair[1])));",
+        replacement: "let _ = (hash(&pair[0]), SuspectKey::Part(0));",
+        package: "platform",
+        test: "crashing_parts::requests_with_a_crashing_part_are_stopped_and_their_siblings_are_served",
+    },
+    Mutant {
+        name: "9 daemons that start later are told of crashing parts",
+        file: "crates/gateway/src/gossip.rs",
+        original: "crash_reports::repeat_reports(&gateway);",
+        replacement: "",
+        package: "platform",
+        test: "crashing_parts::a_daemon_that_starts_later_learns_of_a_crashing_part",
+    },
 ];
