Heed what replicas say of themselves in their answers

A replica's Server-Leaving and Retry-After were thrown away: a leaving replica got requests until the store's list said so, and one that turned requests away got the next one 0.15 s later.

Change: both are read from each answer, of calls, commands and questions alike, and hold for the replica's incarnation from then on, also if it is unlisted and comes back (gateway::notice_table, policy::hold_off). If all replicas of a pool want nothing, callers are refused at once with the time after which the first one does. Both share the way from the answer to the replica's record, hence one commit.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -18,10 +18,11 @@
 use crate::config::{RouteKind, RouteRule, SiteConfig};
 use crate::connections::{CallerResponse, OpenAnswer};
 use crate::crash_reports::{self, CrashKeys};
-use crate::dialect::{Dialect, EngineParams, ForwardParams, RequestHead};
+use crate::dialect::{AnswerHead, Dialect, EngineParams, ForwardParams, RequestHead};
 use crate::directory::Directory;
 use crate::fleet::FleetTable;
 use crate::gateway::{Gateway, InFlightGuard, lock};
+use crate::notice_table::Notice;
 use crate::placement::{PlacedTarget, PlacementQuery, PromptQuery, ReleaseFilter};
 use crate::prompt_spec::PromptSpec;
 use crate::rate_limit;
@@ -37,6 +38,9 @@
 const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(60);
 /// The retry delay sent with a refusal, as a share of the objective.
 const RETRY_AFTER_SHARE: f64 = 0.5;
+/// When all replicas of a pool want no requests for a while, callers return within this multiple of
+/// that time, so that they do not all return at once.
+const HELD_OFF_SPREAD: f64 = 1.25;
 /// Time reserved before the caller's deadline for the answer to reach the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// How long the headers of a stream may take before another replica is tried, as a multiple of the
@@ -254,8 +258,18 @@
                 continue;
             }
             let now = self.gateway.now();
-            let has_active = lock(&self.gateway.fleet).has_active_replica(&self.pool);
-            let left = give_up_at.min(self.deadline).saturating_sub(now);
+            let (has_active, held_off_until) = {
+                let fleet = lock(&self.gateway.fleet);
+                (fleet.has_active_replica(&self.pool), fleet.held_off_until(now, &self.pool))
+            };
+            let give_up_at = give_up_at.min(self.deadline);
+            if let Some(until) = held_off_until.filter(|it| *it >= give_up_at) {
+                self.log_no_replica(now);
+                let delay = (until - now).mul_f64(rand::random_range(1.0..HELD_OFF_SPREAD));
+                let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
+                return Err(self.qualify_refusal(refusal.retry_after(delay)));
+            }
+            let left = give_up_at.saturating_sub(now);
             if !has_active || left.is_zero() {
                 self.log_no_replica(now);
                 let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
@@ -352,6 +366,7 @@
         };
         let answer = sent.map_err(AttemptError::Connection)?;
         let head = self.gateway.dialect.parse_answer(&answer.headers);
+        self.record_notice(target, answer.status, &head);
         if head.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
             return Err(AttemptError::NotRun(answer.status, head));
         }
@@ -368,6 +383,17 @@
         Ok(answer)
     }
 
+    /// Records what a replica says of itself, unless the answer is that to another request and so
+    /// may be of an earlier process.
+    fn record_notice(&self, target: &PlacedTarget, status: StatusCode, head: &AnswerHead) {
+        let own_id = self.head.attempt_id.as_str();
+        if head.attempt_id.as_deref().is_none_or(|it| it == own_id) {
+            let notice = Notice::new(status, head);
+            let now = self.gateway.now();
+            lock(&self.gateway.fleet).record_notice(now, &target.id, target.incarnation, notice);
+        }
+    }
+
     /// How long the headers of an answer may take before another replica is tried.
     fn attempt_timeout(&self, target: &PlacedTarget) -> Duration {
         let objective = match self.route.kind {
--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -33,7 +33,8 @@
         tracing::info!(
             request = %self.head.attempt_id, pool = %self.pool, listed = state.listed,
             open = state.available, leaving = state.leaving, loading = state.loading,
-            paused = state.paused, sent_before = self.unsent_attempts, "call: no replica available"
+            paused = state.paused, held_off = state.held_off,
+            sent_before = self.unsent_attempts, "call: no replica available"
         );
     }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -98,6 +98,10 @@
     pub sealed: bool,
     /// The replica states that it did not run the request.
     pub not_run: bool,
+    /// The replica will stop and takes no more requests.
+    pub leaving: bool,
+    /// How long the replica wants no requests, if it turned this one away.
+    pub retry_after: Option<Duration>,
     /// The replica that answered.
     pub target: Option<Box<str>>,
     /// The version of the replica's weights.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -14,6 +14,7 @@
 use crate::config::TargetEntry;
 use crate::kv_store::KvStoreView;
 use crate::load_table::LoadTable;
+use crate::notice_table::{Notice, NoticeTable};
 use crate::peer_message::{PrefixPlacement, TargetLoad, WeightStatus};
 use crate::placement::PlacedTarget;
 use crate::replica::{self, LoadCount, Replica};
@@ -36,6 +37,8 @@
     reported_own_loads: IndexMap<u64, LoadCount>,
     /// Reported weights by replica hash and incarnation, also of replicas that are not listed yet.
     reported_weights: IndexMap<(u64, u64), ReportedWeights>,
+    /// What replicas said of themselves, also of those that are not listed now.
+    pub(crate) notices: NoticeTable,
     /// Which replicas are expected to hold which prompt prefixes.
     pub prefixes: PrefixTable,
     /// The newest probe of the KV store, if there is one.
@@ -60,6 +63,8 @@
     pub loading: u32,
     /// Replicas that failed recently and are left out for a while.
     pub paused: u32,
+    /// Replicas that want no requests for a while.
+    pub held_off: u32,
 }
 
 /// What was last reported of one incarnation of a replica.
@@ -81,6 +86,7 @@
             peer_loads: LoadTable::default(),
             reported_own_loads: IndexMap::new(),
             reported_weights: IndexMap::new(),
+            notices: NoticeTable::default(),
             prefixes: PrefixTable::default(),
             kv_store: None,
             demand: PromptDemand::default(),
@@ -98,6 +104,7 @@
     /// the same.
     pub fn apply_listing(&mut self, entries: &[TargetEntry]) {
         let mut before = std::mem::take(&mut self.replicas);
+        before.values().for_each(|it| self.notices.remember(it));
         self.pool_orders.clear();
         for entry in entries {
             let member = rendezvous::hash_member(entry.id.as_str());
@@ -121,6 +128,7 @@
     /// A replica that was not listed before, or not in this incarnation.
     fn new_replica(&self, entry: &TargetEntry) -> Replica {
         let mut replica = Replica::new(entry.clone(), self.load_timeout);
+        self.notices.restore(&mut replica);
         let reported = self.reported_weights.get(&(replica.member, entry.incarnation));
         let reported = reported.map(|it| it.status);
         replica.weights = replica.weights.max(reported.map_or(0, |it| it.loaded));
@@ -141,6 +149,7 @@
             state.leaving += u32::from(it.leaving);
             state.loading += u32::from(it.is_loading(now));
             state.paused += u32::from(it.health.state(now) == HealthState::Paused);
+            state.held_off += u32::from(it.hold_off.ends_at(now).is_some());
             state.available += u32::from(it.accepts_requests(now));
         }
         state
@@ -348,6 +357,35 @@
         }
     }
 
+    /// Records what a replica said of itself in an answer.
+    pub fn record_notice(
+        &mut self,
+        now: Duration,
+        id: &TargetId,
+        incarnation: u64,
+        notice: Notice,
+    ) {
+        let replica = self.replicas.get_mut(&rendezvous::hash_member(id.as_str()));
+        let Some(it) = replica.filter(|it| it.entry.incarnation == incarnation) else { return };
+        if notice.leaving && !it.leaving {
+            tracing::info!(target = %id, "targets: replica says that it is leaving");
+            it.leaving = true;
+        }
+        if let Some(time) = notice.hold_off {
+            let ms = time.as_millis() as u64;
+            tracing::info!(target = %id, ms, "targets: replica wants no requests for a while");
+            it.hold_off.extend(now, time);
+        }
+    }
+
+    /// When the first replica of a pool wants requests again; `None` if one does now, or if all are
+    /// leaving.
+    pub fn held_off_until(&self, now: Duration, pool: &PoolId) -> Option<Duration> {
+        let active = self.replicas.values().filter(|it| it.entry.pool == *pool && !it.leaving);
+        let ends: Option<Vec<Duration>> = active.map(|it| it.hold_off.ends_at(now)).collect();
+        ends?.into_iter().min()
+    }
+
     /// Records the version of the weights that a replica named in an answer.
     pub fn record_weights(&mut self, placed: &PlacedTarget, version: u64) {
         if let Some(it) = self.same_incarnation(placed) {
--- a/crates/gateway/src/kv_store.rs
+++ b/crates/gateway/src/kv_store.rs
@@ -82,7 +82,7 @@
     let answer =
         target_client::send_request(gateway, address, "kv-store", request, PROBE_TIMEOUT).await;
     let epoch = match &answer {
-        Ok((status, body)) if status.is_success() => gateway.dialect.parse_kv_store(body),
+        Ok(answer) if answer.status().is_success() => gateway.dialect.parse_kv_store(answer.body()),
         _ => None,
     };
     let before = lock(&gateway.fleet).kv_store.and_then(|it| it.epoch);
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use policy::health::{HealthState, ReplicaHealth};
+use policy::hold_off::HoldOff;
 use policy::rendezvous;
 use policy::silence::{AnswerCount, RecentAnswers};
 
@@ -42,6 +43,8 @@
     pub health: ReplicaHealth,
     /// This daemon's recent answers and failures, which peers get as part of the load.
     pub recent_answers: RecentAnswers,
+    /// How long it wants no requests from this daemon.
+    pub hold_off: HoldOff,
     /// Until when it gets no requests because it was full.
     full_until: Duration,
     /// The version of its weights, by the newest report.
@@ -74,6 +77,7 @@
             leaving: entry.leaving,
             health: ReplicaHealth::default(),
             recent_answers: RecentAnswers::default(),
+            hold_off: HoldOff::default(),
             full_until: Duration::ZERO,
             weights: newest_weights(&entry),
             last_command: None,
@@ -105,9 +109,11 @@
         self.full_until = now + FULL_BACKOFF;
     }
 
-    /// Whether it may get a request now: it is not leaving, full, paused or loading weights.
+    /// Whether it may get a request now: it is not leaving, full, paused or loading weights, and did
+    /// not ask to be spared.
     pub fn accepts_requests(&self, now: Duration) -> bool {
         !self.leaving
+            && self.hold_off.allows(now, self.local_load.running)
             && now >= self.full_until
             && self.health.state(now) != HealthState::Paused
             && !self.is_loading(now)
--- a/crates/gateway/src/target_client.rs
+++ b/crates/gateway/src/target_client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use web::client::{CallError, Connection};
 
@@ -20,7 +20,7 @@
     id: &str,
     mut request: Request<Bytes>,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         request.headers_mut().insert(http::header::HOST, host);
     }
@@ -32,10 +32,13 @@
     };
     let request = request.map(Full::new);
     let answer = gateway.connections.send(address, id, request, which, timeout);
-    let (status, _, body, connection) = answer.await?.split();
+    let (status, headers, body, connection) = answer.await?.split();
     let body = tokio::time::timeout(timeout, body.collect()).await;
     let body = body.map_err(|_| CallError::Timeout(timeout))?;
     let body = body.map_err(|error| CallError::Broken(error.to_string().into()))?;
     gateway.connections.put_back(connection);
-    Ok((status, body.to_bytes()))
+    let mut response = Response::new(body.to_bytes());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Ok(response)
 }
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -22,6 +22,7 @@
 use crate::directory::{CommandLease, Directory};
 use crate::gateway::{Gateway, lock};
 use crate::gossip;
+use crate::notice_table::Notice;
 use crate::peer_message::WeightStatus;
 use crate::target_client;
 
@@ -463,12 +464,24 @@
     report.incarnation.is_none_or(|it| it == incarnation).then_some(report)
 }
 
+/// Sends a request of the daemon's own to a replica, unless that wants none for a while.
 async fn call<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     target: &TargetId,
     request: Request<bytes::Bytes>,
 ) -> Result<(StatusCode, bytes::Bytes), CallError> {
-    let address = lock(&gateway.fleet).get(target).map(|it| it.entry.address);
-    let address = address.ok_or(CallError::NotSent("the replica is not listed".into()))?;
-    target_client::send_request(gateway, address, target.as_str(), request, CALL_TIMEOUT).await
+    let (address, incarnation) = {
+        let fleet = lock(&gateway.fleet);
+        let replica = fleet.get(target);
+        let replica = replica.ok_or(CallError::NotSent("the replica is not listed".into()))?;
+        if replica.hold_off.ends_at(gateway.now()).is_some() {
+            return Err(CallError::NotSent("the replica wants no requests for a while".into()));
+        }
+        (replica.entry.address, replica.entry.incarnation)
+    };
+    let id = target.as_str();
+    let answer = target_client::send_request(gateway, address, id, request, CALL_TIMEOUT).await?;
+    let notice = Notice::new(answer.status(), &gateway.dialect.parse_answer(answer.headers()));
+    lock(&gateway.fleet).record_notice(gateway.now(), target, incarnation, notice);
+    Ok((answer.status(), answer.into_body()))
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fair_queue;
 pub mod fetch_source;
 pub mod health;
+pub mod hold_off;
 pub mod isolation;
 pub mod move_plan;
 pub mod peer_clock;
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -307,6 +307,14 @@
         package: "daemon",
         test: "poison::a_poison_request_sent_again_to_every_daemon_crashes_two_replicas",
     },
+    Mutant {
+        name: "7 a replica's own word that it is leaving is heeded",
+        file: "crates/gateway/src/notice_table.rs",
+        original: "Notice { leaving: head.leaving,",
+        replacement: "Notice { leaving: false,",
+        package: "platform",
+        test: "replica_notices::an_older_entry_does_not_bring_a_leaving_replica_back",
+    },
     Mutant {
         name: "9 a prompt part that crashes replicas is refused",
         file: "crates/gateway/src/caller_request.rs",
