--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -150,7 +150,9 @@
             return Err(CallRefusal::not_run(ErrorKind::HeadersTooLarge));
         }
         let mut share = BufferShare::new(&gateway.buffers);
-        let body = read_body(body, config.limits.body_bytes, &mut share).await?;
+        let time_limit = head.deadline.map_or(BODY_TIMEOUT, |it| it.min(BODY_TIMEOUT));
+        let limit = config.limits.body_bytes;
+        let body = read_body(body, limit, time_limit, &mut share).await?;
         // A newer configuration may have been applied while the body was read.
         let config = gateway.config().unwrap_or(config);
         let route = config.route(&head.host, parts.uri.path()).cloned();
@@ -180,11 +182,12 @@
     Ok(())
 }
 
-/// Reads a body of at most `limit` bytes. A caller that sends a long one while the memory for
+/// Reads a body of at most `limit` bytes within `time_limit`. A caller that sends a long one while the memory for
 /// bodies is used up is refused.
 async fn read_body(
     mut body: Incoming,
     limit: usize,
+    time_limit: Duration,
     share: &mut BufferShare,
 ) -> Result<Bytes, CallRefusal> {
     let refuse = |kind| Err(CallRefusal::not_run(kind));
@@ -204,7 +207,7 @@
         }
         Ok(bytes.freeze())
     };
-    let read = time::timeout(BODY_TIMEOUT, read).await;
+    let read = time::timeout(time_limit, read).await;
     read.unwrap_or_else(|_| refuse(ErrorKind::CallerTimeout))
 }
 
