--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -51,7 +51,8 @@
 #[derive(Debug, Clone)]
 struct HeldLease {
     lease: CommandLease,
-    /// When the last successful write began, on this daemon's clock; the lease lasts from then.
+    /// When the read before the last successful write began, on this daemon's clock; the row states
+    /// the time of that read, and the lease lasts from then.
     confirmed_at: Duration,
     /// When the handover time since this daemon took over has passed.
     handover_ends_at: Duration,
@@ -171,9 +172,9 @@
     gateway: &Gateway<D, S>,
     held: Option<HeldLease>,
 ) -> Result<Option<HeldLease>, StoreError> {
-    let asked_at = gateway.now();
+    let read_began_at = gateway.now();
     let read = gateway.directory.read_lease().await;
-    let took = gateway.now().saturating_sub(asked_at);
+    let took = gateway.now().saturating_sub(read_began_at);
     gateway.metrics.record_store_call("lease", took, read.is_err());
     let snapshot = read?;
     let expiry = lease_duration(gateway) + lease_duration(gateway) / EXPIRY_MARGIN_DIVISOR;
@@ -209,7 +210,7 @@
             // A lease that was lost for a while may have been held by another daemon meanwhile.
             let handover_ends_at = held
                 .map_or(gateway.now() + gateway.settings().bounds.lease, |it| it.handover_ends_at);
-            Ok(Some(HeldLease { lease, confirmed_at: asked_at, handover_ends_at }))
+            Ok(Some(HeldLease { lease, confirmed_at: read_began_at, handover_ends_at }))
         }
         CommitResult::Conflict => Ok(None),
     }
