--- a/crates/gateway/tests/message_stamps.rs
+++ b/crates/gateway/tests/message_stamps.rs
@@ -43,6 +43,19 @@
     assert_eq!(peer_message::decode(&bytes), Some((message, Some(stamp))));
 }
 
+#[rstest]
+#[case::far_in_the_future(Duration::MAX)]
+#[case::at_the_start(Duration::ZERO)]
+fn stamps_without_sense_are_survived(#[case] sent_at: Duration) {
+    let mut table = StampTable::new(Incarnation(1));
+    for now in [0, 1, 40_000, 80_000] {
+        let mut stamp = StampTable::new(Incarnation(2)).stamp(FIRST, sent_at);
+        stamp.echo = table.stamp(SECOND, ms(now)).echo;
+        table.record(ms(now), SECOND, &stamp);
+        table.stamp(SECOND, Duration::MAX);
+    }
+}
+
 /// After a restart of either side, what was known of the clocks says nothing of the new ones.
 #[test]
 fn echoes_of_an_earlier_incarnation_are_not_used() {
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -8,6 +8,8 @@
     self, MAX_DATAGRAM_BYTES, PeerMessage, QuotaQuery, RolloutReport, WeightStatus,
 };
 use ids::Revision;
+use policy::crash_suspects::{SuspectKey, SuspectTable};
+use policy::quarantine::Fingerprint;
 use policy::rollout_stage::{RolloutStage, TrafficShare};
 use policy::rollout_trial::{AttemptOutcome, RolloutEvidence};
 use rand::rngs::StdRng;
@@ -54,6 +56,15 @@
     PeerMessage::Rollouts { sender: 5, reports: vec![report] }
 }
 
+fn suspects() -> PeerMessage {
+    let mut table = SuspectTable::default();
+    for number in 0..3 {
+        let keys = [(SuspectKey::Part(7), number), (SuspectKey::Request(Fingerprint(8)), number)];
+        table.record_crash(Duration::from_secs(number), &keys, number);
+    }
+    PeerMessage::Suspects(table.repeat_reports(Duration::from_secs(3)))
+}
+
 fn encode(message: &PeerMessage) -> Vec<u8> {
     peer_message::encode(message).expect("a message of this version")
 }
@@ -71,6 +82,7 @@
 #[case::members(PeerMessage::Members(vec![fixtures::member("edge-1"), fixtures::member("edge-2")]))]
 #[case::quota_query(quota_query())]
 #[case::rollouts(rollouts())]
+#[case::suspects(suspects())]
 fn damaged_messages_are_rejected_without_a_panic(#[case] message: PeerMessage) {
     let bytes = encode(&message);
     assert_eq!(peer_message::decode(&bytes), Some((message, None)));
@@ -90,7 +102,15 @@
             }
         }
         // Some damaged messages are valid ones; the others must only be rejected.
-        let _ = peer_message::decode(&damaged);
+        if let Some((PeerMessage::Suspects(reports), _)) = peer_message::decode(&damaged) {
+            let now = Duration::from_secs(5);
+            let mut table = SuspectTable::default();
+            for report in &reports {
+                table.merge(now, report);
+            }
+            table.verdict(now, &[SuspectKey::Part(7)], 0);
+            table.repeat_reports(now);
+        }
     }
 }
 
