--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -22,7 +22,7 @@
 use crate::directory::Directory;
 use crate::fleet::FleetTable;
 use crate::gateway::{Gateway, InFlightGuard, lock};
-use crate::notice_table::Notice;
+use crate::notice_table::AnswerNotice;
 use crate::placement::{PlacedTarget, PlacementQuery, PromptQuery, ReleaseFilter};
 use crate::prompt_spec::PromptSpec;
 use crate::rate_limit;
@@ -388,7 +388,7 @@
     fn record_notice(&self, target: &PlacedTarget, status: StatusCode, head: &AnswerHead) {
         let own_id = self.head.attempt_id.as_str();
         if head.attempt_id.as_deref().is_none_or(|it| it == own_id) {
-            let notice = Notice::new(status, head);
+            let notice = AnswerNotice::new(status, head);
             let now = self.gateway.now();
             lock(&self.gateway.fleet).record_notice(now, &target.id, target.incarnation, notice);
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -14,7 +14,7 @@
 use crate::config::TargetEntry;
 use crate::kv_store::KvStoreView;
 use crate::load_table::LoadTable;
-use crate::notice_table::{Notice, NoticeTable};
+use crate::notice_table::{AnswerNotice, NoticeTable};
 use crate::peer_message::{PrefixPlacement, TargetLoad, WeightStatus};
 use crate::placement::PlacedTarget;
 use crate::replica::{self, LoadCount, Replica};
@@ -363,7 +363,7 @@
         now: Duration,
         id: &TargetId,
         incarnation: u64,
-        notice: Notice,
+        notice: AnswerNotice,
     ) {
         let replica = self.replicas.get_mut(&rendezvous::hash_member(id.as_str()));
         let Some(it) = replica.filter(|it| it.entry.incarnation == incarnation) else { return };
--- a/crates/gateway/src/notice_table.rs
+++ b/crates/gateway/src/notice_table.rs
@@ -15,18 +15,21 @@
 
 /// What a replica says of itself in one answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Notice {
+pub struct AnswerNotice {
     /// It will stop and takes no more requests.
     pub leaving: bool,
     /// How long it wants no requests from this daemon.
     pub hold_off: Option<Duration>,
 }
 
-impl Notice {
+impl AnswerNotice {
     /// The notice in an answer with this status and head.
-    pub(crate) fn new(status: StatusCode, head: &AnswerHead) -> Notice {
+    pub(crate) fn new(status: StatusCode, head: &AnswerHead) -> AnswerNotice {
         let is_turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
-        Notice { leaving: head.leaving, hold_off: head.retry_after.filter(|_| is_turned_away) }
+        AnswerNotice {
+            leaving: head.leaving,
+            hold_off: head.retry_after.filter(|_| is_turned_away),
+        }
     }
 }
 
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -22,7 +22,7 @@
 use crate::directory::{CommandLease, Directory};
 use crate::gateway::{Gateway, lock};
 use crate::gossip;
-use crate::notice_table::Notice;
+use crate::notice_table::AnswerNotice;
 use crate::peer_message::WeightStatus;
 use crate::target_client;
 
@@ -482,7 +482,8 @@
     };
     let id = target.as_str();
     let answer = target_client::send_request(gateway, address, id, request, CALL_TIMEOUT).await?;
-    let notice = Notice::new(answer.status(), &gateway.dialect.parse_answer(answer.headers()));
+    let notice =
+        AnswerNotice::new(answer.status(), &gateway.dialect.parse_answer(answer.headers()));
     lock(&gateway.fleet).record_notice(gateway.now(), target, incarnation, notice);
     Ok((answer.status(), answer.into_body()))
 }
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -310,8 +310,8 @@
     Mutant {
         name: "7 a replica's own word that it is leaving is heeded",
         file: "crates/gateway/src/notice_table.rs",
-        original: "Notice { leaving: head.leaving,",
-        replacement: "Notice { leaving: false,",
+        original: "leaving: head.leaving,",
+        replacement: "leaving: false,",
         package: "platform",
         test: "replica_notices::an_older_entry_does_not_bring_a_leaving_replica_back",
     },
