Give each test of explain log files of its own

Cause: the three cases of a_dash_is_standard_input run in parallel and wrote the same files, so that the tool of one case read a file that another had just truncated.

Change: each call of the fixture writes to a folder of its own. The other tests that write files (cli tool, platform settings) were read: each writes one file of its own.

--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -3,7 +3,8 @@
 use std::fs;
 use std::io::Write;
 use std::path::PathBuf;
-use std::process::{Command, Output, Stdio};
+use std::process::{self, Command, Output, Stdio};
+use std::sync::atomic::{self, AtomicUsize};
 
 use rstest::rstest;
 use serde_json::Value;
@@ -23,7 +24,11 @@
     "\n",
 );
 
-fn write_log_files(name: &str) -> Vec<PathBuf> {
+/// Each call writes to a folder of its own, since tests run in parallel.
+fn write_log_files() -> Vec<PathBuf> {
+    static FOLDER_COUNT: AtomicUsize = AtomicUsize::new(0);
+    let number = FOLDER_COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+    let name = format!("explain-{}-{number}", process::id());
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     fs::create_dir_all(&folder).unwrap();
     let write_file = |name: &str, text: &str| {
@@ -40,7 +45,7 @@
 
 #[test]
 fn entries_of_all_files_are_printed_in_time_order() {
-    let files = write_log_files("ordered");
+    let files = write_log_files();
     let out = run_tool(&["--json", "explain", "a1"], &files);
     let entries: Vec<Value> = serde_json::from_slice(&out.stdout).unwrap();
     let what: Vec<&str> = entries.iter().filter_map(|it| it["what"].as_str()).collect();
@@ -52,7 +57,7 @@
 
 #[test]
 fn without_json_a_table_shows_only_entries_of_the_request() {
-    let out = run_tool(&["explain", "a1"], &write_log_files("table"));
+    let out = run_tool(&["explain", "a1"], &write_log_files());
     let text = String::from_utf8(out.stdout).unwrap();
     assert!(text.contains("call: placed") && text.contains("cached=0 target=i-1"), "{text}");
     assert_eq!(text.lines().count(), 3, "{text}");
@@ -60,7 +65,7 @@
 
 #[test]
 fn unknown_requests_and_missing_files_are_errors() {
-    let mut files = write_log_files("errors");
+    let mut files = write_log_files();
     let out = run_tool(&["explain", "c3"], &files);
     let text = String::from_utf8(out.stderr).unwrap();
     assert_eq!(out.status.code(), Some(1));
@@ -77,7 +82,7 @@
 #[case::after_a_separator(&["--json", "explain", "a1", "--", "-"], &["call: placed"])]
 #[case::before_files(&["--json", "explain", "a1", "-", "FILE"], &["rate: taken", "call: placed"])]
 fn a_dash_is_standard_input(#[case] args: &[&str], #[case] expected: &[&str]) {
-    let files = write_log_files("standard-input");
+    let files = write_log_files();
     let collected = files[1].to_str().unwrap();
     let args = args.iter().map(|it| if *it == "FILE" { collected } else { it });
     let mut tool = Command::new(env!("CARGO_BIN_EXE_kingcupshift"))
