Tell daemons that start when superseded weights are due

Cause: daemons told each other of the newest version and its age only. One that started after version 4 was published did not know version 3, and placed requests on version 2 until version 4 was due.

Change: the control state carries the versions before the newest, with their ages, behind the message, where daemons of the landed version ignore them.

Evidence: gateway knowledge, case "the superseded version is due", failed before (version 1 where 3 was due) and passes now.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -116,16 +116,25 @@
             version,
             age: Some(now.saturating_sub(at)),
         };
+        let superseded = |known: &[(u64, Duration)]| {
+            let earlier = known.split_last().map_or(&[][..], |it| it.1);
+            earlier.iter().map(|it| published(*it)).collect()
+        };
         ControlState {
             config: self.config.as_deref().cloned(),
             weights: self.newest_weights().map(|it| (it.0.clone(), published(it.1))).collect(),
             rollouts: self.rollouts.iter().map(|(id, it)| (id.clone(), it.0.clone())).collect(),
+            superseded_weights: self
+                .weights
+                .iter()
+                .map(|(model, known)| (model.clone(), superseded(known)))
+                .collect(),
         }
     }
 
-    /// Merges a control state that was current at `read_at`. Its ages are as of `now`. If this daemon knew no version of a
-    /// model before and the state does not say how old the version is, it is taken to have been
-    /// published `initial_age` ago.
+    /// Merges a control state that was current at `read_at`. Its ages are as of `now`. If this daemon
+    /// knew no version of a model before and the state does not say how old the version is, it is
+    /// taken to have been published `initial_age` ago.
     pub fn apply_control(
         &mut self,
         now: Duration,
@@ -156,13 +165,20 @@
                 }
                 _ => {
                     known.push((published.version, published_at));
-                    if known.len() > MAX_KNOWN_VERSIONS {
-                        known.remove(0);
-                    }
                     change.weights = true;
                 }
             }
         }
+        for (model, versions) in state.superseded_weights {
+            let Some(known) = self.weights.get_mut(&model) else { continue };
+            for it in versions {
+                let Some(age) = it.age else { continue };
+                merge_superseded(known, it.version, now.saturating_sub(age));
+            }
+        }
+        for known in self.weights.values_mut() {
+            known.drain(..known.len().saturating_sub(MAX_KNOWN_VERSIONS));
+        }
         for (pool, rollout) in state.rollouts {
             let known = self.rollouts.get(&pool);
             if known.is_none_or(|it| it.0.revision < rollout.revision) {
@@ -235,6 +251,17 @@
     }
 }
 
+/// Records when a version before the newest known one was published.
+fn merge_superseded(known: &mut Vec<(u64, Duration)>, version: u64, published_at: Duration) {
+    if known.last().is_none_or(|it| it.0 < version) {
+        return;
+    }
+    match known.binary_search_by_key(&version, |it| it.0) {
+        Ok(index) => known[index].1 = known[index].1.min(published_at),
+        Err(index) => known.insert(index, (version, published_at)),
+    }
+}
+
 /// The hash by which daemons compare their lists of replicas.
 pub(crate) fn hash_listing(entries: &[TargetEntry]) -> u64 {
     hash_value(entries)
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -200,8 +200,15 @@
     pub weights: IndexMap<Box<str>, WeightVersion>,
     /// The newest rollout of each pool.
     pub rollouts: IndexMap<PoolId, PoolRollout>,
+    /// Versions of each model's weights before the newest one. The store does not hold them. Sent
+    /// behind the message, where daemons that do not know them ignore them.
+    #[serde(skip)]
+    pub superseded_weights: SupersededWeights,
 }
 
+/// Published versions of each model's weights that have been followed by newer ones.
+pub type SupersededWeights = IndexMap<Box<str>, Vec<WeightVersion>>;
+
 impl SiteConfig {
     /// Selects the route of a host and path: of those whose prefix begins the path, the one with
     /// the longest prefix.
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -297,11 +297,17 @@
 pub fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
     let config = bincode::config::standard();
     let mut bytes = bincode::serde::encode_to_vec(message, config).ok()?;
-    if let PeerMessage::Gossip(report) = message
-        && let Some(extension) = &report.extension
-    {
-        bytes.extend(bincode::serde::encode_to_vec(extension, config).ok()?);
-    }
+    let extension = match message {
+        PeerMessage::Gossip(report) => match &report.extension {
+            Some(it) => bincode::serde::encode_to_vec(it, config).ok()?,
+            None => Vec::new(),
+        },
+        PeerMessage::Control(_, _, state) => {
+            bincode::serde::encode_to_vec(&state.superseded_weights, config).ok()?
+        }
+        _ => Vec::new(),
+    };
+    bytes.extend(extension);
     Some(bytes)
 }
 
@@ -323,11 +329,20 @@
     let config = bincode::config::standard().with_limit::<LIMIT>();
     let (mut message, length) = bincode::serde::decode_from_slice(bytes, config).ok()?;
     let mut rest = &bytes[length..];
-    if let PeerMessage::Gossip(report) = &mut message
-        && let Ok((extension, length)) = bincode::serde::decode_from_slice(rest, config)
-    {
-        report.extension = Some(extension);
-        rest = &rest[length..];
+    match &mut message {
+        PeerMessage::Gossip(report) => {
+            if let Ok((extension, length)) = bincode::serde::decode_from_slice(rest, config) {
+                report.extension = Some(extension);
+                rest = &rest[length..];
+            }
+        }
+        PeerMessage::Control(_, _, state) => {
+            if let Ok((superseded, length)) = bincode::serde::decode_from_slice(rest, config) {
+                state.superseded_weights = superseded;
+                rest = &rest[length..];
+            }
+        }
+        _ => {}
     }
     let stamp = bincode::serde::decode_from_slice(rest, config).ok().map(|it| it.0);
     Some((message, stamp))
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -10,6 +10,7 @@
 use gateway::config::{CallerLimits, ControlState, SiteConfig, WeightVersion};
 use gateway::directory::{MemberEntry, Snapshot};
 use gateway::members::MemberTable;
+use gateway::peer_message::{self, PeerMessage};
 use ids::{Incarnation, Revision};
 use policy::rendezvous;
 use rstest::rstest;
@@ -38,6 +39,7 @@
         config: Some(config(config_revision)),
         weights: [("m".into(), published(weights, None))].into_iter().collect(),
         rollouts: Default::default(),
+        superseded_weights: Default::default(),
     }
 }
 
@@ -299,3 +301,39 @@
     let forwarded_age = view.control(ms(10_000)).weights["m"].age.expect("it knows");
     assert!(forwarded_age >= initial_age.max(reported_age.unwrap_or_default()));
 }
+
+/// A message with the state that a daemon forwards, as its receiver decodes it.
+fn forwarded(view: &ClusterView, now: u64) -> ControlState {
+    let state = Box::new(view.control(ms(now)));
+    let message = PeerMessage::Control(Revision(9), Duration::ZERO, state);
+    let bytes = peer_message::encode(&message).expect("a message of this version");
+    match peer_message::decode(&bytes) {
+        Some((PeerMessage::Control(_, _, state), _)) => *state,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Versions may be published faster than they are loaded. The bound for each runs from its own
+/// publication, also at a daemon that starts when it is superseded already.
+#[rstest]
+#[case::the_superseded_version_is_not_due(11_999, 0)]
+#[case::the_superseded_version_is_due(12_000, 3)]
+#[case::the_newest_version_is_due(16_400, 4)]
+fn superseded_weights_are_due_in_time_after_a_restart(#[case] now: u64, #[case] expected: u64) {
+    let mut running = ClusterView::default();
+    for (at, version) in [(1_000, 1), (6_400, 3), (10_800, 4)] {
+        running.apply_control(ms(at), ms(at), ms(0), snapshot(at, control(1, version)));
+    }
+    let mut restarted = ClusterView::default();
+    let at = 11_100;
+    let state = forwarded(&running, at);
+    restarted.apply_control(ms(at), ms(at), ms(3_500), snapshot(9, state));
+    // The next one to start hears it from this one.
+    let mut last = ClusterView::default();
+    let state = forwarded(&restarted, at + 100);
+    last.apply_control(ms(at + 100), ms(at + 100), ms(3_500), snapshot(9, state));
+    for view in [running, restarted, last] {
+        let due = view.min_weights("m", ms(now), ms(5_600)).max(1);
+        assert_eq!(due, expected.max(1));
+    }
+}
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use gateway::config::TargetEntry;
+use gateway::config::{ControlState, TargetEntry, WeightVersion};
 use gateway::peer_message::{
     self, MAX_DATAGRAM_BYTES, PeerMessage, QuotaQuery, RolloutReport, WeightStatus,
 };
@@ -31,6 +31,18 @@
     PeerMessage::Listing(Revision(4), Duration::from_secs(1), entries)
 }
 
+fn control() -> PeerMessage {
+    let published = |version, age| WeightVersion { version, age: Some(Duration::from_secs(age)) };
+    let state = ControlState {
+        weights: [("m".into(), published(4, 1))].into_iter().collect(),
+        superseded_weights: [("m".into(), vec![published(2, 9), published(3, 5)])]
+            .into_iter()
+            .collect(),
+        ..ControlState::default()
+    };
+    PeerMessage::Control(Revision(4), Duration::from_secs(1), Box::new(state))
+}
+
 fn quota_query() -> PeerMessage {
     PeerMessage::QuotaQuery(QuotaQuery {
         query_id: 77,
@@ -79,6 +91,7 @@
 #[rstest]
 #[case::report(report())]
 #[case::listing(listing())]
+#[case::control(control())]
 #[case::members(PeerMessage::Members(vec![fixtures::member("edge-1"), fixtures::member("edge-2")]))]
 #[case::quota_query(quota_query())]
 #[case::rollouts(rollouts())]
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -331,4 +331,12 @@
         package: "platform",
         test: "crashing_parts::a_daemon_that_starts_later_learns_of_a_crashing_part",
     },
+    Mutant {
+        name: "8 daemons that restart learn when superseded weights are due",
+        file: "crates/gateway/src/peer_message.rs",
+        original: "state.superseded_weights = superseded;",
+        replacement: "let _: crate::config::SupersededWeights = superseded;",
+        package: "gateway",
+        test: "knowledge::superseded_weights_are_due_in_time_after_a_restart",
+    },
 ];
