Heed what replicas say of themselves while they are not listed

A replica whose entry lapsed while the store was away may still answer a request under way with Server-Leaving or Retry-After. That word was dropped, since the replica was not listed at that moment; when its old entry came back it got requests again. The same for a peer's report that it is leaving.

Change: notices go to the table of notices if the replica is not listed, by id and incarnation; a listing that brings the replica back restores them (as it did for notices given before).

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -14,7 +14,7 @@
 use crate::config::TargetEntry;
 use crate::kv_store::KvStoreView;
 use crate::load_table::LoadTable;
-use crate::notice_table::{AnswerNotice, NoticeTable};
+use crate::notice_table::{AnswerNotice, NoticeTable, ReplicaNotices};
 use crate::peer_message::{PrefixPlacement, TargetLoad, WeightStatus};
 use crate::placement::PlacedTarget;
 use crate::replica::{self, LoadCount, Replica};
@@ -104,7 +104,10 @@
     /// the same.
     pub fn apply_listing(&mut self, entries: &[TargetEntry]) {
         let mut before = std::mem::take(&mut self.replicas);
-        before.values().for_each(|it| self.notices.remember(it));
+        for it in before.values() {
+            let notices = ReplicaNotices { leaving: it.leaving, hold_off: it.hold_off };
+            self.notices.record(it.member, it.entry.incarnation, notices);
+        }
         self.pool_orders.clear();
         for entry in entries {
             let member = rendezvous::hash_member(entry.id.as_str());
@@ -128,7 +131,9 @@
     /// A replica that was not listed before, or not in this incarnation.
     fn new_replica(&self, entry: &TargetEntry) -> Replica {
         let mut replica = Replica::new(entry.clone(), self.load_timeout);
-        self.notices.restore(&mut replica);
+        let notices = self.notices.get(replica.member, entry.incarnation);
+        replica.leaving |= notices.leaving;
+        replica.hold_off = notices.hold_off;
         let reported = self.reported_weights.get(&(replica.member, entry.incarnation));
         let reported = reported.map(|it| it.status);
         replica.weights = replica.weights.max(reported.map_or(0, |it| it.loaded));
@@ -262,9 +267,11 @@
     /// Marks replicas that peers know to be leaving, given as hashes of ids with incarnations.
     pub fn apply_leaving(&mut self, leaving: &[(u64, u64)]) {
         for (member, incarnation) in leaving {
-            let replica = self.replicas.get_mut(member);
-            if let Some(it) = replica.filter(|it| it.entry.incarnation == *incarnation) {
-                it.leaving = true;
+            let notices = ReplicaNotices { leaving: true, ..ReplicaNotices::default() };
+            match self.replicas.get_mut(member) {
+                Some(it) if it.entry.incarnation == *incarnation => it.leaving = true,
+                Some(_) => {}
+                None => self.notices.record(*member, *incarnation, notices),
             }
         }
     }
@@ -365,8 +372,13 @@
         incarnation: u64,
         notice: AnswerNotice,
     ) {
-        let replica = self.replicas.get_mut(&rendezvous::hash_member(id.as_str()));
-        let Some(it) = replica.filter(|it| it.entry.incarnation == incarnation) else { return };
+        let member = rendezvous::hash_member(id.as_str());
+        let Some(it) = self.replicas.get_mut(&member) else {
+            return self.notices.record(member, incarnation, notice.as_of(now));
+        };
+        if it.entry.incarnation != incarnation {
+            return;
+        }
         if notice.leaving && !it.leaving {
             tracing::info!(target = %id, "targets: replica says that it is leaving");
             it.leaving = true;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,7 @@
 pub mod message_parts;
 pub mod message_stamp;
 pub mod metrics;
-mod notice_table;
+pub mod notice_table;
 pub mod peer_message;
 mod peer_socket;
 mod placement;
--- a/crates/gateway/src/notice_table.rs
+++ b/crates/gateway/src/notice_table.rs
@@ -1,4 +1,4 @@
-//! What replicas said of themselves, kept while they are not listed: an older entry of the same
+//! What replicas said of themselves before or while they are not listed: an older entry of the same
 //! incarnation may come back.
 
 use std::time::Duration;
@@ -8,7 +8,6 @@
 use policy::hold_off::HoldOff;
 
 use crate::dialect::AnswerHead;
-use crate::replica::Replica;
 
 /// Upper limit of replicas on record. At the limit the one recorded first is dropped.
 const MAX_RECORDS: usize = 10_000;
@@ -31,34 +30,55 @@
             hold_off: head.retry_after.filter(|_| is_turned_away),
         }
     }
+
+    /// What it says when it is read at `now`.
+    pub(crate) fn as_of(self, now: Duration) -> ReplicaNotices {
+        let mut hold_off = HoldOff::default();
+        if let Some(time) = self.hold_off {
+            hold_off.extend(now, time);
+        }
+        ReplicaNotices { leaving: self.leaving, hold_off }
+    }
+}
+
+/// All that a replica said of itself in one incarnation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct ReplicaNotices {
+    /// It will stop and takes no more requests.
+    pub(crate) leaving: bool,
+    /// How long it wants no requests from this daemon.
+    pub(crate) hold_off: HoldOff,
 }
 
 /// Notices by the hash of the replica's id and its incarnation.
 #[derive(Debug, Default)]
 pub(crate) struct NoticeTable {
-    records: IndexMap<(u64, u64), (bool, HoldOff)>,
+    records: IndexMap<(u64, u64), ReplicaNotices>,
 }
 
 impl NoticeTable {
-    /// Remembers what a listed replica said.
-    pub(crate) fn remember(&mut self, replica: &Replica) {
-        if !replica.leaving && replica.hold_off == HoldOff::default() {
+    /// Adds to what a replica said before, in one incarnation.
+    pub(crate) fn record(&mut self, member: u64, incarnation: u64, notices: ReplicaNotices) {
+        if notices == ReplicaNotices::default() {
             return;
         }
-        let key = (replica.member, replica.entry.incarnation);
+        let key = (member, incarnation);
         if !self.records.contains_key(&key) && self.records.len() >= MAX_RECORDS {
             self.records.shift_remove_index(0);
         }
-        self.records.insert(key, (replica.leaving, replica.hold_off));
+        self.records.entry(key).or_default().merge(notices);
     }
 
-    /// Restores what a replica said before it was unlisted.
-    pub(crate) fn restore(&self, replica: &mut Replica) {
-        if let Some((leaving, hold_off)) =
-            self.records.get(&(replica.member, replica.entry.incarnation))
-        {
-            replica.leaving |= leaving;
-            replica.hold_off = *hold_off;
-        }
+    /// What a replica said in this incarnation.
+    pub(crate) fn get(&self, member: u64, incarnation: u64) -> ReplicaNotices {
+        self.records.get(&(member, incarnation)).copied().unwrap_or_default()
+    }
+}
+
+impl ReplicaNotices {
+    /// Adds later notices: none takes an earlier one back.
+    fn merge(&mut self, later: ReplicaNotices) {
+        self.leaving |= later.leaving;
+        self.hold_off = self.hold_off.longer(later.hold_off);
     }
 }
--- a/crates/policy/src/hold_off.rs
+++ b/crates/policy/src/hold_off.rs
@@ -24,6 +24,11 @@
         self.until = self.until.max(Some(now + time.min(MAX_HOLD_OFF)));
     }
 
+    /// The one of two that ends later.
+    pub fn longer(self, other: HoldOff) -> HoldOff {
+        HoldOff { until: self.until.max(other.until) }
+    }
+
     /// When it ends; `None` if the replica wants requests now.
     pub fn ends_at(&self, now: Duration) -> Option<Duration> {
         self.until.filter(|it| now < *it)
