Ask peers how old weights are that were published during an interruption

Looked for because operators of similar systems told of processes that acted on a permission that had run out while they stood still or were cut off. It can happen here: a daemon that finds newer weights in the store after an interruption takes them for published at its own reading, and places requests on older ones for another 5.6 s. Its peers knew the age, but send the state only to daemons with another one.

Change: if the state had not been confirmed for longer than the bound of the configuration and a newer version is found, reports to hubs leave out the control state, which peers answer with all of it. No new message. Ways weighed: to count from the last confirmation (after an outage of the store for all, every daemon would refuse all old weights at once); to put ages into the digest of the state (daemons of the landed version would never agree).

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -41,6 +41,18 @@
     control_revision: Revision,
     control_confirmed_at: Option<Duration>,
     control_hash: u64,
+    /// Whether a version of weights was found that may be much older than this daemon knows.
+    asks_for_ages: bool,
+}
+
+/// What is assumed of a version of weights whose publication this daemon did not see.
+#[derive(Debug, Clone, Copy)]
+pub struct UnseenVersion {
+    /// Its age if this daemon knew no version of the model before.
+    pub initial_age: Duration,
+    /// If the state before was confirmed longer ago than this, the version may be much older than
+    /// the time of the read.
+    pub max_gap: Duration,
 }
 
 /// Which parts of a view an update changed.
@@ -132,17 +144,23 @@
         }
     }
 
-    /// Merges a control state that was current at `read_at`. Its ages are as of `now`. If this daemon
-    /// knew no version of a model before and the state does not say how old the version is, it is
-    /// taken to have been published `initial_age` ago.
+    /// Whether peers are to be asked for the whole control state, as it says how old weights are.
+    pub fn asks_for_ages(&self) -> bool {
+        self.asks_for_ages
+    }
+
+    /// Merges a control state that was current at `read_at`. Its ages are as of `now`. A version
+    /// whose age the state does not say counts from now, unless `unseen` says otherwise.
     pub fn apply_control(
         &mut self,
         now: Duration,
         read_at: Duration,
-        initial_age: Duration,
+        unseen: UnseenVersion,
         snapshot: Snapshot<ControlState>,
     ) -> ViewChange {
         let mut change = ViewChange::default();
+        let was_interrupted =
+            self.control_confirmed_at.is_some_and(|it| it + unseen.max_gap < read_at);
         self.confirm_control(snapshot.revision, read_at);
         let state = snapshot.value;
         if let Some(config) = state.config {
@@ -154,8 +172,12 @@
         }
         for (model, published) in state.weights {
             let known = self.weights.entry(model).or_default();
-            let initial_age = if known.is_empty() { initial_age } else { Duration::ZERO };
+            let initial_age = if known.is_empty() { unseen.initial_age } else { Duration::ZERO };
             let published_at = now.saturating_sub(published.age.unwrap_or(initial_age));
+            let is_newest = known.last().is_none_or(|it| it.0 <= published.version);
+            if is_newest && published.age.is_some() {
+                self.asks_for_ages = false;
+            }
             match known.last_mut() {
                 Some(it) if it.0 > published.version => {}
                 Some(it) if it.0 == published.version => {
@@ -163,7 +185,9 @@
                         it.1 = it.1.min(published_at);
                     }
                 }
-                _ => {
+                last => {
+                    let is_unseen = last.is_some() && published.age.is_none();
+                    self.asks_for_ages |= is_unseen && was_interrupted;
                     known.push((published.version, published_at));
                     change.weights = true;
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use tokio::sync::Notify;
 
 use crate::buffer_share::SharedBudget;
-use crate::cluster_view::{ClusterView, TargetListing, ViewChange};
+use crate::cluster_view::{ClusterView, TargetListing, UnseenVersion, ViewChange};
 use crate::config::{ControlState, SiteConfig, TargetEntry};
 use crate::connections::ConnectionTable;
 use crate::dialect::Dialect;
@@ -294,12 +294,15 @@
         // A daemon that has just started may use older weights for the time that it needs to learn
         // of newer ones, however long ago those were published.
         let startup_time = self.settings().bounds.contact.mul_f64(STARTUP_SHARE);
-        let unknown_age = self.max_old_weights_age().saturating_sub(startup_time);
+        let unseen = UnseenVersion {
+            initial_age: self.max_old_weights_age().saturating_sub(startup_time),
+            max_gap: self.settings().bounds.config_apply,
+        };
         let now = self.now();
         let (confirmed_before, change) = {
             let mut view = lock(&self.view);
             let confirmed_before = view.control_confirmed_at();
-            (confirmed_before, view.apply_control(stated_at, read_at, unknown_age, snapshot))
+            (confirmed_before, view.apply_control(stated_at, read_at, unseen, snapshot))
         };
         if change.any() {
             let config = self.config().map_or(0, |it| it.revision.0);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -127,8 +127,12 @@
 ) -> GossipReport {
     let (control, listing) = {
         let view = lock(&gateway.view);
+        // A report without the control state is answered with all of it. A hub's children would all
+        // do so, and know no more than the other hubs.
+        let asks = view.asks_for_ages() && !matches!(direction, GossipDirection::ToChild(_));
         let control = view
             .control_confirmed_at()
+            .filter(|_| !asks)
             .map(|at| (view.control_revision(), now.saturating_sub(at), view.control_hash()));
         let listing = view.listing();
         let listing = listing.map(|it| (it.revision, now.saturating_sub(it.read_at), it.hash));
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fixtures::entry;
-use gateway::cluster_view::ClusterView;
+use gateway::cluster_view::{ClusterView, UnseenVersion};
 use gateway::config::{CallerLimits, ControlState, SiteConfig, WeightVersion};
 use gateway::directory::{MemberEntry, Snapshot};
 use gateway::members::MemberTable;
@@ -43,6 +43,10 @@
     }
 }
 
+fn unseen(initial_age: Duration) -> UnseenVersion {
+    UnseenVersion { initial_age, max_gap: ms(2_000) }
+}
+
 fn snapshot<T>(revision: u64, value: T) -> Snapshot<T> {
     Snapshot { revision: Revision(revision), store_time: Duration::ZERO, value }
 }
@@ -58,8 +62,8 @@
     #[case] expected_weights: u64,
 ) {
     let mut view = ClusterView::default();
-    view.apply_control(ms(0), ms(0), ms(0), snapshot(10, control(7, 4)));
-    view.apply_control(ms(1), ms(1), ms(0), snapshot(11, control(revision, weights)));
+    view.apply_control(ms(0), ms(0), unseen(ms(0)), snapshot(10, control(7, 4)));
+    view.apply_control(ms(1), ms(1), unseen(ms(0)), snapshot(11, control(revision, weights)));
     assert_eq!(view.config().map(|it| it.revision.0), Some(expected_revision));
     assert_eq!(view.latest_weights("m").map(|it| it.0), Some(expected_weights));
 }
@@ -68,7 +72,7 @@
 fn equal_control_states_have_equal_hashes_and_others_differ() {
     let control_hash = |state| {
         let mut view = ClusterView::default();
-        view.apply_control(ms(0), ms(0), ms(0), snapshot(10, state));
+        view.apply_control(ms(0), ms(0), unseen(ms(0)), snapshot(10, state));
         view.control_hash()
     };
     assert_eq!(control_hash(control(7, 4)), control_hash(control(7, 4)));
@@ -214,7 +218,7 @@
 fn weights_older_than_a_due_version_are_not_used(#[case] now: u64, #[case] expected: u64) {
     let mut view = ClusterView::default();
     for (at, version) in [(1_000, 2), (4_200, 3), (10_400, 4)] {
-        view.apply_control(ms(at), ms(at), ms(0), snapshot(at, control(1, version)));
+        view.apply_control(ms(at), ms(at), unseen(ms(0)), snapshot(at, control(1, version)));
     }
     assert_eq!(view.min_weights("m", ms(now), ms(5_600)), expected);
 }
@@ -288,13 +292,13 @@
     #[case] expected: u64,
 ) {
     let mut view = ClusterView::default();
-    view.apply_control(ms(10_000), ms(10_000), initial_age, snapshot(5, control(1, 2)));
+    view.apply_control(ms(10_000), ms(10_000), unseen(initial_age), snapshot(5, control(1, 2)));
     if reported_age.is_some() {
         let state = ControlState {
             weights: [("m".into(), published(2, reported_age))].into_iter().collect(),
             ..control(1, 2)
         };
-        view.apply_control(ms(10_000), ms(10_000), ms(0), snapshot(5, state));
+        view.apply_control(ms(10_000), ms(10_000), unseen(ms(0)), snapshot(5, state));
     }
     assert_eq!(view.min_weights("m", ms(now), ms(5_600)), expected);
     // The age that it forwards is no less than the one that was reported to it.
@@ -322,18 +326,47 @@
 fn superseded_weights_are_due_in_time_after_a_restart(#[case] now: u64, #[case] expected: u64) {
     let mut running = ClusterView::default();
     for (at, version) in [(1_000, 1), (6_400, 3), (10_800, 4)] {
-        running.apply_control(ms(at), ms(at), ms(0), snapshot(at, control(1, version)));
+        running.apply_control(ms(at), ms(at), unseen(ms(0)), snapshot(at, control(1, version)));
     }
     let mut restarted = ClusterView::default();
     let at = 11_100;
     let state = forwarded(&running, at);
-    restarted.apply_control(ms(at), ms(at), ms(3_500), snapshot(9, state));
+    restarted.apply_control(ms(at), ms(at), unseen(ms(3_500)), snapshot(9, state));
     // The next one to start hears it from this one.
     let mut last = ClusterView::default();
     let state = forwarded(&restarted, at + 100);
-    last.apply_control(ms(at + 100), ms(at + 100), ms(3_500), snapshot(9, state));
+    last.apply_control(ms(at + 100), ms(at + 100), unseen(ms(3_500)), snapshot(9, state));
     for view in [running, restarted, last] {
         let due = view.min_weights("m", ms(now), ms(5_600)).max(1);
         assert_eq!(due, expected.max(1));
     }
 }
+
+/// A daemon that was cut off or stood still does not know when the version that it finds in the
+/// store was published; peers that were not do.
+#[rstest]
+#[case::current_until_just_before(10_600, false, 16_599, 2)]
+#[case::interrupted(6_000, true, 14_000, 4)]
+fn a_daemon_that_was_interrupted_asks_peers_how_old_weights_are(
+    #[case] confirmed_at: u64,
+    #[case] asks: bool,
+    #[case] now: u64,
+    #[case] expected: u64,
+) {
+    let mut peer = ClusterView::default();
+    let mut view = ClusterView::default();
+    for it in [&mut peer, &mut view] {
+        it.apply_control(ms(1), ms(1), unseen(ms(0)), snapshot(5, control(1, 2)));
+    }
+    peer.apply_control(ms(8_400), ms(8_400), unseen(ms(0)), snapshot(7, control(1, 4)));
+    view.confirm_control(Revision(5), ms(confirmed_at));
+    view.apply_control(ms(11_000), ms(11_000), unseen(ms(0)), snapshot(7, control(1, 4)));
+    assert_eq!(view.asks_for_ages(), asks);
+    if asks {
+        // A report without a summary is answered with the whole state.
+        let state = forwarded(&peer, 11_200);
+        view.apply_control(ms(11_200), ms(11_200), unseen(ms(0)), snapshot(7, state));
+        assert!(!view.asks_for_ages());
+    }
+    assert_eq!(view.min_weights("m", ms(now), ms(5_600)), expected);
+}
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -339,4 +339,12 @@
         package: "gateway",
         test: "knowledge::superseded_weights_are_due_in_time_after_a_restart",
     },
+    Mutant {
+        name: "8 daemons that were interrupted ask how old weights are",
+        file: "crates/gateway/src/gossip.rs",
+        original: ".filter(|_| !asks)",
+        replacement: ".filter(|_| !asks || true)",
+        package: "platform",
+        test: "interrupted_daemons::the_time_for_older_weights_runs_while_a_daemon_is_cut_off",
+    },
 ];
