Command a replica as soon as the time after its last command has passed

The next holder of the lease waited a whole handover time from its own taking over for each replica that had been commanded less than that before, however long ago it was.

Change: it waits until the handover time after the last command that it knows of, if all commands that the replica accepted are known; otherwise as before.

--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -282,7 +282,7 @@
             let deferred = match run_command(&gateway, &commands, &held, &command).await {
                 CommandOutcome::Loaded => gateway.now(),
                 CommandOutcome::Unknown => gateway.now() + RETRY_PAUSE,
-                CommandOutcome::TooEarly => held.handover_ends_at,
+                CommandOutcome::TooEarly(safe_at) => safe_at,
             };
             lock(&commands).states.insert(command.target, CommandState::Deferred(deferred));
             gateway.view_changed.notify_waiters();
@@ -323,8 +323,9 @@
     Loaded,
     /// It is not known whether the replica has loaded them.
     Unknown,
-    /// The previous lease holder may have commanded the replica within the handover time.
-    TooEarly,
+    /// The previous lease holder may have commanded the replica within the handover time, which has
+    /// passed at this time.
+    TooEarly(Duration),
 }
 
 /// Commands one replica to load weights and waits until it has loaded them.
@@ -355,11 +356,9 @@
         }
         let token = held.lease.fencing_token;
         let sent_before = lock(commands).last_tokens.get(&command.target) == Some(&token);
-        if !sent
-            && !sent_before
-            && !is_handover_safe(gateway, held, &command.target, report.accepted)
-        {
-            return CommandOutcome::TooEarly;
+        let safe_at = handover_safe_at(gateway, held, &command.target, report.accepted);
+        if !sent && !sent_before && gateway.now() < safe_at {
+            return CommandOutcome::TooEarly(safe_at);
         }
         if !report.busy && !sent {
             if !is_lease_valid(gateway, held) {
@@ -374,22 +373,22 @@
     CommandOutcome::Unknown
 }
 
-/// Whether no earlier lease holder has commanded the replica within the handover time.
-fn is_handover_safe<D: Dialect, S: Directory>(
+/// From when on it is certain that no earlier lease holder has commanded the replica within the
+/// handover time. Without a report of all `accepted` commands, the last one may have been sent just
+/// before this daemon took over.
+fn handover_safe_at<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     held: &HeldLease,
     target: &TargetId,
     accepted: u64,
-) -> bool {
-    let now = gateway.now();
-    if now >= held.handover_ends_at {
-        return true;
-    }
+) -> Duration {
     let fleet = lock(&gateway.fleet);
-    let Some(replica) = fleet.get(target) else { return false };
+    let known = fleet.get(target).filter(|it| it.accepted_commands == accepted);
+    let Some(replica) = known else { return held.handover_ends_at };
     let handover_time = gateway.settings().bounds.lease;
-    let last = replica.last_command_at;
-    replica.accepted_commands == accepted && last.is_none_or(|at| now >= at + handover_time)
+    let last_command_at = replica.last_command_at;
+    let safe_at = last_command_at.map_or(Duration::ZERO, |it| it + handover_time);
+    safe_at.min(held.handover_ends_at)
 }
 
 /// Sends a command; false if the replica is not known to have accepted it.
