Refuse a crashing prompt part that the same part always follows

Replica after replica crashed under requests that share one part of their prompts, although such parts were refused, if another shared part always followed the crashing one.

Cause: crashes count against a part only if what follows it differed, so that the parts before the crashing one are spared. A crashing part that stands first of two shared parts, or between two, has one successor and counted one crash for ever; the successor was cleared by each sound request that shares it. Class: a guard against blaming the wrong suspect that had no end.

Change: a part whose successor was always the same needs two crashes more, and those do not count that a refused part further in the prompt explains. Sound parts are cleared by sound requests before it comes to that.

--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -4,15 +4,16 @@
 //! When a replica crashes, every request that had just begun on it is a suspect, and so is each part
 //! that its prompt shares with others. Chance puts a request on a crashing replica now and then, so
 //! it takes several crashes, and one answer that comes to its end clears all that its request
-//! consists of. A part is refused only if what follows it in the prompts differed: otherwise that
-//! is what crashes replicas, and other requests with the part are sound.
+//! consists of. A part is refused early only if what follows it in the prompts differed: otherwise
+//! that may be what crashes replicas, and other requests with the part are sound. If requests that
+//! share what follows are answered, more crashes refuse the part all the same.
 //!
 //! Load pattern: a few such requests a second between many sound ones, on any daemon, while up to
 //! all requests on a crashed replica break at once.
 
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine::Fingerprint;
@@ -21,6 +22,10 @@
 pub const CRASH_LIMIT: usize = 3;
 /// Crashes after which a refused part is not tried again.
 const PROVEN_CRASHES: usize = 5;
+/// Further crashes that a part needs if the same part follows it in all prompts.
+const SAME_SUCCESSOR_CRASHES: usize = 2;
+/// How many parts further in a prompt one is looked for that explains a crash.
+const MAX_EXPLANATION_DEPTH: usize = 3;
 /// Replicas that crash within this time count once against a part: a rack that fails takes
 /// replicas with it on which requests with the same part ran.
 const CRASH_SEPARATION: Duration = Duration::from_millis(200);
@@ -113,11 +118,10 @@
     pub fn verdict(&self, now: Duration, keys: &[SuspectKey], rank: usize) -> SuspectVerdict {
         let mut verdict = SuspectVerdict::Allowed;
         for key in keys {
-            let Some(record) = self.records.get(key) else { continue };
-            let crashes = record.independent_crashes(now, *key);
-            if crashes < CRASH_LIMIT {
+            let crashes = self.crash_count(now, *key, MAX_EXPLANATION_DEPTH);
+            let Some(record) = self.records.get(key).filter(|_| crashes >= CRASH_LIMIT) else {
                 continue;
-            }
+            };
             if crashes >= PROVEN_CRASHES || now < record.next_probe_at(rank) {
                 return SuspectVerdict::Refused;
             }
@@ -130,8 +134,8 @@
     pub fn record_probe(&mut self, now: Duration, keys: &[SuspectKey]) -> Vec<SuspectReport> {
         let mut reports = Vec::new();
         for key in keys {
-            let Some(record) = self.records.get_mut(key) else { continue };
-            if record.independent_crashes(now, *key) >= CRASH_LIMIT {
+            let crashes = self.crash_count(now, *key, MAX_EXPLANATION_DEPTH);
+            if let Some(record) = self.records.get_mut(key).filter(|_| crashes >= CRASH_LIMIT) {
                 record.probed_at = Some(now);
                 reports.push(record.report(now, *key));
             }
@@ -207,6 +211,34 @@
         repeated.take(MAX_REPEATED).map(|(key, it)| it.report(now, *key)).collect()
     }
 
+    /// The crashes that count against a suspect.
+    fn crash_count(&self, now: Duration, key: SuspectKey, depth: usize) -> usize {
+        let Some(record) = self.records.get(&key) else { return 0 };
+        let independent = record.independent_crashes(now, key);
+        if matches!(key, SuspectKey::Request(_)) {
+            return independent;
+        }
+        let separate = record.distinct_crashes(now, CRASH_SEPARATION, |_, _| false);
+        if separate.len() < CRASH_LIMIT + SAME_SUCCESSOR_CRASHES {
+            return independent;
+        }
+        let unexplained = separate.iter().filter(|it| !self.is_explained(now, it, depth)).count();
+        independent.max(unexplained.saturating_sub(SAME_SUCCESSOR_CRASHES))
+    }
+
+    /// Whether a part further in the prompt of the crashed request is refused.
+    fn is_explained(&self, now: Duration, crash: &TimedCrash, depth: usize) -> bool {
+        let Some(depth) = depth.checked_sub(1) else { return false };
+        let successor = SuspectKey::Part(crash.successor);
+        let Some(record) = self.records.get(&successor) else { return false };
+        self.crash_count(now, successor, depth) >= CRASH_LIMIT
+            || record
+                .events
+                .iter()
+                .filter(|it| it.replica == crash.replica)
+                .any(|it| self.is_explained(now, it, depth))
+    }
+
     fn record_mut(&mut self, key: SuspectKey) -> &mut SuspectRecord {
         if !self.records.contains_key(&key) && self.records.len() >= MAX_SUSPECTS {
             self.records.shift_remove_index(0);
@@ -233,22 +265,31 @@
 
     /// Crashes that cannot have one common cause other than the suspect.
     fn independent_crashes(&self, now: Duration, key: SuspectKey) -> usize {
-        let mut replicas = IndexSet::new();
-        let mut successors = IndexSet::new();
-        let mut last_at = None;
+        let separation = match key {
+            SuspectKey::Request(_) => Duration::ZERO,
+            SuspectKey::Part(_) => CRASH_SEPARATION,
+        };
+        let same_successor = |a: &TimedCrash, b: &TimedCrash| a.successor == b.successor;
+        self.distinct_crashes(now, separation, same_successor).len()
+    }
+
+    /// Crashes that count, of one replica each, of which no two are the `same` or closer to each
+    /// other than `separation`.
+    fn distinct_crashes(
+        &self,
+        now: Duration,
+        separation: Duration,
+        same: impl Fn(&TimedCrash, &TimedCrash) -> bool,
+    ) -> Vec<TimedCrash> {
+        let mut distinct: Vec<TimedCrash> = Vec::new();
         for crash in self.events.iter().filter(|it| now < it.at + RETENTION) {
-            let is_part = matches!(key, SuspectKey::Part(_));
-            let is_separate =
-                last_at.is_none_or(|it| !is_part || it + CRASH_SEPARATION <= crash.at);
-            let is_known =
-                replicas.contains(&crash.replica) || successors.contains(&crash.successor);
-            if is_separate && !is_known {
-                replicas.insert(crash.replica);
-                successors.insert(crash.successor);
-                last_at = Some(crash.at);
+            let is_separate = distinct.last().is_none_or(|it| it.at + separation <= crash.at);
+            let is_same = |it: &TimedCrash| it.replica == crash.replica || same(it, crash);
+            if is_separate && !distinct.iter().any(is_same) {
+                distinct.push(*crash);
             }
         }
-        replicas.len()
+        distinct
     }
 
     fn next_probe_at(&self, rank: usize) -> Duration {
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -8,6 +8,7 @@
 
 const FIRST: SuspectKey = SuspectKey::Part(1);
 const BAD: SuspectKey = SuspectKey::Part(2);
+const THIRD: SuspectKey = SuspectKey::Part(3);
 
 fn s(time: u64) -> Duration {
     Duration::from_secs(time)
@@ -40,6 +41,44 @@
     assert_eq!(table.verdict(s(5), &[FIRST], 0), SuspectVerdict::Refused);
 }
 
+/// Replicas crash one a second under requests that share all parts but the last. Sound requests share
+/// those in `shared_with_sound` and are answered after each crash.
+fn crash_in_chain(table: &mut SuspectTable, count: u64, shared_with_sound: &[SuspectKey]) {
+    for number in 0..count {
+        let keys = [(FIRST, 2), (BAD, 3), (THIRD, 100 + number)];
+        table.record_crash(s(2 * number), &keys, number);
+        table.clear(s(2 * number + 1), shared_with_sound);
+    }
+}
+
+/// Requests that share both neighbours of the crashing part exonerate these, and so the part itself
+/// must be refused although the same one always follows it.
+#[rstest]
+#[case::both_neighbours(&[FIRST, THIRD])]
+#[case::the_one_behind(&[THIRD])]
+fn a_part_that_the_same_part_always_follows_is_refused(#[case] shared_with_sound: &[SuspectKey]) {
+    let mut table = SuspectTable::default();
+    crash_in_chain(&mut table, 4, shared_with_sound);
+    assert_eq!(table.verdict(s(10), &[BAD], 0), SuspectVerdict::Allowed);
+    crash_in_chain(&mut table, 5, shared_with_sound);
+    assert_eq!(table.verdict(s(10), &[FIRST, BAD, THIRD], 0), SuspectVerdict::Refused);
+    for sound in [FIRST, THIRD] {
+        assert_eq!(table.verdict(s(10), &[sound], 0), SuspectVerdict::Allowed, "{sound:?}");
+    }
+}
+
+/// Crashes of requests that were under way when the part was refused do not count against the
+/// parts before it.
+#[test]
+fn crashes_that_a_refused_part_explains_do_not_count_against_those_before_it() {
+    let mut table = SuspectTable::default();
+    crash_in_chain(&mut table, 9, &[]);
+    assert_eq!(table.verdict(s(19), &[THIRD], 0), SuspectVerdict::Refused);
+    for before in [FIRST, BAD] {
+        assert_eq!(table.verdict(s(19), &[before], 0), SuspectVerdict::Allowed, "{before:?}");
+    }
+}
+
 #[test]
 fn replicas_that_crash_at_the_same_moment_count_once_against_a_part() {
     let mut table = SuspectTable::default();
