Repeat refused suspects to peers before all others

A daemon that restarts, or was cut off when replicas crashed, learns which prompt parts are refused by the repetition alone, and would send requests with such a part until it has seen three crashes of its own.

Cause: each second the 64 suspects recorded last were repeated. A crash leaves a record for each shared part of all requests on the replica, and each clearance is repeated for 20 s, so that a few crashes push the refused part, which is among the first recorded, out of the 64.

Evidence: policy crash_suspects, both cases of the new test failed before (a refused part is not among the repeated ones beside 200 later suspects) and pass now, 12 of 12.

--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -204,11 +204,15 @@
     }
 
     /// What peers are to be told again: suspects of more than one crash, and those that were
-    /// cleared lately. Forgets what is too old to count.
+    /// cleared lately, refused ones first. Forgets what is too old to count.
     pub fn repeat_reports(&mut self, now: Duration) -> Vec<SuspectReport> {
         self.records.retain(|_, it| !it.is_expired(now));
         let repeated = self.records.iter().rev().filter(|(_, it)| it.is_repeated(now));
-        repeated.take(MAX_REPEATED).map(|(key, it)| it.report(now, *key)).collect()
+        let (refused, others): (Vec<_>, Vec<_>) = repeated.partition(|(key, _)| {
+            self.crash_count(now, **key, MAX_EXPLANATION_DEPTH) >= CRASH_LIMIT
+        });
+        let told = refused.into_iter().chain(others).take(MAX_REPEATED);
+        told.map(|(key, it)| it.report(now, *key)).collect()
     }
 
     /// The crashes that count against a suspect.
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -130,3 +130,22 @@
     assert_eq!(table.verdict(s(3_000), &[BAD], 0), SuspectVerdict::Refused);
     assert_eq!(table.verdict(s(4_000), &[BAD], 0), SuspectVerdict::Allowed, "after an hour");
 }
+
+/// A daemon that restarts learns of a refused part by repetition only, however many sound parts were
+/// on crashed replicas since.
+#[rstest]
+#[case::two_crashes(false)]
+#[case::cleared(true)]
+fn refused_parts_are_repeated_before_others(#[case] are_cleared: bool) {
+    let mut table = SuspectTable::default();
+    crash_in_series(&mut table, 3);
+    for number in 0..200 {
+        let key = SuspectKey::Part(1_000 + number);
+        table.record_crash(s(4), &[(key, 1)], 50);
+        table.record_crash(s(5), &[(key, 1)], 51);
+        if are_cleared {
+            table.clear(s(6), &[key]);
+        }
+    }
+    assert!(table.repeat_reports(s(7)).iter().any(|it| it.key == BAD));
+}
