Keep refused suspects when the table of suspects is full

At its limit of 10,000 suspects the table dropped the one recorded first. Each crash records all requests that had just begun on the replica and their parts, some hundreds, for an hour; the crashing part is among the first, so that it was dropped and counted anew.

Change: at the limit the older half is dropped at once, except suspects with crashes enough to be refused.

Evidence: policy crash_suspects, both cases of the new test failed before (a refused part is allowed after 10,000 and 30,000 later suspects) and pass now, 14 of 14.

--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -41,7 +41,8 @@
 const CLEARED_RETENTION: Duration = Duration::from_secs(20);
 /// A later clearance counts as news from this difference on; ages from peers vary by less.
 const CLEARANCE_STEP: Duration = Duration::from_secs(1);
-/// Upper limit of suspects on record. At the limit a new one drops the one recorded first.
+/// Upper limit of suspects on record. At the limit older ones are dropped, those with too few
+/// crashes to be refused first.
 pub const MAX_SUSPECTS: usize = 10_000;
 /// Crashes kept of one suspect.
 const MAX_EVENTS: usize = 16;
@@ -245,10 +246,23 @@
 
     fn record_mut(&mut self, key: SuspectKey) -> &mut SuspectRecord {
         if !self.records.contains_key(&key) && self.records.len() >= MAX_SUSPECTS {
-            self.records.shift_remove_index(0);
+            self.drop_older_half();
         }
         self.records.entry(key).or_default()
     }
+
+    /// Drops the older half of the suspects, but for those that may be refused; the first one if
+    /// that would drop none.
+    fn drop_older_half(&mut self) {
+        let mut position = 0;
+        self.records.retain(|_, it| {
+            position += 1;
+            position > MAX_SUSPECTS / 2 || it.events.len() >= CRASH_LIMIT
+        });
+        if self.records.len() >= MAX_SUSPECTS {
+            self.records.shift_remove_index(0);
+        }
+    }
 }
 
 impl SuspectRecord {
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::crash_suspects::{SuspectKey, SuspectTable, SuspectVerdict};
+use policy::crash_suspects::{MAX_SUSPECTS, SuspectKey, SuspectTable, SuspectVerdict};
 use policy::quarantine::Fingerprint;
 use rstest::rstest;
 
@@ -149,3 +149,17 @@
     }
     assert!(table.repeat_reports(s(7)).iter().any(|it| it.key == BAD));
 }
+
+/// Each crash leaves a record for each request that had just begun on the replica.
+#[rstest]
+#[case::after_the_part(1)]
+#[case::far_more_than_fit(3)]
+fn a_full_table_drops_no_refused_part(#[case] rounds: u64) {
+    let mut table = SuspectTable::default();
+    crash_in_series(&mut table, 3);
+    for number in 0..rounds * MAX_SUSPECTS as u64 {
+        let key = SuspectKey::Request(Fingerprint(number));
+        table.record_crash(s(4), &[(key, number)], number);
+    }
+    assert_eq!(table.verdict(s(5), &[BAD], 0), SuspectVerdict::Refused);
+}
