Take an unframed answer for broken off if its replica is gone at its end

What callers saw: an answer that a crash had cut between two events, or anywhere in a plain answer, looked whole. What is more, its request counted as answered and cleared all prompt parts in it, so that a part that crashes replicas was never refused.

Cause: the end of the connection is the only mark of such an answer's end, and a crash ends connections as well. Class: an end taken for a success without evidence.

Change: at the end of an answer without length and chunks a new connection to the replica is opened and kept for the next request; if it is refused, the answer is broken off.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -44,6 +44,7 @@
                 return Err(CallError::TooLong(MAX_ANSWER_BYTES));
             }
         }
+        call.gateway.connections.check_end(&connection).await?;
         Ok(bytes.freeze())
     };
     let body = tokio::time::timeout(left, read).await.unwrap_or(Err(CallError::Timeout(left)))?;
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -4,14 +4,15 @@
 //! end. Dropping a request or answer before that closes the connection, which cancels the request
 //! on the replica.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
@@ -141,19 +142,44 @@
     /// Whether connections to an address are refused, as after a crash. A timeout is no refusal.
     pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
-        let refused = |error: std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
+        let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
         connecting.is_ok_and(|it| it.is_err_and(refused))
     }
 
+    /// Fails if the body that ended on this connection may have been cut short by a crash of the
+    /// replica: nothing but the end of the connection marked its end, and the replica is gone.
+    /// Otherwise the new connection that shows this is kept in place of the ended one.
+    pub async fn check_end(&self, ended: &ReusableConnection) -> Result<(), CallError> {
+        if !ended.is_unframed {
+            return Ok(());
+        }
+        match tokio::time::timeout(CONNECT_TIMEOUT, connect(ended.key.0)).await {
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                let text = "the answer ended with its connection, and the replica refuses new ones";
+                Err(CallError::Broken(text.into()))
+            }
+            Ok(Ok(stream)) => {
+                if let Ok(connection) = handshake(stream).await {
+                    self.keep(ended.key.clone(), connection, MAX_IDLE_TIME);
+                }
+                Ok(())
+            }
+            Ok(Err(_)) | Err(_) => Ok(()),
+        }
+    }
+
     /// Returns the connection of an answer that was read to its end to the pool.
     pub fn put_back(&self, returned: ReusableConnection) {
-        let Some(idle_time) = returned.idle_time else { return };
-        let now = self.clock.now();
-        let mut connection = returned.connection;
-        connection.idle_until = now + idle_time;
+        if let Some(idle_time) = returned.idle_time {
+            self.keep(returned.key, returned.connection, idle_time);
+        }
+    }
+
+    fn keep(&self, key: ReplicaKey, mut connection: OpenConnection, idle_time: Duration) {
+        connection.idle_until = self.clock.now() + idle_time;
         connection.is_reused = true;
         let mut idle = self.lock();
-        let kept = idle.entry(returned.key).or_default();
+        let kept = idle.entry(key).or_default();
         if kept.len() < MAX_IDLE_CONNECTIONS {
             kept.push(connection);
         }
@@ -192,13 +218,22 @@
     connection: OpenConnection,
     key: ReplicaKey,
     idle_time: Option<Duration>,
+    /// Whether the answer has neither a length nor chunks and ends with the connection.
+    is_unframed: bool,
 }
 
 impl OpenAnswer {
     /// Splits off the connection, which can be reused once the body is read.
     pub fn split(self) -> (StatusCode, HeaderMap, Incoming, ReusableConnection) {
         let idle_time = idle_time(&self.headers);
-        let reusable = ReusableConnection { connection: self.connection, key: self.key, idle_time };
+        let has_length = self.body.size_hint().exact().is_some();
+        let is_unframed = !has_length && !is_chunked(&self.headers);
+        let reusable = ReusableConnection {
+            connection: self.connection,
+            key: self.key,
+            idle_time,
+            is_unframed,
+        };
         (self.status, self.headers, self.body, reusable)
     }
 }
@@ -221,19 +256,30 @@
 
 /// Whether an answer has `Connection: close`.
 pub fn announces_close(headers: &HeaderMap) -> bool {
-    let values = headers.get_all(http::header::CONNECTION).into_iter();
+    lists_token(headers, http::header::CONNECTION, "close")
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    lists_token(headers, http::header::TRANSFER_ENCODING, "chunked")
+}
+
+/// Whether a comma-separated header contains a token.
+fn lists_token(headers: &HeaderMap, name: HeaderName, token: &str) -> bool {
+    let values = headers.get_all(name).into_iter();
     values
         .filter_map(|it| it.to_str().ok())
-        .any(|it| it.split(',').any(|one| one.trim().eq_ignore_ascii_case("close")))
+        .any(|it| it.split(',').any(|one| one.trim().eq_ignore_ascii_case(token)))
 }
 
 async fn open(address: SocketAddr) -> Result<OpenConnection, CallError> {
-    let not_sent = |error: std::io::Error| CallError::NotSent(error.to_string().into());
-    let connecting = connect(address);
-    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(stream) => stream.map_err(not_sent)?,
-        Err(_) => return Err(CallError::NotSent("the connection was not opened in time".into())),
-    };
+    let not_sent = |error: io::Error| CallError::NotSent(error.to_string().into());
+    match tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await {
+        Ok(stream) => handshake(stream.map_err(not_sent)?).await,
+        Err(_) => Err(CallError::NotSent("the connection was not opened in time".into())),
+    }
+}
+
+async fn handshake(stream: TcpStream) -> Result<OpenConnection, CallError> {
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
@@ -245,7 +291,7 @@
     Ok(OpenConnection { sender, task, idle_until: Duration::MAX, is_reused: false })
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -111,10 +111,13 @@
     async fn step(&mut self) -> Result<StreamStep, CallError> {
         let broken = |text: String| CallError::Broken(text.into());
         let Some(frame) = self.body.frame().await else {
-            return match self.splitter.is_at_boundary() {
-                true => Ok(StreamStep::End),
-                false => Err(broken("the stream ended in the middle of an event".into())),
-            };
+            if !self.splitter.is_at_boundary() {
+                return Err(broken("the stream ended in the middle of an event".into()));
+            }
+            if let Some(connection) = &self.connection {
+                self.call.gateway.connections.check_end(connection).await?;
+            }
+            return Ok(StreamStep::End);
         };
         let frame = frame.map_err(|error| broken(error.to_string()))?;
         if let Some(data) = frame.data_ref() {
