Keep refused suspects in the store

When all daemons were killed at once, requests with a prompt part that was known to crash replicas were sent on again, until three more replicas had crashed in sight of one daemon.

Cause: suspects lay in the daemons' memory and in their messages only. Class: a fact that must outlast the processes that know it, without a place that does.

Change: one row in the platform's table service holds what is refused. The first daemon in rank writes it when it changes, the next two if that fails, and a daemon that starts as the first reads it; peers tell all others. Ways weighed: a row for each part (grows, needs removals and a call each); every daemon reads when it starts (a call for each of hundreds); objects instead of a row (no condition on what was there before).

--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ids::ErrorKind;
-use policy::crash_suspects::{SuspectKey, SuspectReport, SuspectVerdict};
+use policy::crash_suspects::{CrashEvent, SuspectKey, SuspectReport, SuspectVerdict};
 use policy::quarantine::Strike;
 use policy::rendezvous;
 
@@ -128,6 +128,36 @@
     from: IpAddr,
     reported_at: Duration,
     reports: &[SuspectReport],
+) {
+    merge(gateway, Some(from), reported_at, reports);
+}
+
+/// Merges what the store held at `read_at`, in a row that had been written `row_age` before, and
+/// passes on what is new.
+pub(crate) fn merge_stored<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    read_at: Duration,
+    row_age: Duration,
+    reports: &[SuspectReport],
+) {
+    let age = |it: &Duration| *it + row_age;
+    let aged: Vec<SuspectReport> = reports
+        .iter()
+        .map(|it| SuspectReport {
+            key: it.key,
+            events: it.events.iter().map(|it| CrashEvent { age: age(&it.age), ..*it }).collect(),
+            cleared: it.cleared.as_ref().map(age),
+            probed: it.probed.as_ref().map(age),
+        })
+        .collect();
+    merge(gateway, None, read_at, &aged);
+}
+
+fn merge<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    from: Option<IpAddr>,
+    reported_at: Duration,
+    reports: &[SuspectReport],
 ) {
     let now = gateway.now();
     let news = {
@@ -136,7 +166,7 @@
         let keys: Vec<SuspectKey> = news.map(|it| it.key).collect();
         keys.into_iter().filter_map(|it| suspects.report(now, it)).collect()
     };
-    tell_peers(gateway, now, Some(from), news);
+    tell_peers(gateway, now, from, news);
 }
 
 /// Merges a crash that a daemon of the version before reports.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,11 +1,12 @@
-//! The port to the site's store: control state, list of replicas, announced daemons and the command
-//! lease.
+//! The port to the site's store: control state, list of replicas, announced daemons, refused
+//! suspects and the command lease.
 
 use std::future::Future;
 use std::net::IpAddr;
 use std::time::Duration;
 
 use ids::{FailureDomain, Incarnation, InstanceId, PoolId, Revision};
+use policy::crash_suspects::SuspectReport;
 use policy::peer_tree::InstanceCapacity;
 use ports::{CommitResult, StoreError};
 use serde::{Deserialize, Serialize};
@@ -49,6 +50,15 @@
     pub renewed_at: Duration,
 }
 
+/// The requests and prompt parts that are refused because they crash replicas, a row in the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredSuspects {
+    /// The time on the store's clock as of which the ages in the reports are.
+    pub stated_at: Duration,
+    /// What was known of each of them.
+    pub reports: Vec<SuspectReport>,
+}
+
 /// How far a rollout is, as the platform is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RolloutState {
@@ -90,6 +100,20 @@
     fn announce(&self, member: &MemberEntry)
     -> impl Future<Output = Result<(), StoreError>> + Send;
 
+    /// Reads the refused suspects with their row's revision; `None` if there is no row. A row that
+    /// cannot be parsed names none.
+    fn read_suspects(
+        &self,
+    ) -> impl Future<Output = Result<Snapshot<Option<(StoredSuspects, Revision)>>, StoreError>> + Send;
+
+    /// Writes the refused suspects if their row still has the revision `expected`, or if there is
+    /// no row and `expected` is `None`.
+    fn write_suspects(
+        &self,
+        suspects: &StoredSuspects,
+        expected: Option<Revision>,
+    ) -> impl Future<Output = Result<CommitResult, StoreError>> + Send;
+
     /// Reads the state of a pool's rollout with its row's revision; `None` if there is no row.
     fn read_rollout(
         &self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod store_reader;
 mod stream;
 pub mod supervisor;
+mod suspect_store;
 mod target_client;
 mod weight_commands;
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,7 +18,8 @@
 use crate::peer_socket::PeerSocket;
 use crate::settings::{GatewaySettings, SettingsSource};
 use crate::{
-    front, gossip, kv_store, readiness, rollouts, store_reader, supervisor, weight_commands,
+    front, gossip, kv_store, readiness, rollouts, store_reader, supervisor, suspect_store,
+    weight_commands,
 };
 
 /// Connections that the kernel queues before they are accepted.
@@ -93,6 +94,7 @@
     spawn_restarting(&gateway, "announcer", store_reader::announce);
     spawn_restarting(&gateway, "weight commands", weight_commands::run);
     spawn_restarting(&gateway, "rollouts", rollouts::run);
+    spawn_restarting(&gateway, "suspect store", suspect_store::run);
     spawn_restarting(&gateway, "kv store probe", kv_store::probe_loop);
     tokio::spawn(readiness::serve(gateway.clone(), readiness));
     tokio::spawn(front::serve(gateway.clone(), callers, stopped));
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -48,9 +48,17 @@
 const MAX_EVENTS: usize = 16;
 /// Suspects that peers are told of again and again.
 const MAX_REPEATED: usize = 64;
+/// Upper limit of refused suspects that are stored.
+const MAX_STORED: usize = 32;
+/// Crashes of each of them that are stored: as many as prove a part.
+const MAX_STORED_EVENTS: usize = PROVEN_CRASHES + SAME_SUCCESSOR_CRASHES;
+/// How long after a change each further rank stores it, so that usually only the first does.
+const STORE_RANK_DELAY: Duration = Duration::from_secs(2);
+/// The last rank that stores.
+const LAST_STORING_RANK: usize = 2;
 
 /// What is suspected of crashing replicas.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum SuspectKey {
     /// One request, which may be sent again.
     Request(Fingerprint),
@@ -114,6 +122,12 @@
     at: Duration,
 }
 
+/// How long after a change the daemon of a rank, 0 the first, stores the refused suspects if no
+/// other has; `None` if it leaves that to others.
+pub fn store_delay(rank: usize) -> Option<Duration> {
+    (rank <= LAST_STORING_RANK).then(|| STORE_RANK_DELAY * rank as u32)
+}
+
 impl SuspectTable {
     /// Whether a request with these keys may be sent by the daemon of this rank, 0 the first.
     pub fn verdict(&self, now: Duration, keys: &[SuspectKey], rank: usize) -> SuspectVerdict {
@@ -209,13 +223,30 @@
     pub fn repeat_reports(&mut self, now: Duration) -> Vec<SuspectReport> {
         self.records.retain(|_, it| !it.is_expired(now));
         let repeated = self.records.iter().rev().filter(|(_, it)| it.is_repeated(now));
-        let (refused, others): (Vec<_>, Vec<_>) = repeated.partition(|(key, _)| {
-            self.crash_count(now, **key, MAX_EXPLANATION_DEPTH) >= CRASH_LIMIT
-        });
+        let (refused, others): (Vec<_>, Vec<_>) =
+            repeated.partition(|(key, _)| self.is_refused(now, **key));
         let told = refused.into_iter().chain(others).take(MAX_REPEATED);
         told.map(|(key, it)| it.report(now, *key)).collect()
     }
 
+    /// What is to outlive the loss of all daemons: the refused suspects, those that were recorded
+    /// last if they are many, in the order of their keys.
+    pub fn refused_reports(&self, now: Duration) -> Vec<SuspectReport> {
+        let refused = self.records.iter().rev().filter(|(key, _)| self.is_refused(now, **key));
+        let mut reports: Vec<SuspectReport> =
+            refused.take(MAX_STORED).map(|(key, it)| it.report(now, *key)).collect();
+        for report in &mut reports {
+            let surplus = report.events.len().saturating_sub(MAX_STORED_EVENTS);
+            report.events.drain(..surplus);
+        }
+        reports.sort_by_key(|it| it.key);
+        reports
+    }
+
+    fn is_refused(&self, now: Duration, key: SuspectKey) -> bool {
+        self.crash_count(now, key, MAX_EXPLANATION_DEPTH) >= CRASH_LIMIT
+    }
+
     /// The crashes that count against a suspect.
     fn crash_count(&self, now: Duration, key: SuspectKey, depth: usize) -> usize {
         let Some(record) = self.records.get(&key) else { return 0 };
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -18,7 +18,7 @@
 pub const MAX_RECORDS: usize = 10_000;
 
 /// Digest of a request's customer, route and body, by which a repeated request is recognised.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint(pub u64);
 
 /// One crash of a replica while a request ran on it.
