Export how many replicas get no requests, by reason

The metrics told how many replicas get requests or not, but not why; a replica that says that it is leaving or wants none looked like one that failed. `kingcupshift_replicas_withheld{reason}` counts leaving, held off, paused and loading ones, from the same count as the log line of a request that finds no replica.

--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -29,11 +29,11 @@
 
     /// Logs how many replicas of the pool are listed, and what excludes the others.
     pub(crate) fn log_no_replica(&self, now: Duration) {
-        let state = lock(&self.gateway.fleet).pool_state(now, &self.pool);
+        let counts = lock(&self.gateway.fleet).count_replicas(now, Some(&self.pool));
         tracing::info!(
-            request = %self.head.attempt_id, pool = %self.pool, listed = state.listed,
-            open = state.available, leaving = state.leaving, loading = state.loading,
-            paused = state.paused, held_off = state.held_off,
+            request = %self.head.attempt_id, pool = %self.pool, listed = counts.listed,
+            open = counts.available, leaving = counts.leaving, loading = counts.loading,
+            paused = counts.paused, held_off = counts.held_off,
             sent_before = self.unsent_attempts, "call: no replica available"
         );
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -49,11 +49,11 @@
     pub(crate) prefix_placements: Vec<PrefixPlacement>,
 }
 
-/// Number of a pool's replicas by what keeps requests away from them; one replica may be counted in
-/// several fields.
+/// Number of replicas by what keeps requests away from them; one replica may be counted in several
+/// fields.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct PoolState {
-    /// All listed replicas of the pool.
+pub struct ReplicaCounts {
+    /// All listed replicas.
     pub listed: u32,
     /// Replicas that accept requests now.
     pub available: u32,
@@ -146,18 +146,19 @@
         self.replicas.values()
     }
 
-    /// Counts the replicas of a pool that accept requests, and why others do not.
-    pub fn pool_state(&self, now: Duration, pool: &PoolId) -> PoolState {
-        let mut state = PoolState::default();
-        for it in self.replicas.values().filter(|it| it.entry.pool == *pool) {
-            state.listed += 1;
-            state.leaving += u32::from(it.leaving);
-            state.loading += u32::from(it.is_loading(now));
-            state.paused += u32::from(it.health.state(now) == HealthState::Paused);
-            state.held_off += u32::from(it.hold_off.ends_at(now).is_some());
-            state.available += u32::from(it.accepts_requests(now));
+    /// Counts the replicas that accept requests, and why others do not; those of one pool or all.
+    pub fn count_replicas(&self, now: Duration, pool: Option<&PoolId>) -> ReplicaCounts {
+        let mut counts = ReplicaCounts::default();
+        let is_counted = |it: &&Replica| pool.is_none_or(|pool| it.entry.pool == *pool);
+        for it in self.replicas.values().filter(is_counted) {
+            counts.listed += 1;
+            counts.leaving += u32::from(it.leaving);
+            counts.loading += u32::from(it.is_loading(now));
+            counts.paused += u32::from(it.health.state(now) == HealthState::Paused);
+            counts.held_off += u32::from(it.hold_off.ends_at(now).is_some());
+            counts.available += u32::from(it.accepts_requests(now));
         }
-        state
+        counts
     }
 
     /// The replica with this id, if it is listed.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -254,11 +254,7 @@
     /// The current values of the gauges, with ages as of now.
     pub(crate) fn sample_gauges(&self) -> GaugeSample {
         let now = self.now();
-        let (replicas, replicas_open) = {
-            let fleet = lock(&self.fleet);
-            let open = fleet.replicas().filter(|it| it.accepts_requests(now)).count();
-            (fleet.replicas().count(), open)
-        };
+        let replicas = lock(&self.fleet).count_replicas(now, None);
         let members = lock(&self.members).reachable(now).count() + 1;
         let prefill_speed = lock(&self.speed).tokens_per_s();
         let view = lock(&self.view);
@@ -269,8 +265,7 @@
             config_age: view.config().and(view.control_confirmed_at()).map(age),
             listing_age: view.listing().map(|it| age(it.read_at)),
             members,
-            replicas_open,
-            replicas_closed: replicas - replicas_open,
+            replicas,
             prefill_speed,
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,8 @@
     Registry, TextEncoder,
 };
 
+use crate::fleet::ReplicaCounts;
+
 /// Upper bounds of the histograms' buckets, in seconds.
 const BUCKET_BOUNDS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
@@ -55,10 +57,8 @@
     pub listing_age: Option<Duration>,
     /// Daemons reachable through gossip, this one included.
     pub members: usize,
-    /// Replicas that accept requests.
-    pub replicas_open: usize,
-    /// Listed replicas that do not: leaving, full, paused after failures or loading weights.
-    pub replicas_closed: usize,
+    /// Listed replicas, and why some of them get no requests.
+    pub replicas: ReplicaCounts,
     /// Learned prefill speed, in tokens per second.
     pub prefill_speed: f64,
 }
@@ -72,6 +72,8 @@
     /// Daemons reachable through gossip, this one included.
     members: Gauge,
     replicas: GaugeVec,
+    /// Listed replicas that get no requests, by reason; one may count for several.
+    withheld: GaugeVec,
     prefill_speed: Gauge,
     dropped_lines: Gauge,
 }
@@ -138,6 +140,11 @@
             ),
             members: builder.gauge("kingcupshift_members", "Daemons heard, this one among them"),
             replicas: builder.gauges("kingcupshift_replicas", "Replicas by state", "state"),
+            withheld: builder.gauges(
+                "kingcupshift_replicas_withheld",
+                "Replicas that get no requests, by reason",
+                "reason",
+            ),
             prefill_speed: builder
                 .gauge("kingcupshift_prefill_tokens_per_second", "Learned speed of prefill"),
             dropped_lines: builder
@@ -254,8 +261,19 @@
             }
         }
         gauges.members.set(sample.members as f64);
-        gauges.replicas.with_label_values(&["open"]).set(sample.replicas_open as f64);
-        gauges.replicas.with_label_values(&["closed"]).set(sample.replicas_closed as f64);
+        let replicas = sample.replicas;
+        let closed = replicas.listed - replicas.available;
+        for (state, count) in [("open", replicas.available), ("closed", closed)] {
+            gauges.replicas.with_label_values(&[state]).set(f64::from(count));
+        }
+        for (reason, count) in [
+            ("leaving", replicas.leaving),
+            ("held_off", replicas.held_off),
+            ("paused", replicas.paused),
+            ("loading", replicas.loading),
+        ] {
+            gauges.withheld.with_label_values(&[reason]).set(f64::from(count));
+        }
         gauges.prefill_speed.set(sample.prefill_speed);
         gauges.dropped_lines.set(dropped_lines as f64);
         let mut text = Vec::new();
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::time::Duration;
 
+use gateway::fleet::ReplicaCounts;
 use gateway::metrics::{GaugeSample, Metrics};
 
 const SAMPLE: GaugeSample = GaugeSample {
@@ -12,8 +13,14 @@
     config_age: Some(Duration::from_millis(250)),
     listing_age: None,
     members: 5,
-    replicas_open: 17,
-    replicas_closed: 1,
+    replicas: ReplicaCounts {
+        listed: 18,
+        available: 17,
+        leaving: 0,
+        loading: 0,
+        paused: 0,
+        held_off: 1,
+    },
     prefill_speed: 30_000.0,
 };
 
@@ -45,6 +52,9 @@
         "kingcupshift_config_revision 7",
         "kingcupshift_belief_age_seconds{what=\"config\"} 0.25",
         "kingcupshift_replicas{state=\"closed\"} 1",
+        "kingcupshift_replicas{state=\"open\"} 17",
+        "kingcupshift_replicas_withheld{reason=\"held_off\"} 1",
+        "kingcupshift_replicas_withheld{reason=\"leaving\"} 0",
         "kingcupshift_log_lines_dropped 2",
     ] {
         assert!(text.lines().any(|it| it == line), "no line {line} in\n{text}");
