Let a home that returns begin with no more tokens than a new one

Looked for because operators of similar systems told of processes that acted on a permission that had run out while they stood still. It can happen here: the bucket of a customer's rate lies on its home. A home that stands still for some seconds is replaced, but on waking its bucket had refilled to the whole burst, though the other one had granted the rate meanwhile; the same for a home that another one replaced for a while.

Change: after a pause of more than a second, and whenever another daemon answers as the home, the bucket keeps no more than a new home begins with. A home that is always there keeps the tokens of quiet times.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -54,6 +54,7 @@
     let mut round = 0_u32;
     loop {
         let round_start = gateway.now();
+        lock(&gateway.quotas).record_alive(round_start);
         send_round(&gateway, round.is_multiple_of(FULL_REPORT_ROUNDS)).await;
         if round.is_multiple_of(SUSPECT_ROUNDS) {
             crash_reports::repeat_reports(&gateway);
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -37,8 +37,10 @@
         return Ok(());
     }
     let mut reply = HomeReply::Unreachable;
+    let mut asks_substitute = false;
     for attempt in 0..MAX_HOMES {
-        reply = query_home(gateway, request, customer, tokens, attempt > 0).await;
+        asks_substitute = attempt > 0;
+        reply = query_home(gateway, request, customer, tokens, asks_substitute).await;
         if !matches!(reply, HomeReply::Unreachable) {
             break;
         }
@@ -46,7 +48,11 @@
     let now = gateway.now();
     let (result, from) = match reply {
         HomeReply::Answered(result) => {
-            lock(&gateway.quotas).reset_local(customer);
+            let mut quotas = lock(&gateway.quotas);
+            quotas.reset_local(customer);
+            if !asks_substitute {
+                quotas.record_other_home(now, customer);
+            }
             (result, "home")
         }
         HomeReply::IsSelf(substitute) => {
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -82,6 +82,12 @@
         self.level = self.level.min(capacity);
     }
 
+    /// Drops the tokens above `max`.
+    pub fn limit_level(&mut self, now: Duration, max: f64) {
+        self.refill(now);
+        self.level = self.level.min(max);
+    }
+
     fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.refilled_at);
         self.level = (self.level + self.rate * elapsed.as_secs_f64()).min(self.capacity);
--- a/crates/policy/src/customer_quota.rs
+++ b/crates/policy/src/customer_quota.rs
@@ -5,6 +5,9 @@
 //! for a single daemon. So the sum stays within the rate however the network is partitioned. What
 //! is granted in addition when homes change counts against the allowance that the deployment sets
 //! beyond rate and burst.
+//!
+//! Load pattern: customers above their rate while homes stand still, are cut off or restart; a home
+//! that returns has no more than a new one, since another granted the rate meanwhile.
 
 use std::time::Duration;
 
@@ -25,6 +28,9 @@
 const SUBSTITUTES_PER_HOME: f64 = 3.0;
 /// Number of queries whose answers are kept: a repeated query is not charged again.
 const MAX_RECENT_ANSWERS: usize = 256;
+/// A daemon that did nothing for longer than this may have been replaced as a home meanwhile. Its
+/// peers take it for lost a little later.
+const MAX_PAUSE: Duration = Duration::from_millis(1_000);
 /// The wait returned for tokens that the bucket will never hold.
 const FALLBACK_WAIT: Duration = Duration::from_secs(1);
 
@@ -63,10 +69,20 @@
 #[derive(Debug)]
 pub struct QuotaTable {
     allowance: QuotaAllowance,
-    home: IndexMap<CustomerId, TokenBucket>,
+    home: IndexMap<CustomerId, HomeBucket>,
     substitute: IndexMap<CustomerId, TokenBucket>,
     local: IndexMap<CustomerId, TokenBucket>,
     recent_answers: IndexMap<u64, Result<(), Duration>>,
+    /// When the daemon was last known to run.
+    alive_at: Duration,
+}
+
+/// The bucket of a customer whose home this daemon is, or was.
+#[derive(Debug)]
+struct HomeBucket {
+    tokens: TokenBucket,
+    /// What a new home would begin with.
+    initial: f64,
 }
 
 /// Capacity, refill rate and initial level of one bucket, in tokens and tokens a second.
@@ -85,6 +101,7 @@
             substitute: IndexMap::new(),
             local: IndexMap::new(),
             recent_answers: IndexMap::new(),
+            alive_at: Duration::ZERO,
         }
     }
 
@@ -128,17 +145,27 @@
         if rate.per_s == 0.0 {
             return Ok(());
         }
+        self.record_alive(now);
         let size = self.size(rate, source);
-        let buckets = match source {
-            QuotaSource::Home(_) => &mut self.home,
-            QuotaSource::Substitute => &mut self.substitute,
-            QuotaSource::Local(_) => &mut self.local,
-        };
-        let bucket = buckets.entry(customer.clone()).or_insert_with(|| {
+        let new_bucket = || {
             let mut bucket = TokenBucket::empty(now, size.capacity, size.rate);
             bucket.refund(now, size.initial);
             bucket
-        });
+        };
+        let bucket = match source {
+            QuotaSource::Home(_) => {
+                let home = self
+                    .home
+                    .entry(customer.clone())
+                    .or_insert_with(|| HomeBucket { tokens: new_bucket(), initial: size.initial });
+                home.initial = size.initial;
+                &mut home.tokens
+            }
+            QuotaSource::Substitute => {
+                self.substitute.entry(customer.clone()).or_insert_with(new_bucket)
+            }
+            QuotaSource::Local(_) => self.local.entry(customer.clone()).or_insert_with(new_bucket),
+        };
         bucket.resize(now, size.capacity, size.rate);
         let tokens = tokens as f64;
         let minimum = match source {
@@ -153,6 +180,25 @@
         Err(bucket.wait_for(now, minimum).unwrap_or(FALLBACK_WAIT))
     }
 
+    /// Records that the daemon runs; to be called more often than `MAX_PAUSE`. After a longer pause
+    /// it has no more of any customer's tokens than a new home.
+    pub fn record_alive(&mut self, now: Duration) {
+        let paused = now.saturating_sub(self.alive_at);
+        self.alive_at = self.alive_at.max(now);
+        if paused > MAX_PAUSE {
+            for it in self.home.values_mut() {
+                it.tokens.limit_level(now, it.initial);
+            }
+        }
+    }
+
+    /// Records that another daemon answered as the customer's home.
+    pub fn record_other_home(&mut self, now: Duration, customer: &CustomerId) {
+        if let Some(it) = self.home.get_mut(customer) {
+            it.tokens.limit_level(now, it.initial);
+        }
+    }
+
     /// Drops the customer's local bucket after its home answered; a new one starts empty.
     pub fn reset_local(&mut self, customer: &CustomerId) {
         self.local.swap_remove(customer);
--- a/crates/policy/tests/customer_quota.rs
+++ b/crates/policy/tests/customer_quota.rs
@@ -120,3 +120,53 @@
         assert!(table.take(ms(at), &customer(), rate(90_000.0), 500, local).is_err());
     }
 }
+
+/// What made a home stop being one for some seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Absence {
+    /// Its process stood still.
+    Paused,
+    /// It saw that another daemon answered as the home.
+    Replaced,
+}
+
+/// Another daemon was the home meanwhile and granted the whole rate, so that tokens of that time must
+/// not be granted once more.
+#[rstest]
+#[case::paused(Absence::Paused)]
+#[case::replaced(Absence::Replaced)]
+fn a_home_that_returns_grants_no_more_than_a_new_one(#[case] absence: Absence) {
+    let rate = CustomerRate { per_s: 10_000.0, burst: 40_000.0 };
+    let mut table = QuotaTable::new(ALLOWANCE);
+    let (left_s, back_s) = (10, 15);
+    for quarter in 0..4 * back_s {
+        let now = ms(quarter * 250);
+        if quarter >= 4 * left_s {
+            match absence {
+                Absence::Paused => continue,
+                Absence::Replaced => table.record_other_home(now, &customer()),
+            }
+        }
+        table.record_alive(now);
+        if quarter < 4 * left_s {
+            let _ = table.take(now, &customer(), rate, 2_500, QuotaSource::Home(1.0));
+        }
+    }
+    let mut fresh = QuotaTable::new(ALLOWANCE);
+    let [returned, new] = [&mut table, &mut fresh]
+        .map(|table| sum_granted(table, rate, 500, back_s, back_s + 1, QuotaSource::Home(1.0)));
+    assert!(returned <= new + rate.per_s * 0.25, "{returned} of {new}");
+}
+
+/// A customer that seldom sends has its whole burst, as no other daemon granted it anything.
+#[test]
+fn a_home_that_is_always_there_keeps_the_tokens_of_quiet_times() {
+    let rate = CustomerRate { per_s: 10_000.0, burst: 40_000.0 };
+    let mut table = QuotaTable::new(ALLOWANCE);
+    table.take(ms(0), &customer(), rate, 500, QuotaSource::Home(1.0)).expect("initial tokens");
+    for quarter in 0..40 {
+        table.record_alive(ms(quarter * 250));
+    }
+    let granted = table.take(ms(10_000), &customer(), rate, 39_000, QuotaSource::Home(1.0));
+    assert_eq!(granted, Ok(()));
+}
