Let homes that reach few daemons leave no debt

Change: a home that reaches less than a tenth of the daemons leaves no debt, as a daemon that hears no home does already. Callers there are told to come back a second later if their request does not fit; other daemons serve them.

--- a/crates/policy/src/customer_quota.rs
+++ b/crates/policy/src/customer_quota.rs
@@ -28,6 +28,9 @@
 const SUBSTITUTES_PER_HOME: f64 = 3.0;
 /// Number of queries whose answers are kept: a repeated query is not charged again.
 const MAX_RECENT_ANSWERS: usize = 256;
+/// A home that reaches a smaller share of the daemons than this leaves no debt: in a large fleet many
+/// daemons that hear nobody, as after they stood still, would each overdraw a small bucket.
+const MIN_DEBT_SHARE: f64 = 0.1;
 /// A daemon that did nothing for longer than this may have been replaced as a home meanwhile. Its
 /// peers take it for lost a little later.
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
@@ -171,6 +174,7 @@
         let minimum = match source {
             // No debt: many cut-off daemons would each overdraw their small buckets.
             QuotaSource::Local(_) => tokens,
+            QuotaSource::Home(share) if share < MIN_DEBT_SHARE => tokens,
             // A request larger than the bucket passes when the bucket is full and leaves a debt.
             QuotaSource::Home(_) | QuotaSource::Substitute => tokens.min(size.capacity.floor()),
         };
--- a/crates/policy/tests/customer_quota.rs
+++ b/crates/policy/tests/customer_quota.rs
@@ -170,3 +170,19 @@
     let granted = table.take(ms(10_000), &customer(), rate, 39_000, QuotaSource::Home(1.0));
     assert_eq!(granted, Ok(()));
 }
+
+/// Daemons that wake from a pause hear nobody for a moment, and each takes itself for the home.
+#[rstest]
+#[case::small_customer(18_000.0)]
+#[case::large_customer(357_000.0)]
+fn many_homes_that_reach_only_themselves_stay_within_rate_and_burst(#[case] per_s: f64) {
+    const DAEMONS: u64 = 88;
+    let rate = rate(per_s);
+    for tokens in [500, 9_000, 24_000] {
+        let mut tables: Vec<_> = (0..DAEMONS).map(|_| QuotaTable::new(ALLOWANCE)).collect();
+        let source = QuotaSource::Home(1.0 / DAEMONS as f64);
+        let granted = tables.iter_mut().map(|it| sum_granted(it, rate, tokens, 0, 8, source));
+        let sum: f64 = granted.sum();
+        assert!(sum <= per_s * 8.0 + rate.burst, "{sum} of {tokens} each");
+    }
+}
