--- a/crates/gateway/src/suspect_store.rs
+++ b/crates/gateway/src/suspect_store.rs
@@ -17,7 +17,8 @@
 
 /// The time between two comparisons of what is refused with what is stored.
 const CHECK_PERIOD: Duration = Duration::from_secs(1);
-/// How long after its start a daemon that is the first in rank reads what is stored.
+/// For how long after its start a daemon that has become the first in rank still reads what is
+/// stored.
 const START_TIME: Duration = Duration::from_secs(15);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
