Log and count broken connections whose replica is not found crashed

A connection that broke under a request left no line unless the replica then refused a new one, and a request that has no hash left none at all, so that a crash which is not recognised could not be told from a request which is not. The line now says how many suspects the request has, and kingcupshift_crash_probes_total counts both findings. Nothing but logs and metrics changes.

--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -89,12 +89,18 @@
             (self.gateway.clone(), self.crash_keys.clone(), target.clone());
         tokio::spawn(async move {
             if !gateway.connections.refuses_connections(target.address).await {
+                gateway.metrics.record_crash_probe("not_refused");
+                tracing::info!(
+                    target = %target.id, has_just_begun, suspects = keys.keys.len(),
+                    "call: connection broke and the replica does not refuse new ones, not counted"
+                );
                 return;
             }
+            gateway.metrics.record_crash_probe("refused");
             lock(&gateway.fleet).record_failure(gateway.now(), &target, true);
             if has_just_begun {
                 tracing::info!(
-                    target = %target.id, shared_parts,
+                    target = %target.id, shared_parts, suspects = keys.keys.len(),
                     "call: replica crashed under a request that had just begun, counted against it"
                 );
                 record_crash(&gateway, now, &keys, &target);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     /// Calls to the store that have ended, also failed ones.
     store_calls: IntCounterVec,
     store_errors: IntCounterVec,
+    /// Replicas that were asked whether they had crashed, by what was found.
+    crash_probes: IntCounterVec,
     /// Bytes sent to other daemons, by kind of message.
     peer_bytes: IntCounterVec,
     /// Time from a request to the headers of its answer.
@@ -168,6 +170,11 @@
                 "Calls that failed",
                 "call",
             ),
+            crash_probes: builder.counter(
+                "kingcupshift_crash_probes_total",
+                "Replicas probed after a connection broke",
+                "finding",
+            ),
             peer_bytes: builder.counter(
                 "kingcupshift_peer_bytes_total",
                 "Bytes sent to other daemons",
@@ -234,6 +241,11 @@
         self.retries.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a probe of a replica under whose requests a connection broke, by what was found.
+    pub fn record_crash_probe(&self, finding: &str) {
+        self.crash_probes.with_label_values(&[finding]).inc();
+    }
+
     /// Records a call to the store that has ended, and whether it failed.
     pub fn record_store_call(&self, call: &str, took: Duration, failed: bool) {
         self.store_calls.with_label_values(&[call]).inc();
