Recognise crashing requests that have no body

Seen by the test: a request without a body crashed a replica with each sending, 54 times later than 3 s after the third crash. Cause: such a request had no hash, as many unrelated ones would share it, and so nothing was counted. It is now hashed by customer, method, path, query and prompt parts, and counted as something that requests share: crashes within 0.2 s count once, and any answer clears it. Its case passes (policy crash_suspects 14 of 14).

Evidence beside it: crashing_parts, run whole once after the change, failed in a_crashing_part_stays_refused_when_all_daemons_are_killed::case_2_store_down_at_the_crashes; alone it passed three times. That is being traced.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -108,24 +108,27 @@
     request: &CallerRequest,
 ) -> CrashKeys {
     let mut keys = CrashKeys::default();
-    if let Some(fingerprint) = fingerprint(customer, request) {
-        keys.add(SuspectKey::Request(fingerprint), None);
-    }
+    keys.add(request_key(customer, request), None);
     let seed = rendezvous::hash_member(pool.as_str());
     let hash = |part: &PromptPart| xxh3::xxh3_64_with_seed(part.id.as_bytes(), seed);
     for pair in request.head.parts.windows(2) {
-        keys.add(SuspectKey::Part(hash(&pair[0])), Some(hash(&pair[1])));
+        keys.add(SuspectKey::Shared(hash(&pair[0])), Some(hash(&pair[1])));
     }
     keys
 }
 
-/// A hash by which a request is recognised when it is sent again: of its customer, path and body.
-/// `None` without a body, because many unrelated requests would share the hash.
-fn fingerprint(customer: Option<&CustomerId>, request: &CallerRequest) -> Option<Fingerprint> {
-    if request.body.is_empty() {
-        return None;
-    }
+/// The key by which a request is recognised when it is sent again: a hash of its customer, path and
+/// body. Without a body it is taken from all that else tells requests apart, and may still be that of
+/// unrelated ones.
+fn request_key(customer: Option<&CustomerId>, request: &CallerRequest) -> SuspectKey {
     let seed = rendezvous::hash_member(customer.map_or("", |it| it.as_str()));
-    let seed = xxh3::xxh3_64_with_seed(request.uri.path().as_bytes(), seed);
-    Some(Fingerprint(xxh3::xxh3_64_with_seed(&request.body, seed)))
+    let hash = |seed: u64, text: &[u8]| xxh3::xxh3_64_with_seed(text, seed);
+    if !request.body.is_empty() {
+        let seed = hash(seed, request.uri.path().as_bytes());
+        return SuspectKey::Request(Fingerprint(hash(seed, &request.body)));
+    }
+    let path = request.uri.path_and_query().map_or("", |it| it.as_str());
+    let seed = hash(hash(seed, request.method.as_str().as_bytes()), path.as_bytes());
+    let parts = request.head.parts.iter();
+    SuspectKey::Shared(parts.fold(seed, |seed, part| hash(seed, part.id.as_bytes())))
 }
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -71,7 +71,7 @@
 fn suspects() -> PeerMessage {
     let mut table = SuspectTable::default();
     for number in 0..3 {
-        let keys = [(SuspectKey::Part(7), number), (SuspectKey::Request(Fingerprint(8)), number)];
+        let keys = [(SuspectKey::Shared(7), number), (SuspectKey::Request(Fingerprint(8)), number)];
         table.record_crash(Duration::from_secs(number), &keys, number);
     }
     PeerMessage::Suspects(table.repeat_reports(Duration::from_secs(3)))
@@ -121,7 +121,7 @@
             for report in &reports {
                 table.merge(now, report);
             }
-            table.verdict(now, &[SuspectKey::Part(7)], 0);
+            table.verdict(now, &[SuspectKey::Shared(7)], 0);
             table.repeat_reports(now);
         }
     }
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -26,8 +26,8 @@
 const SAME_SUCCESSOR_CRASHES: usize = 2;
 /// How many parts further in a prompt one is looked for that explains a crash.
 const MAX_EXPLANATION_DEPTH: usize = 3;
-/// Replicas that crash within this time count once against a part: a rack that fails takes
-/// replicas with it on which requests with the same part ran.
+/// Replicas that crash within this time count once against what requests share: a rack that fails
+/// takes replicas with it on which several of them ran.
 const CRASH_SEPARATION: Duration = Duration::from_millis(200);
 /// How long after its last crash a refused part is tried again.
 const PROBE_DELAY: Duration = Duration::from_secs(15);
@@ -62,8 +62,10 @@
 pub enum SuspectKey {
     /// One request, which may be sent again.
     Request(Fingerprint),
-    /// All requests with this part of their prompts, given as a hash.
-    Part(u64),
+    /// All requests that share this, given as a hash: a part of their prompts, or the target of requests
+    /// without a body.
+    #[serde(rename = "Part")]
+    Shared(u64),
 }
 
 /// A crash of a replica on which a suspect had just begun.
@@ -265,7 +267,7 @@
     /// Whether a part further in the prompt of the crashed request is refused.
     fn is_explained(&self, now: Duration, crash: &TimedCrash, depth: usize) -> bool {
         let Some(depth) = depth.checked_sub(1) else { return false };
-        let successor = SuspectKey::Part(crash.successor);
+        let successor = SuspectKey::Shared(crash.successor);
         let Some(record) = self.records.get(&successor) else { return false };
         self.crash_count(now, successor, depth) >= CRASH_LIMIT
             || record
@@ -316,7 +318,7 @@
     fn independent_crashes(&self, now: Duration, key: SuspectKey) -> usize {
         let separation = match key {
             SuspectKey::Request(_) => Duration::ZERO,
-            SuspectKey::Part(_) => CRASH_SEPARATION,
+            SuspectKey::Shared(_) => CRASH_SEPARATION,
         };
         let same_successor = |a: &TimedCrash, b: &TimedCrash| a.successor == b.successor;
         self.distinct_crashes(now, separation, same_successor).len()
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -6,9 +6,9 @@
 use policy::quarantine::Fingerprint;
 use rstest::rstest;
 
-const FIRST: SuspectKey = SuspectKey::Part(1);
-const BAD: SuspectKey = SuspectKey::Part(2);
-const THIRD: SuspectKey = SuspectKey::Part(3);
+const FIRST: SuspectKey = SuspectKey::Shared(1);
+const BAD: SuspectKey = SuspectKey::Shared(2);
+const THIRD: SuspectKey = SuspectKey::Shared(3);
 
 fn s(time: u64) -> Duration {
     Duration::from_secs(time)
@@ -140,7 +140,7 @@
     let mut table = SuspectTable::default();
     crash_in_series(&mut table, 3);
     for number in 0..200 {
-        let key = SuspectKey::Part(1_000 + number);
+        let key = SuspectKey::Shared(1_000 + number);
         table.record_crash(s(4), &[(key, 1)], 50);
         table.record_crash(s(5), &[(key, 1)], 51);
         if are_cleared {
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -350,8 +350,8 @@
     Mutant {
         name: "9 a prompt part that crashes replicas is refused",
         file: "crates/gateway/src/caller_request.rs",
-        original: "keys.add(SuspectKey::Part(hash(&pair[0])), Some(hash(&pair[1])));",
-        replacement: "let _ = (hash(&pair[0]), SuspectKey::Part(0));",
+        original: "keys.add(SuspectKey::Shared(hash(&pair[0])), Some(hash(&pair[1])));",
+        replacement: "let _ = (hash(&pair[0]), SuspectKey::Shared(0));",
         package: "platform",
         test: "crashing_parts::requests_with_a_crashing_part_are_stopped_and_their_siblings_are_served",
     },
