Count a replica's crash when another process stands in its place

Cause: the only evidence of a crash was a connection refused at the moment when a request's connection broke. Evidence that comes later, or when nobody asks, was not used.

A request that its replica left without an answer, however it ended, is now remembered for 10 s. If another process is then listed under the replica's id or at its address, or answers there in its place, the end counts against the request like a crash seen at once; it is recorded as of the moment at which the request ended, so that a later answer clears it. Requests to a replica that had announced its end do not count.

Ruled out: probing again later (costs each time, and misses a replica that is back); reading /report for the start of the process (priced, and tells nothing that the list does not).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -66,8 +66,6 @@
     pub(crate) deadline: Duration,
     /// When it was last sent to a replica.
     pub(crate) sent_at: Duration,
-    /// When the replica that has it now sent its first event.
-    pub(crate) begun_at: Option<Duration>,
     /// Whether a replica has run it, as far as known.
     pub(crate) run: RunState,
     /// Attempts that may have run it.
@@ -100,6 +98,13 @@
     pub(crate) evidence: Option<ReleaseEvidence>,
     /// Whether its prompt no longer counts as pending.
     prefilled: bool,
+    crash_keys: CrashKeys,
+    /// Whether the request may have reached the replica.
+    is_sent: bool,
+    /// When the replica sent the first event of a stream.
+    pub(crate) begun_at: Option<Duration>,
+    /// Whether the replica answered to the end, or said that it did not run the request.
+    pub(crate) is_answered: bool,
 }
 
 /// Handles a request up to its answer: checks quarantine and quota, then sends it to replicas of
@@ -134,7 +139,6 @@
         started_at,
         deadline: started_at + timeout.saturating_sub(ANSWER_MARGIN),
         sent_at: started_at,
-        begun_at: None,
         run: RunState::NotRun,
         attempts: 0,
         method: request.method,
@@ -160,11 +164,11 @@
     async fn answer(mut self) -> Result<CallerResponse, CallRefusal> {
         let mut failure = None;
         let refusal = loop {
-            let placement = match self.acquire_placement().await {
+            let mut placement = match self.acquire_placement().await {
                 Ok(placement) => placement,
                 Err(refusal) => break refusal,
             };
-            let outcome = match self.send_attempt(&placement, self.head.last_event_id).await {
+            let outcome = match self.send_attempt(&mut placement, self.head.last_event_id).await {
                 Ok(answer) if self.is_stream() && answer.status.is_success() => {
                     return Ok(stream::answer(self, placement, answer));
                 }
@@ -172,6 +176,7 @@
                 Err(error) => Err(error),
             };
             if let Ok(answer) = &outcome {
+                placement.is_answered = true;
                 self.record_answer(&placement, answer.status);
             }
             match outcome {
@@ -187,7 +192,7 @@
                 }
                 Ok(answer) => return Ok(self.forward_answer(&placement.target, answer)),
                 Err(error) => {
-                    if let Err(refusal) = self.handle_failure(&placement, &error) {
+                    if let Err(refusal) = self.handle_failure(&mut placement, &error) {
                         break refusal;
                     }
                 }
@@ -332,18 +337,27 @@
         let load_age = fleet.load_age(now);
         drop(fleet);
         self.log_placement(&target, load_age);
-        Some(Placement { gateway: gateway.clone(), target, evidence, prefilled: false })
+        Some(Placement {
+            gateway: gateway.clone(),
+            target,
+            evidence,
+            prefilled: false,
+            crash_keys: self.crash_keys.clone(),
+            is_sent: false,
+            begun_at: None,
+            is_answered: false,
+        })
     }
 
     /// Sends the request to a replica and waits for the answer's headers. `last_event_id` is the
     /// event after which a stream resumes.
     pub(crate) async fn send_attempt(
         &mut self,
-        placement: &Placement<D, S>,
+        placement: &mut Placement<D, S>,
         last_event_id: Option<u64>,
     ) -> Result<OpenAnswer, AttemptError> {
         self.sent_at = self.gateway.now();
-        self.begun_at = None;
+        placement.is_sent = true;
         let left = self.deadline.saturating_sub(self.sent_at);
         let request = self.target_request(placement, last_event_id, left);
         let target = &placement.target;
@@ -469,6 +483,9 @@
 
 impl<D: Dialect, S: Directory> Drop for Placement<D, S> {
     fn drop(&mut self) {
+        if self.is_sent && !self.is_answered {
+            crash_reports::record_unanswered(&self.gateway, self, &self.crash_keys);
+        }
         lock(&self.gateway.fleet).release(&self.target, self.prefilled);
         self.gateway.capacity_freed.notify_one();
     }
--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt_error::AttemptError;
 use crate::call::{Call, MAX_UNSENT_ATTEMPTS, Placement};
+use crate::crash_reports;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::lock;
@@ -17,18 +18,19 @@
     /// Records a failed attempt; fails with a refusal if the request is not to be sent again.
     pub(crate) fn handle_failure(
         &mut self,
-        placement: &Placement<D, S>,
+        placement: &mut Placement<D, S>,
         error: &AttemptError,
     ) -> Result<(), CallRefusal> {
-        let (reason, kind) = self.record_failure(placement, error);
-        if !matches!(
+        placement.is_answered = matches!(
             error,
             AttemptError::Connection(CallError::NotSent(_)) | AttemptError::NotRun(..)
-        ) {
+        );
+        let (reason, kind) = self.record_failure(placement, error);
+        if !placement.is_answered {
             self.record_outcome(placement, AttemptOutcome::Failed);
         }
         if let AttemptError::Connection(CallError::Broken(_) | CallError::TooLong(_)) = error {
-            self.report_crash(&placement.target);
+            self.report_crash(placement);
         }
         self.excluded.push(placement.target.id.clone());
         tracing::info!(
@@ -78,6 +80,8 @@
                     head.target.as_deref().is_some_and(|it| it != placement.target.id.as_str());
                 if *status == StatusCode::MISDIRECTED_REQUEST && is_other {
                     fleet.mark_leaving(&placement.target);
+                    drop(fleet);
+                    crash_reports::record_ended(&self.gateway, placement.target.process());
                 } else if let (StatusCode::MISDIRECTED_REQUEST, Some(version)) =
                     (*status, head.version)
                 {
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -2,15 +2,14 @@
 //! with all peers.
 
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use ids::ErrorKind;
 use policy::crash_suspects::{CrashEvent, SuspectKey, SuspectReport, SuspectVerdict};
 use policy::quarantine::Strike;
-use policy::rendezvous;
+use policy::unanswered::{ReplicaProcess, UnansweredRequest};
 
-use crate::call::Call;
+use crate::call::{Call, Placement};
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
@@ -80,9 +79,10 @@
 
     /// Called after a connection broke under the request. If the replica then refuses connections,
     /// it has crashed: this is recorded against the request here and at all peers.
-    pub(crate) fn report_crash(&self, target: &PlacedTarget) {
+    pub(crate) fn report_crash(&self, placement: &Placement<D, S>) {
         let now = self.gateway.now();
-        let has_just_begun = self.begun_at.is_none_or(|it| now < it + BEGIN_TIME);
+        let has_just_begun = has_just_begun(now, placement);
+        let target = &placement.target;
         let shared_parts = self.head.shared_parts().iter().map(|it| &*it.id);
         let shared_parts = shared_parts.collect::<Vec<_>>().join(",");
         let (gateway, keys, target) =
@@ -111,21 +111,78 @@
     /// Records that an answer came to its end: nothing in the request crashes replicas.
     pub(crate) fn clear_crash_suspects(&self) {
         let now = self.gateway.now();
+        lock(&self.gateway.unanswered).clear(&self.crash_keys.keys);
         let reports = lock(&self.gateway.suspects).clear(now, &self.crash_keys.keys);
         tell_peers(&self.gateway, now, None, reports);
     }
 }
 
+/// Whether what a request consists of may be what a replica crashes under now.
+fn has_just_begun<D: Dialect, S: Directory>(now: Duration, placement: &Placement<D, S>) -> bool {
+    placement.begun_at.is_none_or(|it| now < it + BEGIN_TIME)
+}
+
 fn record_crash<D: Dialect, S: Directory>(
-    gateway: &Arc<Gateway<D, S>>,
+    gateway: &Gateway<D, S>,
     crashed_at: Duration,
     keys: &CrashKeys,
     target: &PlacedTarget,
 ) {
-    let replica = rendezvous::weight(target.member, target.incarnation);
+    let replica = target.process().digest();
     let keys = keys.with_successors(replica);
     let reports = lock(&gateway.suspects).record_crash(crashed_at, &keys, replica);
-    tell_peers(gateway, crashed_at, None, reports);
+    tell_peers(gateway, gateway.now(), None, reports);
+}
+
+/// Remembers a request that its replica did not answer: its caller left, time ran out or the
+/// connection broke. If the replica's process turns out to have ended, it counts as a crash.
+pub(crate) fn record_unanswered<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    placement: &Placement<D, S>,
+    keys: &CrashKeys,
+) {
+    let now = gateway.now();
+    let process = placement.target.process();
+    if has_just_begun(now, placement) && !lock(&gateway.fleet).is_leaving(process) {
+        let request =
+            UnansweredRequest { keys: keys.with_successors(process.digest()), ended_at: now };
+        lock(&gateway.unanswered).record(process, request);
+    }
+}
+
+/// Counts the end of a replica's process, which it did not announce, against the requests that it
+/// left without an answer.
+pub(crate) fn record_ended<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    process: ReplicaProcess,
+) {
+    let now = gateway.now();
+    let requests = lock(&gateway.unanswered).take(now, process);
+    for request in requests {
+        let replica = process.digest();
+        let reports =
+            lock(&gateway.suspects).record_crash(request.ended_at, &request.keys, replica);
+        tracing::info!(
+            member = process.member,
+            suspects = request.keys.len(),
+            news = reports.len(),
+            "call: replica ended under a request without an answer, counted against it"
+        );
+        tell_peers(gateway, now, None, reports);
+    }
+}
+
+/// Counts the processes that others have replaced according to the list of replicas.
+pub(crate) fn record_replaced<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) {
+    let processes: Vec<ReplicaProcess> = lock(&gateway.unanswered).processes().collect();
+    if processes.is_empty() {
+        return;
+    }
+    let fleet = lock(&gateway.fleet);
+    let replaced: Vec<ReplicaProcess> =
+        processes.into_iter().filter(|it| fleet.was_replaced(*it)).collect();
+    drop(fleet);
+    replaced.into_iter().for_each(|it| record_ended(gateway, it));
 }
 
 /// Merges what a peer knew at `reported_at`, and passes on what is new.
@@ -190,6 +247,7 @@
 /// Tells peers of the suspects again, for those that have missed it or have just started.
 pub(crate) fn repeat_reports<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) {
     let now = gateway.now();
+    lock(&gateway.unanswered).expire(now);
     let reports = lock(&gateway.suspects).repeat_reports(now);
     tell_peers(gateway, now, None, reports);
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,6 +9,7 @@
 use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
 use policy::rendezvous;
+use policy::unanswered::ReplicaProcess;
 use xxhash_rust::xxh3;
 
 use crate::config::TargetEntry;
@@ -146,6 +147,22 @@
         self.replicas.values()
     }
 
+    /// Whether another process is listed in the place of this one: under its id or at its address.
+    pub fn was_replaced(&self, process: ReplicaProcess) -> bool {
+        match self.replicas.get(&process.member) {
+            Some(it) => it.entry.incarnation != process.incarnation,
+            None => self.replicas.values().any(|it| it.entry.address == process.address),
+        }
+    }
+
+    /// Whether this process is known to be leaving.
+    pub(crate) fn is_leaving(&self, process: ReplicaProcess) -> bool {
+        let listed = self.replicas.get(&process.member);
+        let listed = listed.filter(|it| it.entry.incarnation == process.incarnation);
+        let notices = self.notices.get(process.member, process.incarnation);
+        listed.map_or(notices.leaving, |it| it.leaving)
+    }
+
     /// Counts the replicas that accept requests, and why others do not; those of one pool or all.
     pub fn count_replicas(&self, now: Duration, pool: Option<&PoolId>) -> ReplicaCounts {
         let mut counts = ReplicaCounts::default();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,8 @@
 //! The state that all requests and tasks of one daemon share.
 //!
 //! Lock order, where two locks are held at once: view, members, fleet, speed, quotas,
-//! retry_budgets. The rollouts and the settings are never locked together with another one. No lock
+//! retry_budgets. The rollouts, the settings, the suspects and the unanswered requests are never locked
+//! together with another one. No lock
 //! is held across an await.
 
 use std::fmt;
@@ -17,6 +18,7 @@
 use policy::customer_quota::{QuotaAllowance, QuotaTable};
 use policy::engine_choice::PrefillSpeed;
 use policy::retry::RetryBudget;
+use policy::unanswered::UnansweredTable;
 use ports::{Clock, SystemClock};
 use tokio::sync::Notify;
 
@@ -24,6 +26,7 @@
 use crate::cluster_view::{ClusterView, TargetListing, UnseenVersion, ViewChange};
 use crate::config::{ControlState, SiteConfig, TargetEntry};
 use crate::connections::ConnectionTable;
+use crate::crash_reports;
 use crate::dialect::Dialect;
 use crate::directory::{Directory, MemberEntry, Snapshot};
 use crate::fleet::FleetTable;
@@ -74,6 +77,7 @@
     pub(crate) fleet: Mutex<FleetTable>,
     pub(crate) quotas: Mutex<QuotaTable>,
     pub(crate) suspects: Mutex<SuspectTable>,
+    pub(crate) unanswered: Mutex<UnansweredTable>,
     pub(crate) rollouts: Mutex<RolloutTable>,
     pub(crate) speed: Mutex<PrefillSpeed>,
     settings: Mutex<Arc<GatewaySettings>>,
@@ -157,6 +161,7 @@
             fleet: Mutex::new(FleetTable::new(settings.domain.clone(), settings.bounds.version)),
             quotas: Mutex::new(QuotaTable::new(allowance)),
             suspects: Mutex::default(),
+            unanswered: Mutex::default(),
             rollouts: Mutex::default(),
             speed: Mutex::default(),
             retry_budgets: Mutex::default(),
@@ -373,6 +378,7 @@
             "targets: newer listing applied"
         );
         drop(view);
+        crash_reports::record_replaced(self);
         self.view_changed.notify_waiters();
         self.capacity_freed.notify_waiters();
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -10,6 +10,7 @@
 use policy::plain_choice::PlainView;
 use policy::prefix_table::{PrefixHolder, PromptPrefix};
 use policy::rollout_stage::{self, TrafficShare};
+use policy::unanswered::ReplicaProcess;
 
 use crate::config::{EngineRule, PoolRollout};
 use crate::fleet::FleetTable;
@@ -48,6 +49,14 @@
     pub load_before: LoadCount,
 }
 
+impl PlacedTarget {
+    /// The replica's process.
+    pub(crate) fn process(&self) -> ReplicaProcess {
+        let PlacedTarget { member, incarnation, address, .. } = *self;
+        ReplicaProcess { member, incarnation, address }
+    }
+}
+
 /// A KV store that a prompt is to be copied to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KvStoreCopy {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -150,7 +150,7 @@
         if !self.has_first_event {
             self.has_first_event = true;
             let now = self.call.gateway.now();
-            self.call.begun_at = Some(now);
+            self.placement.begun_at = Some(now);
             let after = now.saturating_sub(self.call.sent_at);
             if self.first_event_after.is_none() {
                 let after = now.saturating_sub(self.call.started_at);
@@ -163,6 +163,7 @@
 
     /// Returns the connection to the pool and logs the end of the stream.
     fn finish(&mut self) {
+        self.placement.is_answered = true;
         self.call.clear_crash_suspects();
         if let Some(connection) = self.connection.take() {
             self.call.gateway.connections.put_back(connection);
@@ -185,7 +186,7 @@
             event = self.last_event_id, "stream: failed on the replica: {error}"
         );
         loop {
-            if let Err(refusal) = self.call.handle_failure(&self.placement, &error) {
+            if let Err(refusal) = self.call.handle_failure(&mut self.placement, &error) {
                 return Err(self.abort(&refusal));
             }
             let placement = match self.call.acquire_placement().await {
@@ -193,7 +194,7 @@
                 Err(refusal) => return Err(self.abort(&refusal)),
             };
             self.placement = placement;
-            error = match self.call.send_attempt(&self.placement, self.last_event_id).await {
+            error = match self.call.send_attempt(&mut self.placement, self.last_event_id).await {
                 Ok(answer) if answer.status == StatusCode::OK => {
                     self.continue_with(answer);
                     return Ok(());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,5 +33,6 @@
 pub mod silence;
 pub mod spend_guard;
 pub mod stream_order;
+pub mod unanswered;
 pub mod version_trial;
 pub mod weight_rollout;
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -355,6 +355,22 @@
         package: "platform",
         test: "crashing_parts::requests_with_a_crashing_part_are_stopped_and_their_siblings_are_served",
     },
+    Mutant {
+        name: "9 a process that another one replaced has crashed",
+        file: "crates/gateway/src/gateway.rs",
+        original: "        crash_reports::record_replaced(self);\n",
+        replacement: "",
+        package: "platform",
+        test: "crash_recognition::a_crashing_request_stops_reaching_replicas",
+    },
+    Mutant {
+        name: "9 requests without a body are recognised",
+        file: "crates/gateway/src/caller_request.rs",
+        original: "SuspectKey::Shared(parts.fold(seed, |seed, part| hash(seed, part.id.as_bytes())))",
+        replacement: "SuspectKey::Shared(parts.fold(rand::random(), |seed, part| hash(seed, part.id.as_bytes())))",
+        package: "platform",
+        test: "crash_recognition::a_crashing_request_stops_reaching_replicas",
+    },
     Mutant {
         name: "9 daemons that start later are told of crashing parts",
         file: "crates/gateway/src/gossip.rs",
