Suspect requests by how far their answers came, not by when the end showed

A stream counted as what crashed its replica if its connection broke within a second of the first event. The break may show seconds later: the replica was silent, or this daemon stood still. It is now the time between the first and the last event that counts.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
 use ids::{CustomerId, ErrorKind, PoolId, RunState, TargetId};
+use policy::crash_suspects::AnswerProgress;
 use policy::retry::RetryReason;
 use policy::rollout_trial::AttemptOutcome;
 use web::client::Connection;
@@ -101,8 +102,7 @@
     crash_keys: CrashKeys,
     /// Whether the request may have reached the replica.
     is_sent: bool,
-    /// When the replica sent the first event of a stream.
-    pub(crate) begun_at: Option<Duration>,
+    pub(crate) progress: AnswerProgress,
     /// Whether the replica answered to the end, or said that it did not run the request.
     pub(crate) is_answered: bool,
 }
@@ -344,7 +344,7 @@
             prefilled: false,
             crash_keys: self.crash_keys.clone(),
             is_sent: false,
-            begun_at: None,
+            progress: AnswerProgress::default(),
             is_answered: false,
         })
     }
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -17,9 +17,6 @@
 use crate::placement::PlacedTarget;
 use crate::refusal::CallRefusal;
 
-/// How long after its first event a stream may still be what crashed its replica.
-const BEGIN_TIME: Duration = Duration::from_secs(1);
-
 /// What a request consists of that may crash replicas.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CrashKeys {
@@ -81,7 +78,7 @@
     /// it has crashed: this is recorded against the request here and at all peers.
     pub(crate) fn report_crash(&self, placement: &Placement<D, S>) {
         let now = self.gateway.now();
-        let has_just_begun = has_just_begun(now, placement);
+        let has_just_begun = placement.progress.has_just_begun();
         let target = &placement.target;
         let shared_parts = self.head.shared_parts().iter().map(|it| &*it.id);
         let shared_parts = shared_parts.collect::<Vec<_>>().join(",");
@@ -117,11 +114,6 @@
     }
 }
 
-/// Whether what a request consists of may be what a replica crashes under now.
-fn has_just_begun<D: Dialect, S: Directory>(now: Duration, placement: &Placement<D, S>) -> bool {
-    placement.begun_at.is_none_or(|it| now < it + BEGIN_TIME)
-}
-
 fn record_crash<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     crashed_at: Duration,
@@ -143,7 +135,7 @@
 ) {
     let now = gateway.now();
     let process = placement.target.process();
-    if has_just_begun(now, placement) && !lock(&gateway.fleet).is_leaving(process) {
+    if placement.progress.has_just_begun() && !lock(&gateway.fleet).is_leaving(process) {
         let request =
             UnansweredRequest { keys: keys.with_successors(process.digest()), ended_at: now };
         lock(&gateway.unanswered).record(process, request);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -138,6 +138,7 @@
         }
         if self.ready.len() > ready_before {
             let now = self.call.gateway.now();
+            self.placement.progress.record(now);
             if let Some(before) = self.last_events_at.replace(now) {
                 self.call.gateway.metrics.record_event_gap(now.saturating_sub(before));
             }
@@ -150,7 +151,6 @@
         if !self.has_first_event {
             self.has_first_event = true;
             let now = self.call.gateway.now();
-            self.placement.begun_at = Some(now);
             let after = now.saturating_sub(self.call.sent_at);
             if self.first_event_after.is_none() {
                 let after = now.saturating_sub(self.call.started_at);
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -18,6 +18,8 @@
 
 use crate::quarantine::Fingerprint;
 
+/// For how long after its first event a stream may still be what crashed its replica.
+const BEGIN_TIME: Duration = Duration::from_secs(1);
 /// Crashes after which requests are refused.
 pub const CRASH_LIMIT: usize = 3;
 /// Crashes after which a refused part is not tried again.
@@ -103,6 +105,26 @@
     Refused,
 }
 
+/// When a request's replica sent events of its answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerProgress {
+    span: Option<(Duration, Duration)>,
+}
+
+impl AnswerProgress {
+    /// Records that events arrived.
+    pub fn record(&mut self, now: Duration) {
+        let first_at = self.span.map_or(now, |it| it.0);
+        self.span = Some((first_at, now));
+    }
+
+    /// Whether the request may be what its replica crashed under: it had not begun, or had just begun
+    /// when the last event came. How long ago that was says nothing, as the end may show late.
+    pub fn has_just_begun(&self) -> bool {
+        self.span.is_none_or(|(first_at, last_at)| last_at < first_at + BEGIN_TIME)
+    }
+}
+
 /// The suspects that one daemon knows of, from its own requests and its peers.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use policy::crash_suspects::{MAX_SUSPECTS, SuspectKey, SuspectTable, SuspectVerdict};
+use policy::crash_suspects::{
+    AnswerProgress, MAX_SUSPECTS, SuspectKey, SuspectTable, SuspectVerdict,
+};
 use policy::quarantine::Fingerprint;
 use rstest::rstest;
 
@@ -163,3 +165,18 @@
     }
     assert_eq!(table.verdict(s(5), &[BAD], 0), SuspectVerdict::Refused);
 }
+
+/// The end of a silent replica's connection shows late.
+#[rstest]
+#[case::no_event(&[], true)]
+#[case::one_event(&[100], true)]
+#[case::events_of_a_moment(&[100, 300, 900], true)]
+#[case::a_stream_under_way(&[100, 500, 1_100], false)]
+fn a_stream_that_had_just_begun_is_suspect_however_late_its_end_shows(
+    #[case] events_ms: &[u64],
+    #[case] expected: bool,
+) {
+    let mut progress = AnswerProgress::default();
+    events_ms.iter().for_each(|it| progress.record(Duration::from_millis(*it)));
+    assert_eq!(progress.has_just_begun(), expected);
+}
