Leave trials of crashing requests to daemons that reach most others

A refused suspect is tried again after 15 s by the daemon of the first rank. A daemon that had just started, or was cut off from its peers, ranks itself first: each of them could end one more replica. Such daemons now leave trials to others, and each further rank waits 1.5 s more instead of 0.25 s, longer than the second in which lost news of a trial is repeated.

--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -17,6 +17,9 @@
 use crate::placement::PlacedTarget;
 use crate::refusal::CallRefusal;
 
+/// A daemon that reaches no more than this share of all leaves trying suspects again to others.
+const MIN_PROBE_SHARE: f64 = 0.5;
+
 /// What a request consists of that may crash replicas.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CrashKeys {
@@ -44,10 +47,10 @@
     keys: &CrashKeys,
 ) -> Result<SuspectVerdict, CallRefusal> {
     let now = gateway.now();
-    let mut verdict = lock(&gateway.suspects).verdict(now, &keys.keys, 0);
+    let mut verdict = lock(&gateway.suspects).verdict(now, &keys.keys, Some(0));
     // The rank is costly and matters only to a suspect.
     if verdict == SuspectVerdict::Probe {
-        let rank = lock(&gateway.members).rank(now);
+        let rank = probe_rank(gateway, now);
         verdict = lock(&gateway.suspects).verdict(now, &keys.keys, rank);
     }
     match verdict {
@@ -56,10 +59,19 @@
     }
 }
 
+/// This daemon's rank for trying suspects again; `None` if others may hold the same one, as it has
+/// just started or reaches few of them.
+fn probe_rank<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, now: Duration) -> Option<usize> {
+    let has_run = gateway.started_at + gateway.settings().bounds.contact <= now;
+    let members = lock(&gateway.members);
+    let reaches_most = members.reachable_share(now) > MIN_PROBE_SHARE;
+    (has_run && reaches_most).then(|| members.rank(now))
+}
+
 impl<D: Dialect, S: Directory> Call<D, S> {
     /// Called before the request is sent to a replica. Fails if requests like it have crashed too
     /// many since it was accepted.
-    pub(crate) fn check_crash_suspect(&self) -> Result<(), CallRefusal> {
+    pub(crate) fn check_crash_suspect(&self) -> Result<SuspectVerdict, CallRefusal> {
         let verdict =
             check(&self.gateway, &self.crash_keys).map_err(|it| self.qualify_refusal(it))?;
         if verdict == SuspectVerdict::Probe {
@@ -71,7 +83,7 @@
             );
             tell_peers(&self.gateway, now, None, reports);
         }
-        Ok(())
+        Ok(verdict)
     }
 
     /// Called after a connection broke under the request. If the replica then refuses connections,
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -33,10 +33,11 @@
 const CRASH_SEPARATION: Duration = Duration::from_millis(200);
 /// How long after its last crash a refused part is tried again.
 const PROBE_DELAY: Duration = Duration::from_secs(15);
-/// What each further rank among the daemons waits beyond that, so that one of them tries.
-const PROBE_RANK_DELAY: Duration = Duration::from_millis(250);
+/// What each further rank among the daemons waits beyond that, so that one of them tries: longer than
+/// the period in which peers are told again.
+const PROBE_RANK_DELAY: Duration = Duration::from_millis(1_500);
 /// The most that ranks add.
-const MAX_PROBE_RANK_DELAY: Duration = Duration::from_secs(10);
+const MAX_PROBE_RANK_DELAY: Duration = Duration::from_secs(15);
 /// How long crashes count.
 const RETENTION: Duration = Duration::from_secs(3_600);
 /// How long peers are told that a suspect was cleared.
@@ -153,15 +154,22 @@
 }
 
 impl SuspectTable {
-    /// Whether a request with these keys may be sent by the daemon of this rank, 0 the first.
-    pub fn verdict(&self, now: Duration, keys: &[SuspectKey], rank: usize) -> SuspectVerdict {
+    /// Whether a request with these keys may be sent by the daemon of this rank, 0 the first. Without
+    /// a rank it does not try suspects again: it cannot tell which daemons do.
+    pub fn verdict(
+        &self,
+        now: Duration,
+        keys: &[SuspectKey],
+        rank: Option<usize>,
+    ) -> SuspectVerdict {
         let mut verdict = SuspectVerdict::Allowed;
         for key in keys {
             let crashes = self.crash_count(now, *key, MAX_EXPLANATION_DEPTH);
             let Some(record) = self.records.get(key).filter(|_| crashes >= CRASH_LIMIT) else {
                 continue;
             };
-            if crashes >= PROVEN_CRASHES || now < record.next_probe_at(rank) {
+            let is_due = rank.is_some_and(|it| record.next_probe_at(it) <= now);
+            if crashes >= PROVEN_CRASHES || !is_due {
                 return SuspectVerdict::Refused;
             }
             verdict = SuspectVerdict::Probe;
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -30,8 +30,12 @@
 fn a_part_is_refused_after_three_crashes(#[case] crashes: u64, #[case] expected: SuspectVerdict) {
     let mut table = SuspectTable::default();
     crash_in_series(&mut table, crashes);
-    assert_eq!(table.verdict(s(5), &[FIRST, BAD], 0), expected);
-    assert_eq!(table.verdict(s(5), &[FIRST], 0), SuspectVerdict::Allowed, "the part before it");
+    assert_eq!(table.verdict(s(5), &[FIRST, BAD], Some(0)), expected);
+    assert_eq!(
+        table.verdict(s(5), &[FIRST], Some(0)),
+        SuspectVerdict::Allowed,
+        "the part before it"
+    );
 }
 
 #[test]
@@ -40,7 +44,7 @@
     for number in 0..3 {
         table.record_crash(s(number), &[(FIRST, 50 + number)], number);
     }
-    assert_eq!(table.verdict(s(5), &[FIRST], 0), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(5), &[FIRST], Some(0)), SuspectVerdict::Refused);
 }
 
 /// Replicas crash one a second under requests that share all parts but the last. Sound requests share
@@ -61,11 +65,11 @@
 fn a_part_that_the_same_part_always_follows_is_refused(#[case] shared_with_sound: &[SuspectKey]) {
     let mut table = SuspectTable::default();
     crash_in_chain(&mut table, 4, shared_with_sound);
-    assert_eq!(table.verdict(s(10), &[BAD], 0), SuspectVerdict::Allowed);
+    assert_eq!(table.verdict(s(10), &[BAD], Some(0)), SuspectVerdict::Allowed);
     crash_in_chain(&mut table, 5, shared_with_sound);
-    assert_eq!(table.verdict(s(10), &[FIRST, BAD, THIRD], 0), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(10), &[FIRST, BAD, THIRD], Some(0)), SuspectVerdict::Refused);
     for sound in [FIRST, THIRD] {
-        assert_eq!(table.verdict(s(10), &[sound], 0), SuspectVerdict::Allowed, "{sound:?}");
+        assert_eq!(table.verdict(s(10), &[sound], Some(0)), SuspectVerdict::Allowed, "{sound:?}");
     }
 }
 
@@ -75,9 +79,9 @@
 fn crashes_that_a_refused_part_explains_do_not_count_against_those_before_it() {
     let mut table = SuspectTable::default();
     crash_in_chain(&mut table, 9, &[]);
-    assert_eq!(table.verdict(s(19), &[THIRD], 0), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(19), &[THIRD], Some(0)), SuspectVerdict::Refused);
     for before in [FIRST, BAD] {
-        assert_eq!(table.verdict(s(19), &[before], 0), SuspectVerdict::Allowed, "{before:?}");
+        assert_eq!(table.verdict(s(19), &[before], Some(0)), SuspectVerdict::Allowed, "{before:?}");
     }
 }
 
@@ -87,7 +91,7 @@
     for number in 0..8 {
         table.record_crash(s(1), &[(BAD, 100 + number)], number);
     }
-    assert_eq!(table.verdict(s(2), &[BAD], 0), SuspectVerdict::Allowed);
+    assert_eq!(table.verdict(s(2), &[BAD], Some(0)), SuspectVerdict::Allowed);
 }
 
 #[test]
@@ -97,7 +101,7 @@
     for number in 0..3 {
         table.record_crash(s(1), &[(key, number)], number);
     }
-    assert_eq!(table.verdict(s(2), &[key], 0), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(2), &[key], Some(0)), SuspectVerdict::Refused);
 }
 
 #[test]
@@ -106,14 +110,14 @@
     crash_in_series(&mut table, 3);
     let reports = table.repeat_reports(s(3));
     assert!(reports.iter().all(|it| peer.merge(s(3), it)));
-    assert_eq!(peer.verdict(s(4), &[BAD], 0), SuspectVerdict::Refused);
+    assert_eq!(peer.verdict(s(4), &[BAD], Some(0)), SuspectVerdict::Refused);
     let cleared = peer.clear(s(5), &[FIRST, BAD]);
     assert!(cleared.iter().all(|it| table.merge(s(5), it)));
-    assert_eq!(table.verdict(s(5), &[BAD], 0), SuspectVerdict::Allowed);
+    assert_eq!(table.verdict(s(5), &[BAD], Some(0)), SuspectVerdict::Allowed);
     // What was known before does not bring the suspects back, and is no news.
     assert!(!reports.iter().any(|it| table.merge(s(3), it)));
     assert!(!cleared.iter().any(|it| table.merge(s(5), it)));
-    assert_eq!(table.verdict(s(5), &[BAD], 0), SuspectVerdict::Allowed);
+    assert_eq!(table.verdict(s(5), &[BAD], Some(0)), SuspectVerdict::Allowed);
 }
 
 /// A part may be refused wrongly, and then no request shows it.
@@ -121,16 +125,16 @@
 fn a_refused_part_is_tried_again_by_one_daemon_until_it_is_proven() {
     let mut table = SuspectTable::default();
     crash_in_series(&mut table, 3);
-    assert_eq!(table.verdict(s(16), &[BAD], 0), SuspectVerdict::Refused);
-    assert_eq!(table.verdict(s(17), &[BAD], 1), SuspectVerdict::Refused);
-    assert_eq!(table.verdict(s(17), &[BAD], 0), SuspectVerdict::Probe);
+    assert_eq!(table.verdict(s(16), &[BAD], Some(0)), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(17), &[BAD], Some(1)), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(17), &[BAD], Some(0)), SuspectVerdict::Probe);
     assert_eq!(table.record_probe(s(17), &[FIRST, BAD]).len(), 1);
-    assert_eq!(table.verdict(s(18), &[BAD], 0), SuspectVerdict::Refused, "one at a time");
+    assert_eq!(table.verdict(s(18), &[BAD], Some(0)), SuspectVerdict::Refused, "one at a time");
     for number in 3..5 {
         table.record_crash(s(17 + number), &[(BAD, 200 + number)], number);
     }
-    assert_eq!(table.verdict(s(3_000), &[BAD], 0), SuspectVerdict::Refused);
-    assert_eq!(table.verdict(s(4_000), &[BAD], 0), SuspectVerdict::Allowed, "after an hour");
+    assert_eq!(table.verdict(s(3_000), &[BAD], Some(0)), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(4_000), &[BAD], Some(0)), SuspectVerdict::Allowed, "after an hour");
 }
 
 /// A daemon that restarts learns of a refused part by repetition only, however many sound parts were
@@ -163,7 +167,7 @@
         let key = SuspectKey::Request(Fingerprint(number));
         table.record_crash(s(4), &[(key, number)], number);
     }
-    assert_eq!(table.verdict(s(5), &[BAD], 0), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(5), &[BAD], Some(0)), SuspectVerdict::Refused);
 }
 
 /// The end of a silent replica's connection shows late.
@@ -180,3 +184,13 @@
     events_ms.iter().for_each(|it| progress.record(Duration::from_millis(*it)));
     assert_eq!(progress.has_just_begun(), expected);
 }
+
+/// A daemon that has just started or reaches few others may not be the only one that tries.
+#[test]
+fn a_daemon_without_a_rank_does_not_try_a_suspect_again() {
+    let mut table = SuspectTable::default();
+    crash_in_series(&mut table, 3);
+    assert_eq!(table.verdict(s(18), &[BAD], None), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(18), &[BAD], Some(0)), SuspectVerdict::Probe);
+    assert_eq!(table.verdict(s(18), &[FIRST], None), SuspectVerdict::Allowed);
+}
