--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
 use ids::{CustomerId, ErrorKind, PoolId, RunState, TargetId};
-use policy::crash_suspects::AnswerProgress;
+use policy::crash_suspects::{AnswerProgress, SuspectVerdict};
 use policy::retry::RetryReason;
 use policy::rollout_trial::AttemptOutcome;
 use web::client::Connection;
@@ -242,11 +242,16 @@
 
     /// Reserves capacity on a replica, waiting for a share of the objective if none is available.
     pub(crate) async fn acquire_placement(&mut self) -> Result<Placement<D, S>, CallRefusal> {
-        self.check_crash_suspect()?;
+        let verdict = self.check_crash_suspect()?;
         let asked_at = self.gateway.now();
         let res = self.wait_for_placement().await;
         let waited = self.gateway.now().saturating_sub(asked_at);
         self.gateway.metrics.record_placement_wait(waited);
+        // Crashes may have become known while it waited.
+        let is_suspect = || crash_reports::check(&self.gateway, &self.crash_keys) != Ok(verdict);
+        if verdict == SuspectVerdict::Allowed && res.is_ok() && is_suspect() {
+            return Err(self.qualify_refusal(CallRefusal::not_run(ErrorKind::CrashSuspect)));
+        }
         res
     }
 
