Store the crashes that prove a refused suspect, not its last ones

With logs: the first daemon read the row, found nothing refused and wrote the row empty ("refused suspects stored count=0").

Cause: of more than seven crashes the last seven were stored. Which crashes count depends on the ones before them, as those within 0.2 s of one that counts do not: of ten crashes under five requests three count, of the last seven only two. Now the crashes that count are stored. Class: evidence cut so that it no longer proves.

--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -140,7 +140,7 @@
     probed_at: Option<Duration>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 struct TimedCrash {
     replica: u64,
     successor: u64,
@@ -266,11 +266,7 @@
     pub fn refused_reports(&self, now: Duration) -> Vec<SuspectReport> {
         let refused = self.records.iter().rev().filter(|(key, _)| self.is_refused(now, **key));
         let mut reports: Vec<SuspectReport> =
-            refused.take(MAX_STORED).map(|(key, it)| it.report(now, *key)).collect();
-        for report in &mut reports {
-            let surplus = report.events.len().saturating_sub(MAX_STORED_EVENTS);
-            report.events.drain(..surplus);
-        }
+            refused.take(MAX_STORED).map(|(key, it)| it.stored_report(now, *key)).collect();
         reports.sort_by_key(|it| it.key);
         reports
     }
@@ -282,11 +278,11 @@
     /// The crashes that count against a suspect.
     fn crash_count(&self, now: Duration, key: SuspectKey, depth: usize) -> usize {
         let Some(record) = self.records.get(&key) else { return 0 };
-        let independent = record.independent_crashes(now, key);
+        let independent = record.independent_crashes(now, key).len();
         if matches!(key, SuspectKey::Request(_)) {
             return independent;
         }
-        let separate = record.distinct_crashes(now, CRASH_SEPARATION, |_, _| false);
+        let separate = record.separate_crashes(now);
         if separate.len() < CRASH_LIMIT + SAME_SUCCESSOR_CRASHES {
             return independent;
         }
@@ -345,13 +341,18 @@
     }
 
     /// Crashes that cannot have one common cause other than the suspect.
-    fn independent_crashes(&self, now: Duration, key: SuspectKey) -> usize {
+    fn independent_crashes(&self, now: Duration, key: SuspectKey) -> Vec<TimedCrash> {
         let separation = match key {
             SuspectKey::Request(_) => Duration::ZERO,
             SuspectKey::Shared(_) => CRASH_SEPARATION,
         };
         let same_successor = |a: &TimedCrash, b: &TimedCrash| a.successor == b.successor;
-        self.distinct_crashes(now, separation, same_successor).len()
+        self.distinct_crashes(now, separation, same_successor)
+    }
+
+    /// Crashes that are not one event, whatever followed the suspect.
+    fn separate_crashes(&self, now: Duration) -> Vec<TimedCrash> {
+        self.distinct_crashes(now, CRASH_SEPARATION, |_, _| false)
     }
 
     /// Crashes that count, of one replica each, of which no two are the `same` or closer to each
@@ -393,6 +394,17 @@
         !counts && !self.was_cleared_lately(now)
     }
 
+    /// The report with just the crashes that prove the suspect. Of the crashes that count the first
+    /// ones are kept: which ones count depends on those before them.
+    fn stored_report(&self, now: Duration, key: SuspectKey) -> SuspectReport {
+        let mut proof = self.independent_crashes(now, key);
+        proof.truncate(MAX_STORED_EVENTS);
+        let mut separate = self.separate_crashes(now);
+        separate.truncate(MAX_STORED_EVENTS);
+        let events = self.events.iter().filter(|it| proof.contains(it) || separate.contains(it));
+        SuspectRecord { events: events.copied().collect(), ..*self }.report(now, key)
+    }
+
     fn report(&self, now: Duration, key: SuspectKey) -> SuspectReport {
         let age = |at: Duration| now.saturating_sub(at);
         let event = |it: &TimedCrash| CrashEvent {
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -194,3 +194,24 @@
     assert_eq!(table.verdict(s(18), &[BAD], Some(0)), SuspectVerdict::Probe);
     assert_eq!(table.verdict(s(18), &[FIRST], None), SuspectVerdict::Allowed);
 }
+
+/// Two replicas crash under each request, one request each 160 ms, and ten crashes are more than are
+/// stored.
+#[test]
+fn what_is_stored_of_a_refused_part_proves_it() {
+    let ms = |time: u64| Duration::from_millis(10_000 + time);
+    let mut table = SuspectTable::default();
+    for number in 0..10 {
+        let at = ms(160 * (number / 2) + number % 2);
+        table.record_crash(at, &[(BAD, 100 + number / 2)], number);
+    }
+    let now = ms(1_000);
+    assert_eq!(table.verdict(now, &[BAD], Some(0)), SuspectVerdict::Refused);
+    let stored = table.refused_reports(now);
+    let mut restarted = SuspectTable::default();
+    for it in &stored {
+        restarted.merge(now, it);
+    }
+    assert_eq!(restarted.verdict(now, &[BAD], Some(0)), SuspectVerdict::Refused);
+    assert!(stored[0].events.len() < 10, "not all are needed");
+}
