Keep the crashes that count when one crash breaks many requests

Found while tracing the stored crashes: a record holds 16 crashes and dropped the oldest. A part of prompts that all of a replica's requests share gets one entry for each of them, so that with more than 16 requests on a replica each crash displaced those of the replicas before, and the part was never refused however many replicas crashed. The platform's replicas run 24 to 48 requests at once. A full record now drops the last crash that does not count, and peers are not told of it.

--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -202,7 +202,7 @@
         for (key, successor) in keys {
             let crash = TimedCrash { replica, successor: *successor, at: now };
             let record = self.record_mut(*key);
-            if record.add(crash) {
+            if record.add(*key, crash) {
                 reports.push(record.report(now, *key));
             }
         }
@@ -240,7 +240,7 @@
         }
         for CrashEvent { replica, successor, age } in report.events.iter().copied() {
             let crash = TimedCrash { replica, successor, at: reported_at.saturating_sub(age) };
-            is_news |= record.add(crash);
+            is_news |= record.add(report.key, crash);
         }
         is_news
     }
@@ -325,19 +325,31 @@
 }
 
 impl SuspectRecord {
-    /// Adds a crash; false if it is known or older than the last clearance.
-    fn add(&mut self, crash: TimedCrash) -> bool {
+    /// Adds a crash; false if it is known, older than the last clearance, or adds nothing to a full
+    /// record. One crash of a replica may break many requests that share the suspect.
+    fn add(&mut self, key: SuspectKey, crash: TimedCrash) -> bool {
         let same = |it: &TimedCrash| it.replica == crash.replica && it.successor == crash.successor;
         let is_cleared = self.cleared_at.is_some_and(|it| crash.at <= it);
         if is_cleared || self.events.iter().any(same) {
             return false;
         }
-        if self.events.len() == MAX_EVENTS {
-            self.events.remove(0);
-        }
         let position = self.events.partition_point(|it| it.at <= crash.at);
         self.events.insert(position, crash);
-        true
+        if self.events.len() <= MAX_EVENTS {
+            return true;
+        }
+        let surplus = self.last_surplus(key);
+        self.events.remove(surplus);
+        surplus != position
+    }
+
+    /// The position of the last crash that does not count; of the last one if all do.
+    fn last_surplus(&self, key: SuspectKey) -> usize {
+        let now = self.events.last().map_or(Duration::ZERO, |it| it.at);
+        let (independent, separate) =
+            (self.independent_crashes(now, key), self.separate_crashes(now));
+        let counts = |it: &TimedCrash| independent.contains(it) || separate.contains(it);
+        self.events.iter().rposition(|it| !counts(it)).unwrap_or(self.events.len() - 1)
     }
 
     /// Crashes that cannot have one common cause other than the suspect.
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -215,3 +215,17 @@
     assert_eq!(restarted.verdict(now, &[BAD], Some(0)), SuspectVerdict::Refused);
     assert!(stored[0].events.len() < 10, "not all are needed");
 }
+
+/// Each crash breaks many requests that share the part: those of one replica must not displace the
+/// other replicas' crashes.
+#[test]
+fn a_part_of_many_requests_on_each_crashed_replica_is_refused() {
+    let mut table = SuspectTable::default();
+    for replica in 0..3 {
+        for request in 0..48 {
+            let at = s(replica) + Duration::from_millis(request);
+            table.record_crash(at, &[(BAD, 100 + 48 * replica + request)], replica);
+        }
+    }
+    assert_eq!(table.verdict(s(5), &[BAD], Some(0)), SuspectVerdict::Refused);
+}
