--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -121,7 +121,7 @@
             for report in &reports {
                 table.merge(now, report);
             }
-            table.verdict(now, &[SuspectKey::Shared(7)], 0);
+            table.verdict(now, &[SuspectKey::Shared(7)], Some(0));
             table.repeat_reports(now);
         }
     }
