Keep requests to a replica within the limit that it names

Cause: the header was not read; and a count within one daemon would not do, as the limit holds for all together.

The tokens of a limited replica are kept by one daemon, chosen like the home of a customer's rate; the others ask it before each request (policy::request_limit, gateway request_limits). A bucket holds half a second's worth and starts empty, so that a change of keepers adds little. A daemon that reaches no keeper has one daemon's share. Without a token the replica is closed on this daemon until there may be one, for first attempts, retries and resumed streams alike; if all are closed, callers are refused at once with the time at which the first one opens. An answer without the header lifts the limit; peers are told of both. Prompts have their homes on engines without a limit, and count as placed once they have a token.

Weighed: a fixed share for each daemon (one request each of 88 daemons breaks a limit of one a second); few daemons for each replica by rendezvous (the others could not use it at all); asking the keeper (a datagram and its answer, about 3 ms, only while limited).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -28,6 +28,7 @@
 use crate::prompt_spec::PromptSpec;
 use crate::rate_limit;
 use crate::refusal::CallRefusal;
+use crate::request_limits;
 use crate::rollout_choice::{ReleaseChoice, ReleaseDraw, ReleaseEvidence};
 use crate::stream;
 
@@ -107,6 +108,9 @@
     pub(crate) is_answered: bool,
 }
 
+/// A replica that limits its requests takes none now.
+struct TokenMissing;
+
 /// Handles a request up to its answer: checks quarantine and quota, then sends it to replicas of
 /// one pool.
 pub(crate) async fn handle<D: Dialect, S: Directory>(
@@ -260,7 +264,13 @@
         loop {
             let freed = self.gateway.capacity_freed.notified();
             if let Some(placement) = self.try_placement() {
-                return Ok(placement);
+                match self.take_limit_token(&placement.target).await {
+                    Ok(()) => {
+                        self.record_placement(&placement.target);
+                        return Ok(placement);
+                    }
+                    Err(TokenMissing) => continue,
+                }
             }
             // No other replica is available: allow those on which an attempt failed.
             if !self.excluded.is_empty() && self.unsent_attempts < MAX_UNSENT_ATTEMPTS {
@@ -290,6 +300,30 @@
         }
     }
 
+    /// Records that the request is about to be sent to a replica.
+    fn record_placement(&self, target: &PlacedTarget) {
+        let now = self.gateway.now();
+        let speed = *lock(&self.gateway.speed);
+        let mut fleet = lock(&self.gateway.fleet);
+        if let Some(prompt) = &self.prompt {
+            fleet.record_placed_prompt(now, target, prompt, speed);
+        }
+        let load_age = fleet.load_age(now);
+        drop(fleet);
+        self.log_placement(target, load_age);
+    }
+
+    /// Takes a token of a replica that limits its requests; without one the replica is closed here
+    /// until there may be one.
+    async fn take_limit_token(&self, target: &PlacedTarget) -> Result<(), TokenMissing> {
+        let Some(rate) = target.request_limit else { return Ok(()) };
+        let taken = request_limits::take(&self.gateway, &self.head.attempt_id, target, rate).await;
+        taken.map_err(|wait| {
+            lock(&self.gateway.fleet).close_until(target, self.gateway.now() + wait);
+            TokenMissing
+        })
+    }
+
     fn try_placement(&self) -> Option<Placement<D, S>> {
         let gateway = &self.gateway;
         let now = gateway.now();
@@ -339,9 +373,7 @@
                 (target, release.and_then(|it| choice.evidence(it)))
             }
         };
-        let load_age = fleet.load_age(now);
         drop(fleet);
-        self.log_placement(&target, load_age);
         Some(Placement {
             gateway: gateway.clone(),
             target,
@@ -406,6 +438,12 @@
     /// may be of an earlier process.
     fn record_notice(&self, target: &PlacedTarget, status: StatusCode, head: &AnswerHead) {
         let own_id = self.head.attempt_id.as_str();
+        if head.attempt_id.as_deref() == Some(own_id) {
+            let now = self.gateway.now();
+            let news =
+                lock(&self.gateway.fleet).record_request_limit(now, target, head.request_limit);
+            request_limits::forward(&self.gateway, None, news.into_iter().collect());
+        }
         if head.attempt_id.as_deref().is_none_or(|it| it == own_id) {
             let notice = AnswerNotice::new(status, head);
             let now = self.gateway.now();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, request};
-use ids::{CustomerId, RequestId, TargetId, TokenCount};
+use ids::{CustomerId, RequestId, RequestRate, TargetId, TokenCount};
 
 /// What the headers of a caller's request say.
 #[derive(Debug, Clone)]
@@ -102,6 +102,8 @@
     pub leaving: bool,
     /// How long the replica wants no requests, if it turned this one away.
     pub retry_after: Option<Duration>,
+    /// The requests that the replica takes from all daemons together; `None` if it names no limit.
+    pub request_limit: Option<RequestRate>,
     /// The replica that answered.
     pub target: Option<Box<str>>,
     /// The version of the replica's weights.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use ids::{FailureDomain, PoolId, TargetId};
+use ids::{FailureDomain, PoolId, RequestRate, TargetId};
 use indexmap::{IndexMap, IndexSet};
 use policy::demand::PromptDemand;
 use policy::health::HealthState;
@@ -16,7 +16,7 @@
 use crate::kv_store::KvStoreView;
 use crate::load_table::LoadTable;
 use crate::notice_table::{AnswerNotice, NoticeTable, ReplicaNotices};
-use crate::peer_message::{PrefixPlacement, TargetLoad, WeightStatus};
+use crate::peer_message::{PrefixPlacement, RequestLimitReport, TargetLoad, WeightStatus};
 use crate::placement::PlacedTarget;
 use crate::replica::{self, LoadCount, Replica};
 
@@ -66,6 +66,8 @@
     pub paused: u32,
     /// Replicas that want no requests for a while.
     pub held_off: u32,
+    /// Replicas that limit their requests, and whose limit is reached.
+    pub limited: u32,
 }
 
 /// What was last reported of one incarnation of a replica.
@@ -173,6 +175,7 @@
             counts.loading += u32::from(it.is_loading(now));
             counts.paused += u32::from(it.health.state(now) == HealthState::Paused);
             counts.held_off += u32::from(it.hold_off.ends_at(now).is_some());
+            counts.limited += u32::from(it.request_limit.opens_at(now).is_some());
             counts.available += u32::from(it.accepts_requests(now));
         }
         counts
@@ -408,11 +411,49 @@
         }
     }
 
+    /// Records the limit of requests in an answer, `None` if it names none. Returns what to tell
+    /// peers if it is new.
+    pub(crate) fn record_request_limit(
+        &mut self,
+        now: Duration,
+        placed: &PlacedTarget,
+        rate: Option<RequestRate>,
+    ) -> Option<RequestLimitReport> {
+        let replica = self.same_incarnation(placed)?;
+        if !replica.request_limit.apply(now, rate) {
+            return None;
+        }
+        let per_s = rate.map(RequestRate::per_s);
+        tracing::info!(target = %placed.id, per_s, "targets: replica names another limit of requests");
+        let (member, incarnation) = (placed.member, placed.incarnation);
+        Some(RequestLimitReport { member, incarnation, per_s, age: Duration::ZERO })
+    }
+
+    /// Merges a limit that a peer knew at `reported_at`; returns whether it is new.
+    pub(crate) fn merge_request_limit(
+        &mut self,
+        reported_at: Duration,
+        report: &RequestLimitReport,
+    ) -> bool {
+        let Ok(rate) = report.per_s.map(RequestRate::new).transpose() else { return false };
+        let replica = self.replicas.get_mut(&report.member);
+        let same = replica.filter(|it| it.entry.incarnation == report.incarnation);
+        let stated_at = reported_at.saturating_sub(report.age);
+        same.is_some_and(|it| it.request_limit.apply(stated_at, rate))
+    }
+
+    /// Records that there is no token for a replica before a time.
+    pub(crate) fn close_until(&mut self, placed: &PlacedTarget, time: Duration) {
+        if let Some(it) = self.same_incarnation(placed) {
+            it.request_limit.close_until(time);
+        }
+    }
+
     /// When the first replica of a pool wants requests again; `None` if one does now, or if all are
     /// leaving.
     pub fn held_off_until(&self, now: Duration, pool: &PoolId) -> Option<Duration> {
         let active = self.replicas.values().filter(|it| it.entry.pool == *pool && !it.leaving);
-        let ends: Option<Vec<Duration>> = active.map(|it| it.hold_off.ends_at(now)).collect();
+        let ends: Option<Vec<Duration>> = active.map(|it| it.wants_requests_at(now)).collect();
         ends?.into_iter().min()
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use policy::crash_suspects::SuspectTable;
 use policy::customer_quota::{QuotaAllowance, QuotaTable};
 use policy::engine_choice::PrefillSpeed;
+use policy::request_limit::RequestLimitTable;
 use policy::retry::RetryBudget;
 use policy::unanswered::UnansweredTable;
 use ports::{Clock, SystemClock};
@@ -76,6 +77,7 @@
     pub(crate) members: Mutex<MemberTable>,
     pub(crate) fleet: Mutex<FleetTable>,
     pub(crate) quotas: Mutex<QuotaTable>,
+    pub(crate) request_limits: Mutex<RequestLimitTable>,
     pub(crate) suspects: Mutex<SuspectTable>,
     pub(crate) unanswered: Mutex<UnansweredTable>,
     pub(crate) rollouts: Mutex<RolloutTable>,
@@ -160,6 +162,7 @@
             members: Mutex::new(MemberTable::new(own.clone(), settings.seeds.clone())),
             fleet: Mutex::new(FleetTable::new(settings.domain.clone(), settings.bounds.version)),
             quotas: Mutex::new(QuotaTable::new(allowance)),
+            request_limits: Mutex::default(),
             suspects: Mutex::default(),
             unanswered: Mutex::default(),
             rollouts: Mutex::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -21,6 +21,7 @@
 };
 use crate::peer_socket::ReceivedMessage;
 use crate::rate_limit;
+use crate::request_limits;
 use crate::resend_limit::{ResendLimit, WholeState};
 use crate::rollouts;
 
@@ -306,6 +307,10 @@
         PeerMessage::Suspects(reports) => {
             crash_reports::merge_reports(gateway, from, sent_at.unwrap_or(now), &reports);
         }
+        PeerMessage::LimitQuery(query) => request_limits::answer_query(gateway, from, query),
+        PeerMessage::RequestLimits(reports) => {
+            request_limits::merge(gateway, from, sent_at.unwrap_or(now), &reports);
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod readiness;
 mod refusal;
 pub mod replica;
+mod request_limits;
 pub mod resend_limit;
 mod rollout_choice;
 pub mod rollout_table;
@@ -51,6 +52,7 @@
 pub mod supervisor;
 mod suspect_store;
 mod target_client;
+mod token_query;
 mod weight_commands;
 
 pub use serve::{serve, serve_until};
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -418,9 +418,13 @@
 
     /// The home of a customer: the hub that keeps its token bucket; `None` if it is this daemon.
     pub fn home(&self, now: Duration, customer: &CustomerId) -> Option<MemberEntry> {
+        self.keeper(now, rendezvous::hash_member(customer.as_str()))
+    }
+
+    /// The hub that keeps the tokens with this key; `None` if it is this daemon.
+    pub fn keeper(&self, now: Duration, key: u64) -> Option<MemberEntry> {
         let (members, hubs) = self.hubs(now);
         let hashes: Vec<u64> = hubs.iter().map(|it| members[*it].member).collect();
-        let key = rendezvous::hash_member(customer.as_str());
         let home = hashes[*rendezvous::homes(key, &hashes, 1).first()?];
         self.known.get(&home).map(|it| it.entry.clone())
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -281,6 +281,7 @@
         for (reason, count) in [
             ("leaving", replicas.leaving),
             ("held_off", replicas.held_off),
+            ("limited", replicas.limited),
             ("paused", replicas.paused),
             ("loading", replicas.loading),
         ] {
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -220,6 +220,30 @@
     pub substitute: bool,
 }
 
+/// Asks the daemon that keeps the tokens of a replica for one request.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LimitQuery {
+    /// A random number that matches the reply to the query; a repeated query keeps it.
+    pub query_id: u64,
+    /// The digest of the replica's process (`ReplicaProcess::digest`).
+    pub process: u64,
+    /// The requests per second that the replica takes.
+    pub per_s: f64,
+}
+
+/// The limit that a replica named, or that it named none.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RequestLimitReport {
+    /// The hash of the replica's id (`rendezvous::hash_member`).
+    pub member: u64,
+    /// The replica's incarnation.
+    pub incarnation: u64,
+    /// Requests per second from all daemons together; `None` without a limit.
+    pub per_s: Option<f64>,
+    /// How long ago the replica answered so when the message was sent.
+    pub age: Duration,
+}
+
 /// The content of one datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -258,6 +282,10 @@
     },
     /// Requests and prompt parts that may crash replicas.
     Suspects(Vec<SuspectReport>),
+    /// Asks for a token of a replica that limits its requests; answered by `QuotaReply`.
+    LimitQuery(LimitQuery),
+    /// Limits that replicas named or lifted.
+    RequestLimits(Vec<RequestLimitReport>),
 }
 
 impl PeerMessage {
@@ -280,6 +308,8 @@
             PeerMessage::ListingChange(_) => "listing_change",
             PeerMessage::Rollouts { .. } => "rollouts",
             PeerMessage::Suspects(_) => "suspects",
+            PeerMessage::LimitQuery(_) => "limit_query",
+            PeerMessage::RequestLimits(_) => "request_limits",
         }
     }
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{PoolId, TargetId};
-use policy::engine_choice::{EngineView, PrefillSpeed, PromptSize};
+use ids::{PoolId, RequestRate, TargetId};
+use policy::engine_choice::{EngineView, PrefillSpeed};
 use policy::fetch_source::{self, PartSource};
 use policy::health::HealthState;
 use policy::plain_choice::PlainView;
@@ -43,6 +43,8 @@
     pub save_to: Option<KvStoreCopy>,
     /// Estimated time to the first token; zero for plain services.
     pub expected: Duration,
+    /// The requests that the replica takes from all daemons together, if it limits them.
+    pub request_limit: Option<RequestRate>,
     /// What the request adds to the replica's load.
     pub load: LoadCount,
     /// The replica's load from all daemons before this request, as far as known.
@@ -235,16 +237,12 @@
                     member: it.member,
                     cached_tokens: cached,
                     same_domain: it.entry.domain == self.domain,
+                    is_limited: it.request_limit.rate.is_some(),
                     penalty_s,
                 }
             })
             .collect();
-        let size = PromptSize {
-            tokens: prompt.prompt_tokens,
-            shared_tokens: prompt.shared_tokens(),
-            key: prompt.affinity_key().unwrap_or_else(rand::random),
-            token_gap_s: prompt.token_gap_s,
-        };
+        let size = prompt.size();
         let unseen = self.demand.estimate_unseen(now, peers, gossip_delay);
         let (index, first_token_s) = policy::engine_choice::choose(&views, size, speed, unseen)?;
         let chosen = eligible[index];
@@ -261,19 +259,30 @@
             ..LoadCount::default()
         };
         let load_before = self.load(now, chosen);
-        self.demand.record(now, size.is_long(speed), load.pending_tokens);
         let placed = self.reserve(member, load)?;
         let expected = Duration::from_secs_f64(first_token_s);
-        let placed = PlacedTarget {
+        Some(PlacedTarget {
             cached_tokens: cached,
             fetch_from,
             save_to,
             expected,
             load_before,
             ..placed
-        };
-        self.record_placed_prefixes(now, &placed, &salted[..prompt.shared_prefixes]);
-        Some(placed)
+        })
+    }
+
+    /// Records that a placed prompt is about to be sent: the replica will hold its shared prefixes.
+    pub(crate) fn record_placed_prompt(
+        &mut self,
+        now: Duration,
+        placed: &PlacedTarget,
+        prompt: &PromptSpec,
+        speed: PrefillSpeed,
+    ) {
+        let is_long = prompt.size().is_long(speed);
+        self.demand.record(now, is_long, placed.load.pending_tokens);
+        let salted = prompt.salted_prefixes(placed.weights);
+        self.record_placed_prefixes(now, placed, &salted[..prompt.shared_prefixes]);
     }
 
     /// The KV store, if it is running and does not hold all shared prefixes.
@@ -376,7 +385,7 @@
         }
         let usable = member != chosen.member
             && replica.weights == chosen.weights
-            && replica.accepts_requests(now)
+            && replica.is_open(now)
             && replica.health.state(now) == HealthState::Healthy;
         usable.then_some(PartSource { source: replica.entry.address, used_at, is_store: false })
     }
@@ -395,6 +404,7 @@
             fetch_from: None,
             save_to: None,
             expected: Duration::ZERO,
+            request_limit: replica.request_limit.rate,
             load,
             load_before: LoadCount::default(),
         })
--- a/crates/gateway/src/prompt_spec.rs
+++ b/crates/gateway/src/prompt_spec.rs
@@ -1,5 +1,6 @@
 //! What placement needs to know of a prompt: prefixes, token counts and cache salt.
 
+use policy::engine_choice::PromptSize;
 use policy::prefix_table::PromptPrefix;
 use policy::rendezvous;
 
@@ -28,6 +29,16 @@
         self.shared_prefixes.checked_sub(1).map_or(0, |it| self.prefixes[it].tokens)
     }
 
+    /// Its size, with a random key if it shares no prefix.
+    pub(crate) fn size(&self) -> PromptSize {
+        PromptSize {
+            tokens: self.prompt_tokens,
+            shared_tokens: self.shared_tokens(),
+            key: self.affinity_key().unwrap_or_else(rand::random),
+            token_gap_s: self.token_gap_s,
+        }
+    }
+
     /// The cache salt for this version of the weights; with a `cache_scope` it also names the
     /// customer, so that other customers' prompts do not match.
     pub fn salt(&self, version: u64) -> Box<str> {
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -14,11 +14,8 @@
 use crate::gateway::{Gateway, lock};
 use crate::peer_message::{PeerMessage, QuotaQuery};
 use crate::refusal::CallRefusal;
+use crate::token_query;
 
-/// How long to wait for a reply before the query is repeated: datagrams get lost.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(35);
-/// Number of times that one home is queried.
-const QUERY_ATTEMPTS: u32 = 2;
 /// Number of daemons that are queried in turn: the home, then the one that would be the home
 /// without it.
 const MAX_HOMES: u32 = 2;
@@ -124,19 +121,15 @@
 ) -> HomeReply {
     let home = lock(&gateway.members).home(gateway.now(), customer);
     let Some(home) = home else { return HomeReply::IsSelf(substitute) };
-    let (query_id, mut receiver) = gateway.peer_socket.register_query();
-    let query = QuotaQuery { query_id, customer: customer.clone(), tokens, substitute };
-    let query = PeerMessage::QuotaQuery(query);
-    for _ in 0..QUERY_ATTEMPTS {
-        gateway.peer_socket.send(gateway.now(), &[home.address], &query);
-        match tokio::time::timeout(QUERY_TIMEOUT, &mut receiver).await {
-            Ok(Ok(None)) => return HomeReply::Answered(Ok(())),
-            Ok(Ok(Some(wait))) => return HomeReply::Answered(Err(wait)),
-            Ok(Err(_)) => break,
-            Err(_) => {}
+    let message = |query_id| {
+        let customer = customer.clone();
+        PeerMessage::QuotaQuery(QuotaQuery { query_id, customer, tokens, substitute })
+    };
+    match token_query::ask(gateway, &home, message).await {
+        Some(result) => HomeReply::Answered(result),
+        None => {
+            tracing::info!(%request, %customer, home = %home.id, "rate: no reply from the customer's home");
+            HomeReply::Unreachable
         }
     }
-    lock(&gateway.members).mark_unresponsive(gateway.now(), &home.id);
-    tracing::info!(%request, %customer, home = %home.id, "rate: no reply from the customer's home");
-    HomeReply::Unreachable
 }
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ids::RequestRate;
 use policy::health::{HealthState, ReplicaHealth};
 use policy::hold_off::HoldOff;
 use policy::rendezvous;
@@ -45,6 +46,8 @@
     pub recent_answers: RecentAnswers,
     /// How long it wants no requests from this daemon.
     pub hold_off: HoldOff,
+    /// The requests that it takes from all daemons together.
+    pub(crate) request_limit: RequestLimit,
     /// Until when it gets no requests because it was full.
     full_until: Duration,
     /// The version of its weights, by the newest report.
@@ -59,6 +62,44 @@
     pub(crate) load_timeout: Duration,
 }
 
+/// The requests that a replica takes from all daemons together, by its last answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct RequestLimit {
+    /// `None` if it names no limit.
+    pub(crate) rate: Option<RequestRate>,
+    /// When it was known to answer so.
+    stated_at: Duration,
+    /// Until when this daemon gets no token for it.
+    opens_at: Duration,
+}
+
+impl RequestLimit {
+    /// Applies what the replica stated at a time, unless something later is known; returns whether
+    /// its limit changes.
+    pub(crate) fn apply(&mut self, stated_at: Duration, rate: Option<RequestRate>) -> bool {
+        if stated_at < self.stated_at {
+            return false;
+        }
+        let is_new = rate != self.rate;
+        self.stated_at = stated_at;
+        self.rate = rate;
+        if is_new {
+            self.opens_at = Duration::ZERO;
+        }
+        is_new
+    }
+
+    /// Records that there is no token before a time.
+    pub(crate) fn close_until(&mut self, time: Duration) {
+        self.opens_at = time;
+    }
+
+    /// When a token may be there; `None` if there may be one now.
+    pub(crate) fn opens_at(&self, now: Duration) -> Option<Duration> {
+        Some(self.opens_at).filter(|it| now < *it)
+    }
+}
+
 impl LoadCount {
     /// Adds another load to this one.
     pub(crate) fn add(&mut self, other: &LoadCount) {
@@ -78,6 +119,7 @@
             health: ReplicaHealth::default(),
             recent_answers: RecentAnswers::default(),
             hold_off: HoldOff::default(),
+            request_limit: RequestLimit::default(),
             full_until: Duration::ZERO,
             weights: newest_weights(&entry),
             last_command: None,
@@ -109,9 +151,14 @@
         self.full_until = now + FULL_BACKOFF;
     }
 
-    /// Whether it may get a request now: it is not leaving, full, paused or loading weights, and did
-    /// not ask to be spared.
+    /// Whether it may get a request now: it is not leaving, full, paused, loading weights or at its
+    /// limit, and did not ask to be spared.
     pub fn accepts_requests(&self, now: Duration) -> bool {
+        self.request_limit.opens_at(now).is_none() && self.is_open(now)
+    }
+
+    /// The same whether it is at its limit of requests or not.
+    pub fn is_open(&self, now: Duration) -> bool {
         !self.leaving
             && self.hold_off.allows(now, self.local_load.running)
             && now >= self.full_until
@@ -119,6 +166,11 @@
             && !self.is_loading(now)
     }
 
+    /// When it may get a request that it wants none of now; `None` if it wants one.
+    pub(crate) fn wants_requests_at(&self, now: Duration) -> Option<Duration> {
+        self.hold_off.ends_at(now).max(self.request_limit.opens_at(now))
+    }
+
     /// Whether the sender of the last command may still be following it up.
     pub fn was_commanded_recently(&self, now: Duration) -> bool {
         self.last_command.is_some_and(|it| now < it.1 + COMMAND_FOLLOW_UP_TIME)
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -20,6 +20,7 @@
         loading: 0,
         paused: 0,
         held_off: 1,
+        limited: 2,
     },
     prefill_speed: 30_000.0,
 };
@@ -55,6 +56,7 @@
         "kingcupshift_replicas{state=\"open\"} 17",
         "kingcupshift_replicas_withheld{reason=\"held_off\"} 1",
         "kingcupshift_replicas_withheld{reason=\"leaving\"} 0",
+        "kingcupshift_replicas_withheld{reason=\"limited\"} 2",
         "kingcupshift_log_lines_dropped 2",
     ] {
         assert!(text.lines().any(|it| it == line), "no line {line} in\n{text}");
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -6,11 +6,13 @@
 mod error_kind;
 mod key_digest;
 mod number;
+mod request_rate;
 mod text_id;
 
 pub use error_kind::{ErrorAnswer, ErrorKind, Refusal, RunState, error_answer};
 pub use key_digest::KeyDigest;
 pub use number::{Incarnation, Millionths, Revision, TokenCount, TokenRate, VersionNumber};
+pub use request_rate::{RequestRate, RequestRateError};
 pub use text_id::{
     CustomerId, FailureDomain, IdError, InstanceId, KeyId, MoveId, PoolId, RequestId, RouteId,
     TargetId,
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -69,6 +69,8 @@
     pub position: f64,
     /// Whether it is in the daemon's own failure domain.
     pub same_domain: bool,
+    /// Whether it limits the requests that it takes, so that it cannot serve all that share a prefix.
+    pub is_limited: bool,
     /// Further cost from the caller, such as for a suspected fault or old weights, in seconds.
     pub penalty_s: f64,
 }
@@ -267,12 +269,12 @@
 }
 
 /// Returns the index of the engine on which all daemons place prompts with this shared prefix: the
-/// first by rendezvous hashing in the group for prompts of this kind, or of all engines if that
-/// group is empty.
+/// first by rendezvous hashing of those that limit no requests, and of these of the group for prompts
+/// of this kind, as far as there are any.
 fn find_home(views: &[EngineView], prompt: PromptSize, speed: PrefillSpeed) -> Option<usize> {
-    let in_group = |it: &&(usize, &EngineView)| it.1.is_in_group(prompt, speed);
-    let any = views.iter().enumerate().any(|it| in_group(&&it));
-    let engines = views.iter().enumerate().filter(|it| !any || in_group(&it));
+    let preference = |it: &EngineView| (!it.is_limited, it.is_in_group(prompt, speed));
+    let best = views.iter().map(preference).max()?;
+    let engines = views.iter().enumerate().filter(|it| preference(it.1) == best);
     engines.max_by_key(|it| rendezvous::weight(prompt.key, it.1.member)).map(|it| it.0)
 }
 
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -17,6 +17,7 @@
     cached_tokens: 0,
     position: 0.5,
     same_domain: true,
+    is_limited: false,
     penalty_s: 0.0,
 };
 
@@ -216,3 +217,19 @@
         assert_eq!(place(&views, short, unseen), 3);
     }
 }
+
+/// A home that may take one request a second is not everybody's first choice.
+#[test]
+fn prompts_that_share_a_prefix_go_to_an_engine_without_a_limit() {
+    let view = |it: u64, is_limited| EngineView { member: it, position: 0.9, is_limited, ..IDLE };
+    let limited = |count: u64| (0..6).map(|it| view(it, it < count)).collect::<Vec<_>>();
+    for key in 0..50 {
+        let prompt = PromptSize { key, shared_tokens: 6_000, ..LONG };
+        let choose = |views: &[EngineView]| {
+            engine_choice::choose(views, prompt, PrefillSpeed::default(), UnseenLoads::default())
+                .map(|it| it.0)
+        };
+        assert!(choose(&limited(4)) >= Some(4), "{key}");
+        assert_eq!(choose(&limited(6)), choose(&limited(0)), "{key}: all of them are limited");
+    }
+}
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -371,6 +371,14 @@
         package: "platform",
         test: "crash_recognition::a_crashing_request_stops_reaching_replicas",
     },
+    Mutant {
+        name: "7 the limit that a replica names is kept",
+        file: "crates/gateway/src/request_limits.rs",
+        original: "    let process = target.process().digest();\n    let keeper",
+        replacement: "    let process: u64 = rand::random();\n    let keeper",
+        package: "platform",
+        test: "request_limits::callers_are_refused_at_once_if_all_replicas_are_at_their_limits",
+    },
     Mutant {
         name: "9 daemons that start later are told of crashing parts",
         file: "crates/gateway/src/gossip.rs",
