Believe a refusal only if it names the request

It can happen here: the headers that say "not run" and status 421 were read before the attempt id, so that the refusal of another request made an order count as not run. Orders go on connections of their own, but what a replica writes there is its own affair. The id is compared first now; a refusal without this request's id says nothing about it, and the caller gets 502.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -418,12 +418,13 @@
         let answer = sent.map_err(AttemptError::Connection)?;
         let head = self.gateway.dialect.parse_answer(&answer.headers);
         self.record_notice(target, answer.status, &head);
-        if head.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
-            return Err(AttemptError::NotRun(answer.status, head));
-        }
+        // A faulty replica may write the refusal of an earlier request once more.
         if head.attempt_id.as_deref() != Some(self.head.attempt_id.as_str()) {
             return Err(AttemptError::WrongAttempt);
         }
+        if head.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(AttemptError::NotRun(answer.status, head));
+        }
         if answer.headers.contains_key(header::CONTENT_ENCODING) {
             return Err(AttemptError::Encoded);
         }
