Forward no event without an id from a replica that continues a stream

Of eight kinds of answers that the next replica gives, seven were ended as broken before (errors with and without a length, refusals, other bytes, another attempt, unsealed). One leaked: an error head within the body of an answer 200 was forwarded as an event. Events have increasing ids, so that an event without one, other than a comment, now breaks a resumed stream off: it is resumed elsewhere or visibly broken.

An empty whole answer to a resumption ends the stream as complete, as it does when the replica before broke off after the last event; the two cannot be told apart.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -14,6 +14,14 @@
     pub id: Option<u64>,
 }
 
+impl StreamEvent {
+    /// Whether it has nothing but comments and empty lines, as replicas send to keep connections open.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|it| *it == b'\n');
+        lines.all(|it| it.starts_with(b":") || it.iter().all(u8::is_ascii_whitespace))
+    }
+}
+
 /// An event exceeds the limit of 1 MiB.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -36,6 +36,8 @@
     /// Events that the caller has not got yet.
     ready: VecDeque<Bytes>,
     last_event_id: Option<u64>,
+    /// Whether the current replica continues what another one began.
+    is_resumed: bool,
     /// Whether the current replica has sent an event.
     has_first_event: bool,
     /// Time from the request's arrival to its first event.
@@ -67,6 +69,7 @@
         connection: Some(connection),
         splitter: EventSplitter::default(),
         ready: VecDeque::new(),
+        is_resumed: false,
         has_first_event: false,
         first_event_after: None,
         last_events_at: None,
@@ -127,6 +130,9 @@
         }
         let ready_before = self.ready.len();
         while let Some(event) = self.splitter.next_event() {
+            if self.is_resumed && event.id.is_none() && !event.is_comment() {
+                return Err(broken("a resumed stream has an event without an id".into()));
+            }
             if let (Some(id), Some(last)) = (event.id, self.last_event_id)
                 && id <= last
             {
@@ -223,6 +229,7 @@
         self.body = body;
         self.connection = Some(connection);
         self.splitter = EventSplitter::default();
+        self.is_resumed = true;
         self.has_first_event = false;
         self.call.gateway.metrics.record_retry(RetryReason::StreamReplayed.code());
         let now = self.call.gateway.now();
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -42,3 +42,15 @@
     assert!(splitter.next_event().is_none());
     assert!(splitter.push(&chunk).is_err());
 }
+
+#[rstest]
+#[case::comment(b": waiting\n\n", true)]
+#[case::comment_with_carriage_returns(b": waiting\r\n\r\n", true)]
+#[case::event(b"id: 3\ndata: x\n\n", false)]
+#[case::event_after_a_comment(b": waiting\ndata: x\n\n", false)]
+#[case::no_event(b"HTTP/1.1 500 Error\r\n\r\n", false)]
+fn an_event_of_comments_is_told_from_others(#[case] bytes: &'static [u8], #[case] expected: bool) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(bytes).expect("a short event");
+    assert_eq!(splitter.next_event().map(|it| it.is_comment()), Some(expected));
+}
