Move the choice of replicas out of call.rs

What places a request, waits for a replica and takes a token moves as it is to call_placement.rs; nothing else changes.

--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -7,7 +7,8 @@
 use web::client::CallError;
 
 use crate::attempt_error::AttemptError;
-use crate::call::{Call, MAX_UNSENT_ATTEMPTS, Placement};
+use crate::call::{Call, MAX_UNSENT_ATTEMPTS};
+use crate::call_placement::Placement;
 use crate::crash_reports;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
--- /dev/null
+++ b/crates/gateway/src/call_placement.rs
@@ -0,0 +1,202 @@
+//! Chooses the replica for one attempt of a request, and waits for one if none can take it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::ErrorKind;
+use policy::crash_suspects::{AnswerProgress, SuspectVerdict};
+
+use crate::call::{Call, MAX_UNSENT_ATTEMPTS};
+use crate::crash_reports::{self, CrashKeys};
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::fleet::FleetTable;
+use crate::gateway::{Gateway, lock};
+use crate::placement::{PlacedTarget, PlacementQuery, PromptQuery, ReleaseFilter};
+use crate::prompt_spec::PromptSpec;
+use crate::refusal::CallRefusal;
+use crate::request_limits;
+use crate::rollout_choice::{ReleaseChoice, ReleaseEvidence};
+
+/// How long a request waits for a replica when none can take it, as a share of its objective.
+const PLACEMENT_WAIT_SHARE: f64 = 0.5;
+/// Longest time between two searches for a replica: nothing signals the end of a replica's pause.
+const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(60);
+/// When all replicas of a pool want no requests for a while, callers return within this multiple of
+/// that time, so that they do not all return at once.
+const HELD_OFF_SPREAD: f64 = 1.25;
+/// Cost of running on older weights in the choice of an engine, as a share of the objective.
+const OLD_WEIGHTS_COST_SHARE: f64 = 0.2;
+
+/// A request counted in a replica's load, until this is dropped.
+pub(crate) struct Placement<D: Dialect, S: Directory> {
+    gateway: Arc<Gateway<D, S>>,
+    pub(crate) target: PlacedTarget,
+    /// Set while a release is on trial in the pool.
+    pub(crate) evidence: Option<ReleaseEvidence>,
+    /// Whether its prompt no longer counts as pending.
+    pub(crate) prefilled: bool,
+    crash_keys: CrashKeys,
+    /// Whether the request may have reached the replica.
+    pub(crate) is_sent: bool,
+    pub(crate) progress: AnswerProgress,
+    /// Whether the replica answered to the end, or said that it did not run the request.
+    pub(crate) is_answered: bool,
+}
+
+/// A replica that limits its requests takes none now.
+struct TokenMissing;
+
+impl<D: Dialect, S: Directory> Call<D, S> {
+    /// Reserves capacity on a replica, waiting for a share of the objective if none is available.
+    pub(crate) async fn acquire_placement(&mut self) -> Result<Placement<D, S>, CallRefusal> {
+        let verdict = self.check_crash_suspect()?;
+        let asked_at = self.gateway.now();
+        let res = self.wait_for_placement().await;
+        let waited = self.gateway.now().saturating_sub(asked_at);
+        self.gateway.metrics.record_placement_wait(waited);
+        // Crashes may have become known while it waited.
+        let is_suspect = || crash_reports::check(&self.gateway, &self.crash_keys) != Ok(verdict);
+        if verdict == SuspectVerdict::Allowed && res.is_ok() && is_suspect() {
+            return Err(self.qualify_refusal(CallRefusal::not_run(ErrorKind::CrashSuspect)));
+        }
+        res
+    }
+
+    async fn wait_for_placement(&mut self) -> Result<Placement<D, S>, CallRefusal> {
+        let give_up_at = self.gateway.now() + self.route.objective.mul_f64(PLACEMENT_WAIT_SHARE);
+        loop {
+            let freed = self.gateway.capacity_freed.notified();
+            if let Some(placement) = self.try_placement() {
+                match self.take_limit_token(&placement.target).await {
+                    Ok(()) => {
+                        self.record_placement(&placement.target);
+                        return Ok(placement);
+                    }
+                    Err(TokenMissing) => continue,
+                }
+            }
+            // No other replica is available: allow those on which an attempt failed.
+            if !self.excluded.is_empty() && self.unsent_attempts < MAX_UNSENT_ATTEMPTS {
+                self.excluded.clear();
+                continue;
+            }
+            let now = self.gateway.now();
+            let (has_active, held_off_until) = {
+                let fleet = lock(&self.gateway.fleet);
+                (fleet.has_active_replica(&self.pool), fleet.held_off_until(now, &self.pool))
+            };
+            let give_up_at = give_up_at.min(self.deadline);
+            if let Some(until) = held_off_until.filter(|it| *it >= give_up_at) {
+                self.log_no_replica(now);
+                let delay = (until - now).mul_f64(rand::random_range(1.0..HELD_OFF_SPREAD));
+                let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
+                return Err(self.qualify_refusal(refusal.retry_after(delay)));
+            }
+            let left = give_up_at.saturating_sub(now);
+            if !has_active || left.is_zero() {
+                self.log_no_replica(now);
+                let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
+                return Err(self.qualify_refusal(refusal.retry_after(self.retry_delay())));
+            }
+            let pause = left.min(PLACEMENT_RETRY_INTERVAL);
+            let _ = tokio::time::timeout(pause, freed).await;
+        }
+    }
+
+    /// Records that the request is about to be sent to a replica.
+    fn record_placement(&self, target: &PlacedTarget) {
+        let now = self.gateway.now();
+        let speed = *lock(&self.gateway.speed);
+        let mut fleet = lock(&self.gateway.fleet);
+        if let Some(prompt) = &self.prompt {
+            fleet.record_placed_prompt(now, target, prompt, speed);
+        }
+        let load_age = fleet.load_age(now);
+        drop(fleet);
+        self.log_placement(target, load_age);
+    }
+
+    /// Takes a token of a replica that limits its requests; without one the replica is closed here
+    /// until there may be one.
+    async fn take_limit_token(&self, target: &PlacedTarget) -> Result<(), TokenMissing> {
+        let Some(rate) = target.request_limit else { return Ok(()) };
+        let taken = request_limits::take(&self.gateway, &self.head.attempt_id, target, rate).await;
+        taken.map_err(|wait| {
+            lock(&self.gateway.fleet).close_until(target, self.gateway.now() + wait);
+            TokenMissing
+        })
+    }
+
+    fn try_placement(&self) -> Option<Placement<D, S>> {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let speed = *lock(&gateway.speed);
+        let (rollout, min_weights) = {
+            let view = lock(&gateway.view);
+            let age = gateway.max_old_weights_age();
+            let min_version = |prompt: &PromptSpec| view.min_weights(&prompt.model, now, age);
+            (view.rollout(&self.pool).cloned(), self.prompt.as_ref().map_or(0, min_version))
+        };
+        let rollout = rollout.map(|it| {
+            let stage = lock(&gateway.rollouts).stage(&self.pool, it.revision);
+            (it, stage)
+        });
+        let (peers, gossip_delay) = {
+            let members = lock(&gateway.members);
+            (members.reachable(now).count(), members.gossip_delay())
+        };
+        let mut fleet = lock(&gateway.fleet);
+        let choice = rollout.map(|(rollout, stage)| {
+            ReleaseChoice::new(&fleet, &self.pool, rollout, stage, self.release_draw)
+        });
+        let engine = self.config.pools.get(&self.pool).and_then(|it| it.engine.as_ref());
+        let place = |fleet: &mut FleetTable, releases: ReleaseFilter<'_>| {
+            let query = PlacementQuery {
+                pool: &self.pool,
+                releases,
+                excluded_targets: &self.excluded,
+                min_weights,
+            };
+            match (&self.prompt, engine) {
+                (Some(prompt), Some(engine)) => {
+                    let old_weights_s = self.route.objective.as_secs_f64() * OLD_WEIGHTS_COST_SHARE;
+                    let prompt_query =
+                        PromptQuery { prompt, engine, speed, old_weights_s, peers, gossip_delay };
+                    fleet.place_prompt(now, query, prompt_query)
+                }
+                _ => fleet.place_plain(now, query),
+            }
+        };
+        let (target, evidence) = match &choice {
+            None => (place(&mut fleet, ReleaseFilter::Any)?, None),
+            Some(choice) => {
+                let filters = choice.filters(&fleet);
+                let target = filters.into_iter().find_map(|it| place(&mut fleet, it))?;
+                let release = fleet.get(&target.id).map(|it| &it.entry.release);
+                (target, release.and_then(|it| choice.evidence(it)))
+            }
+        };
+        drop(fleet);
+        Some(Placement {
+            gateway: gateway.clone(),
+            target,
+            evidence,
+            prefilled: false,
+            crash_keys: self.crash_keys.clone(),
+            is_sent: false,
+            progress: AnswerProgress::default(),
+            is_answered: false,
+        })
+    }
+}
+
+impl<D: Dialect, S: Directory> Drop for Placement<D, S> {
+    fn drop(&mut self) {
+        if self.is_sent && !self.is_answered {
+            crash_reports::record_unanswered(&self.gateway, self, &self.crash_keys);
+        }
+        lock(&self.gateway.fleet).release(&self.target, self.prefilled);
+        self.gateway.capacity_freed.notify_one();
+    }
+}
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -9,7 +9,8 @@
 use policy::quarantine::Strike;
 use policy::unanswered::{ReplicaProcess, UnansweredRequest};
 
-use crate::call::{Call, Placement};
+use crate::call::Call;
+use crate::call_placement::Placement;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 mod call_failure;
 mod call_log;
+mod call_placement;
 mod caller_request;
 pub mod cluster_view;
 pub mod config;
--- a/crates/gateway/src/rollout_choice.rs
+++ b/crates/gateway/src/rollout_choice.rs
@@ -5,7 +5,8 @@
 use policy::rollout_stage::{ALL_TRAFFIC, RolloutStage, TrafficShare};
 use policy::rollout_trial::AttemptOutcome;
 
-use crate::call::{Call, Placement};
+use crate::call::Call;
+use crate::call_placement::Placement;
 use crate::config::PoolRollout;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
