Tell peers the age of a crash that shows late

Found on reading the diff: a crash that was recognised by the next process was told to peers as if it had just happened, so that it counted although the suspect had been cleared since.

--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -73,7 +73,8 @@
                         self.record_placement(&placement.target);
                         return Ok(placement);
                     }
-                    Err(TokenMissing) => continue,
+                    Err(TokenMissing) if self.gateway.now() < give_up_at => continue,
+                    Err(TokenMissing) => {}
                 }
             }
             // No other replica is available: allow those on which an attempt failed.
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -135,8 +135,8 @@
 ) {
     let replica = target.process().digest();
     let keys = keys.with_successors(replica);
-    let reports = lock(&gateway.suspects).record_crash(crashed_at, &keys, replica);
-    tell_peers(gateway, gateway.now(), None, reports);
+    let reports = lock(&gateway.suspects).record_crash(crashed_at, crashed_at, &keys, replica);
+    tell_peers(gateway, crashed_at, None, reports);
 }
 
 /// Remembers a request that its replica did not answer: its caller left, time ran out or the
@@ -166,7 +166,7 @@
     for request in requests {
         let replica = process.digest();
         let reports =
-            lock(&gateway.suspects).record_crash(request.ended_at, &request.keys, replica);
+            lock(&gateway.suspects).record_crash(now, request.ended_at, &request.keys, replica);
         tracing::info!(
             member = process.member,
             suspects = request.keys.len(),
@@ -245,7 +245,7 @@
 ) {
     let now = gateway.now();
     let keys = [(SuspectKey::Request(strike.fingerprint), strike.member)];
-    let reports = lock(&gateway.suspects).record_crash(now, &keys, strike.member);
+    let reports = lock(&gateway.suspects).record_crash(now, now, &keys, strike.member);
     tell_peers(gateway, now, Some(from), reports);
 }
 
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -72,7 +72,7 @@
     let mut table = SuspectTable::default();
     for number in 0..3 {
         let keys = [(SuspectKey::Shared(7), number), (SuspectKey::Request(Fingerprint(8)), number)];
-        table.record_crash(Duration::from_secs(number), &keys, number);
+        table.record_crash(Duration::from_secs(number), Duration::from_secs(number), &keys, number);
     }
     PeerMessage::Suspects(table.repeat_reports(Duration::from_secs(3)))
 }
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -191,16 +191,17 @@
     }
 
     /// Records that a replica crashed on which a request with these keys, each with its successor,
-    /// had just begun. Returns what to tell peers.
+    /// had just begun. Returns what to tell peers now.
     pub fn record_crash(
         &mut self,
         now: Duration,
+        crashed_at: Duration,
         keys: &[(SuspectKey, u64)],
         replica: u64,
     ) -> Vec<SuspectReport> {
         let mut reports = Vec::new();
         for (key, successor) in keys {
-            let crash = TimedCrash { replica, successor: *successor, at: now };
+            let crash = TimedCrash { replica, successor: *successor, at: crashed_at };
             let record = self.record_mut(*key);
             if record.add(*key, crash) {
                 reports.push(record.report(now, *key));
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -20,7 +20,7 @@
 /// and end with one of their own.
 fn crash_in_series(table: &mut SuspectTable, count: u64) {
     for number in 0..count {
-        table.record_crash(s(number), &[(FIRST, 2), (BAD, 100 + number)], number);
+        table.record_crash(s(number), s(number), &[(FIRST, 2), (BAD, 100 + number)], number);
     }
 }
 
@@ -42,7 +42,7 @@
 fn the_first_part_is_refused_if_different_parts_follow_it() {
     let mut table = SuspectTable::default();
     for number in 0..3 {
-        table.record_crash(s(number), &[(FIRST, 50 + number)], number);
+        table.record_crash(s(number), s(number), &[(FIRST, 50 + number)], number);
     }
     assert_eq!(table.verdict(s(5), &[FIRST], Some(0)), SuspectVerdict::Refused);
 }
@@ -52,7 +52,7 @@
 fn crash_in_chain(table: &mut SuspectTable, count: u64, shared_with_sound: &[SuspectKey]) {
     for number in 0..count {
         let keys = [(FIRST, 2), (BAD, 3), (THIRD, 100 + number)];
-        table.record_crash(s(2 * number), &keys, number);
+        table.record_crash(s(2 * number), s(2 * number), &keys, number);
         table.clear(s(2 * number + 1), shared_with_sound);
     }
 }
@@ -89,7 +89,7 @@
 fn replicas_that_crash_at_the_same_moment_count_once_against_a_part() {
     let mut table = SuspectTable::default();
     for number in 0..8 {
-        table.record_crash(s(1), &[(BAD, 100 + number)], number);
+        table.record_crash(s(1), s(1), &[(BAD, 100 + number)], number);
     }
     assert_eq!(table.verdict(s(2), &[BAD], Some(0)), SuspectVerdict::Allowed);
 }
@@ -99,7 +99,7 @@
     let key = SuspectKey::Request(Fingerprint(7));
     let mut table = SuspectTable::default();
     for number in 0..3 {
-        table.record_crash(s(1), &[(key, number)], number);
+        table.record_crash(s(1), s(1), &[(key, number)], number);
     }
     assert_eq!(table.verdict(s(2), &[key], Some(0)), SuspectVerdict::Refused);
 }
@@ -131,7 +131,7 @@
     assert_eq!(table.record_probe(s(17), &[FIRST, BAD]).len(), 1);
     assert_eq!(table.verdict(s(18), &[BAD], Some(0)), SuspectVerdict::Refused, "one at a time");
     for number in 3..5 {
-        table.record_crash(s(17 + number), &[(BAD, 200 + number)], number);
+        table.record_crash(s(17 + number), s(17 + number), &[(BAD, 200 + number)], number);
     }
     assert_eq!(table.verdict(s(3_000), &[BAD], Some(0)), SuspectVerdict::Refused);
     assert_eq!(table.verdict(s(4_000), &[BAD], Some(0)), SuspectVerdict::Allowed, "after an hour");
@@ -147,8 +147,8 @@
     crash_in_series(&mut table, 3);
     for number in 0..200 {
         let key = SuspectKey::Shared(1_000 + number);
-        table.record_crash(s(4), &[(key, 1)], 50);
-        table.record_crash(s(5), &[(key, 1)], 51);
+        table.record_crash(s(4), s(4), &[(key, 1)], 50);
+        table.record_crash(s(5), s(5), &[(key, 1)], 51);
         if are_cleared {
             table.clear(s(6), &[key]);
         }
@@ -165,7 +165,7 @@
     crash_in_series(&mut table, 3);
     for number in 0..rounds * MAX_SUSPECTS as u64 {
         let key = SuspectKey::Request(Fingerprint(number));
-        table.record_crash(s(4), &[(key, number)], number);
+        table.record_crash(s(4), s(4), &[(key, number)], number);
     }
     assert_eq!(table.verdict(s(5), &[BAD], Some(0)), SuspectVerdict::Refused);
 }
@@ -203,7 +203,7 @@
     let mut table = SuspectTable::default();
     for number in 0..10 {
         let at = ms(160 * (number / 2) + number % 2);
-        table.record_crash(at, &[(BAD, 100 + number / 2)], number);
+        table.record_crash(at, at, &[(BAD, 100 + number / 2)], number);
     }
     let now = ms(1_000);
     assert_eq!(table.verdict(now, &[BAD], Some(0)), SuspectVerdict::Refused);
@@ -224,8 +224,20 @@
     for replica in 0..3 {
         for request in 0..48 {
             let at = s(replica) + Duration::from_millis(request);
-            table.record_crash(at, &[(BAD, 100 + 48 * replica + request)], replica);
+            table.record_crash(at, at, &[(BAD, 100 + 48 * replica + request)], replica);
         }
     }
     assert_eq!(table.verdict(s(5), &[BAD], Some(0)), SuspectVerdict::Refused);
 }
+
+/// That a replica crashed may show seconds later, after the suspect was cleared elsewhere.
+#[test]
+fn a_crash_that_shows_late_is_told_with_its_age() {
+    let mut table = SuspectTable::default();
+    let reports = table.record_crash(s(8), s(3), &[(BAD, 100)], 1);
+    assert_eq!(reports[0].events[0].age, s(5));
+    let mut peer = SuspectTable::default();
+    peer.record_crash(s(2), s(2), &[(BAD, 101)], 2);
+    peer.clear(s(4), &[BAD]);
+    assert!(!peer.merge(s(8), &reports[0]), "it was cleared after the crash");
+}
