Probe free addresses of tests with connections, not with listeners

Cause, as far as shown: the tests chose an address by binding a listener and dropping it. A process that another thread forks at that moment inherits the listener until its exec. A daemon that meets this exits with "address in use".

Change: stand_ins::loopback::free_address, one function instead of four, probes with a connection; unread_log no longer takes ports of the range of outgoing connections. wait_ready names the daemon and what it wrote to standard error, so that a next failure tells its cause.

--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -1,33 +1,23 @@
 //! Runs the operators' tool against a daemon and checks its output and exit codes.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 use std::time::Duration;
 
 use serde_json::Value;
 use settings::Layer;
+use stand_ins::loopback;
 
 const ADMIN_TOKEN: &str = "tool-operator-token";
 
-/// Picks a free address below the range of ports for outgoing connections, so that none of these
-/// takes it before the daemon binds it.
-fn free_address() -> SocketAddr {
-    loop {
-        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(12_000..30_000)));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Starts a stand-in platform and a daemon in this process, waits until the daemon is ready, and
 /// returns its admin address.
 async fn start_daemon() -> SocketAddr {
     let loopback = ([127, 0, 0, 1], 0).into();
     let platform = stand_ins::platform::start(loopback, Duration::from_secs(60)).unwrap();
     let at = platform.local_addr();
-    let admin = free_address();
+    let admin = loopback::free_address();
     let text = format!(
         r#"{{
             "instance": {{
@@ -41,8 +31,8 @@
                 "peer": "a-secret-of-peers", "admin": "{ADMIN_TOKEN}", "target": "a-secret-of-targets"
             }}
         }}"#,
-        free_address(),
-        free_address()
+        loopback::free_address(),
+        loopback::free_address()
     );
     let settings = settings::load(&[Layer { origin: "test".into(), text: text.into() }]).unwrap();
     tokio::spawn(async move {
@@ -185,7 +175,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn unreachable_daemons_and_invalid_files_are_reported() {
-    let unused_address = free_address();
+    let unused_address = loopback::free_address();
     assert!(output_text(&run_tool(unused_address, &["status"]).await).contains("no answer from"));
     let folder = std::env::temp_dir().join(format!("tool-test-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -4,10 +4,9 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -17,6 +16,7 @@
 use rustix::process::{Pid, Signal};
 use serde_json::{Value, json};
 use stand_ins::engine::{self, EngineConfig, EngineServer};
+use stand_ins::loopback;
 use stand_ins::platform::{self, PlatformFault, PlatformService, PlatformStandIn};
 use stand_ins::relay::Relay;
 use stand_ins::service::{self, ServiceServer};
@@ -231,7 +231,7 @@
 
     /// Starts one more daemon that reaches the platform at another address.
     pub async fn add_daemon_with_platform(&mut self, id: &str, platform: SocketAddr) {
-        let ports = [free_address(), free_address(), free_address()];
+        let ports = std::array::from_fn(|_| loopback::free_address());
         let relay = Arc::new(Relay::start(ports[2]).await.expect("a free port"));
         self.daemons.push(DaemonProcess::start(id, ports, relay, platform, &self.settings));
     }
@@ -248,15 +248,17 @@
 
     /// Waits until a daemon accepts requests of callers and of operators.
     pub async fn wait_ready(&self, index: usize) {
-        let DaemonProcess { caller_address, admin_address, .. } = self.daemons[index];
-        wait_until(WAIT_LIMIT, "the daemon is ready", async || {
+        let daemon = &self.daemons[index];
+        let ready = holds_within(WAIT_LIMIT, async || {
             let answer =
-                self.send(Method::GET, caller_address, "/healthz", &[], Bytes::new()).await;
+                self.send(Method::GET, daemon.caller_address, "/healthz", &[], Bytes::new()).await;
             // The daemon opens the operators' port after the callers' port.
             answer.is_ok_and(|it| it.status == StatusCode::OK)
-                && self.fetch_status(admin_address).await.is_ok()
+                && self.fetch_status(daemon.admin_address).await.is_ok()
         })
         .await;
+        let (id, log) = (&daemon.id, daemon.log());
+        assert!(ready, "{id} is not ready after {WAIT_LIMIT:?}; its errors: {log:?}");
     }
 
     /// Waits until all daemons have the same catalog, list each other and may spend the rate
@@ -446,11 +448,19 @@
 
 /// Waits until `check` returns true; fails the test, naming `what`, if it does not within `time`.
 pub async fn wait_until(time: Duration, what: &str, check: impl AsyncFn() -> bool) {
+    assert!(holds_within(time, check).await, "timed out after {time:?} waiting until {what}");
+}
+
+/// Waits until `check` returns true; returns false if it does not within `time`.
+async fn holds_within(time: Duration, check: impl AsyncFn() -> bool) -> bool {
     let end = tokio::time::Instant::now() + time;
     while !check().await {
-        assert!(tokio::time::Instant::now() < end, "timed out after {time:?} waiting until {what}");
+        if tokio::time::Instant::now() >= end {
+            return false;
+        }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    true
 }
 
 /// Collects the lines that a daemon logs; prints them too if `TEST_LOG` is set.
@@ -464,17 +474,3 @@
         log.push('\n');
     }
 }
-
-/// A free loopback address with a port below those of outgoing connections, so that no connection
-/// takes the port before the daemon listens on it.
-fn free_address() -> SocketAddr {
-    static NEXT_OFFSET: AtomicU16 = AtomicU16::new(0);
-    let base = (std::process::id() * 97 % 18_000) as u16;
-    loop {
-        let port = 12_000 + (base + NEXT_OFFSET.fetch_add(1, Ordering::Relaxed)) % 18_000;
-        let address = ([127, 0, 0, 1], port).into();
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
--- a/crates/daemon/tests/unread_log.rs
+++ b/crates/daemon/tests/unread_log.rs
@@ -4,13 +4,14 @@
 mod fleet;
 
 use std::io::Read;
-use std::net::TcpListener;
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
 use bytes::Bytes;
 use fleet::{ADMIN_TOKEN, Fleet, WAIT_LIMIT, chat, expected_text, streamed_text, wait_until};
 use futures::{StreamExt, stream};
 use http::{Method, StatusCode};
+use stand_ins::loopback;
 
 /// Capacity of a pipe; a write beyond it blocks.
 const PIPE_BYTES: usize = 64 << 10;
@@ -32,16 +33,16 @@
     }
 }
 
-fn start_daemon(platform: &str, ports: &[u16; 3]) -> UnreadDaemon {
+fn start_daemon(platform: &str, addresses: &[SocketAddr; 3]) -> UnreadDaemon {
     let base = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/base.json");
     let mut command = Command::new(env!("CARGO_BIN_EXE_kingcupshiftd"));
     command.args(["serve", "--base", base]).stdin(Stdio::null()).stdout(Stdio::piped());
     let mut values = vec![
         "instance.id=unread".into(),
         "instance.failure_domain=north".into(),
-        format!("instance.callers=127.0.0.1:{}", ports[0]),
-        format!("instance.admin=127.0.0.1:{}", ports[1]),
-        format!("instance.peers=127.0.0.1:{}", ports[2]),
+        format!("instance.callers={}", addresses[0]),
+        format!("instance.admin={}", addresses[1]),
+        format!("instance.peers={}", addresses[2]),
         "secrets.peer=test-peer-secret-x".into(),
         format!("secrets.admin={ADMIN_TOKEN}"),
         "secrets.target=test-target-secret".into(),
@@ -56,17 +57,12 @@
     UnreadDaemon { child: command.spawn().expect("the daemon was built with this test") }
 }
 
-fn free_ports() -> [u16; 3] {
-    let listeners = [0; 3].map(|it| TcpListener::bind(("127.0.0.1", it)).expect("a free port"));
-    listeners.map(|it| it.local_addr().expect("an address").port())
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unread_log_pipe_blocks_no_request() {
     let fleet = Fleet::start(1, 1).await;
-    let ports = free_ports();
-    let mut daemon = start_daemon(&fleet.platform_address.to_string(), &ports);
-    let callers = ([127, 0, 0, 1], ports[0]).into();
+    let addresses = std::array::from_fn(|_| loopback::free_address());
+    let mut daemon = start_daemon(&fleet.platform_address.to_string(), &addresses);
+    let callers = addresses[0];
     let token = format!("Bearer {}", fleet.key);
     let headers = [("authorization", token.as_str()), ("content-type", "application/json")];
     let send_question = async |question: &str| {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine_run;
 mod faulty_body;
 pub mod kv_store;
+pub mod loopback;
 pub mod platform;
 pub mod relay;
 pub mod service;
--- a/crates/xtask/src/fleet.rs
+++ b/crates/xtask/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::env;
 use std::error::Error;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use http::{Method, Request, Response};
 use rustix::process::{Pid, Signal};
 use serde_json::{Value, json};
+use stand_ins::loopback;
 use stand_ins::relay::Relay;
 use web::client::{Connection, HttpClient};
 
@@ -104,15 +105,15 @@
             caller_addresses: Vec::new(),
             admin_addresses: Vec::new(),
             engine_addresses: Vec::new(),
-            service_address: free_address()?,
+            service_address: loopback::free_address(),
             daemon_pids: Vec::new(),
             client: HttpClient::new(CALL_TIMEOUT),
         };
-        let platform = free_address()?;
+        let platform = loopback::free_address();
         let program = programs.join("stand-ins");
         fleet.spawn_stand_in(&program, &["platform", "--listen", &platform.to_string()])?;
         for _ in 0..config.engines {
-            let address = free_address()?;
+            let address = loopback::free_address();
             let (listen, slots) = (address.to_string(), config.engine_slots.to_string());
             let args = ["engine", "--listen", &listen, "--slots", &slots];
             fleet.spawn_stand_in(&program, &args)?;
@@ -254,7 +255,7 @@
         settings: &[String],
     ) -> Result<(), ChoreError> {
         let (caller_address, admin_address, peer_address) =
-            (free_address()?, free_address()?, free_address()?);
+            (loopback::free_address(), loopback::free_address(), loopback::free_address());
         let mut args: Vec<String> =
             vec!["serve".into(), "--base".into(), base_settings_path().display().to_string()];
         let mut values = vec![
@@ -363,16 +364,3 @@
 fn base_settings_path() -> PathBuf {
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/base.json")
 }
-
-/// Chooses a free loopback port below the range of outgoing connections, so that none of them takes
-/// it before the process that will listen on it.
-fn free_address() -> Result<SocketAddr, ChoreError> {
-    for _ in 0..1_000 {
-        let port = rand::random_range(12_000..30_000);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err("no free port between 12000 and 30000 after 1000 attempts".into())
-}
