Decide in policy whether a replica may be used

Placement, the source of a fetch and commands each asked their own parts of a replica's state. Now policy::admission holds the decision for one incarnation of a replica with the time passed in, and the first reason against it; all three go through it. Leaving now also keeps commands and questions after them away that were chosen before the replica said so.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ids::{PoolId, RequestRate, TargetId};
+use policy::admission::ReplicaUse;
 use policy::engine_choice::{EngineView, PrefillSpeed};
 use policy::fetch_source::{self, PartSource};
 use policy::health::HealthState;
@@ -364,8 +365,8 @@
         })
     }
 
-    /// A holder as a source for the chosen replica: the KV store, or another healthy replica that
-    /// accepts requests and has the same weights.
+    /// A holder as a source for the chosen replica: the KV store, or another replica that may be
+    /// read and has the same weights.
     fn part_source(
         &self,
         now: Duration,
@@ -385,8 +386,7 @@
         }
         let usable = member != chosen.member
             && replica.weights == chosen.weights
-            && replica.is_open(now)
-            && replica.health.state(now) == HealthState::Healthy;
+            && replica.state(now).withhold_reason(now, ReplicaUse::PartSource).is_none();
         usable.then_some(PartSource { source: replica.entry.address, used_at, is_store: false })
     }
 
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use ids::RequestRate;
-use policy::health::{HealthState, ReplicaHealth};
+use policy::admission::{ReplicaState, ReplicaUse};
+use policy::health::ReplicaHealth;
 use policy::hold_off::HoldOff;
 use policy::rendezvous;
 use policy::silence::{AnswerCount, RecentAnswers};
@@ -151,19 +152,22 @@
         self.full_until = now + FULL_BACKOFF;
     }
 
-    /// Whether it may get a request now: it is not leaving, full, paused, loading weights or at its
-    /// limit, and did not ask to be spared.
+    /// Whether it may get a request now.
     pub fn accepts_requests(&self, now: Duration) -> bool {
-        self.request_limit.opens_at(now).is_none() && self.is_open(now)
+        self.state(now).withhold_reason(now, ReplicaUse::Request).is_none()
     }
 
-    /// The same whether it is at its limit of requests or not.
-    pub fn is_open(&self, now: Duration) -> bool {
-        !self.leaving
-            && self.hold_off.allows(now, self.local_load.running)
-            && now >= self.full_until
-            && self.health.state(now) != HealthState::Paused
-            && !self.is_loading(now)
+    /// What decides whether it may be used now.
+    pub fn state(&self, now: Duration) -> ReplicaState {
+        ReplicaState {
+            leaving: self.leaving,
+            hold_off: self.hold_off,
+            running: self.local_load.running,
+            full_until: self.full_until,
+            health: self.health.state(now),
+            is_loading: self.is_loading(now),
+            limited_until: self.request_limit.opens_at,
+        }
     }
 
     /// When it may get a request that it wants none of now; `None` if it wants one.
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -13,6 +13,7 @@
 use http::{Request, StatusCode};
 use ids::TargetId;
 use indexmap::IndexMap;
+use policy::admission::ReplicaUse;
 use policy::health::HealthState;
 use policy::weight_rollout::{self, LaggingTarget};
 use ports::{CommitResult, StoreError};
@@ -464,7 +465,7 @@
     report.incarnation.is_none_or(|it| it == incarnation).then_some(report)
 }
 
-/// Sends a request of the daemon's own to a replica, unless that wants none for a while.
+/// Sends a request of the daemon's own to a replica if that may get one.
 async fn call<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     target: &TargetId,
@@ -474,8 +475,9 @@
         let fleet = lock(&gateway.fleet);
         let replica = fleet.get(target);
         let replica = replica.ok_or(CallError::NotSent("the replica is not listed".into()))?;
-        if replica.hold_off.ends_at(gateway.now()).is_some() {
-            return Err(CallError::NotSent("the replica wants no requests for a while".into()));
+        let now = gateway.now();
+        if let Some(reason) = replica.state(now).withhold_reason(now, ReplicaUse::Command) {
+            return Err(CallError::NotSent(format!("the replica may get none: {reason}").into()));
         }
         (replica.entry.address, replica.entry.incarnation)
     };
--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,115 @@
+//! Whether a replica may be used for something now and, if not, why not.
+//!
+//! Load pattern: replicas that drain, restart or are overloaded while first attempts, retries,
+//! resumed streams and commands look for a replica; a path that forgets one of the reasons sends all
+//! of its load to the replica that can take it least.
+
+use std::fmt;
+use std::time::Duration;
+
+use crate::health::HealthState;
+use crate::hold_off::HoldOff;
+
+/// What a replica is to be used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplicaUse {
+    /// A caller's request: its first attempt, a retry or the resumption of its stream.
+    Request,
+    /// A command to load weights, or a question about it.
+    Command,
+    /// Another replica fetches prompt parts that this one keeps.
+    PartSource,
+}
+
+/// Why a replica may not be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WithholdReason {
+    /// It will stop.
+    Leaving,
+    /// It wants nothing from this daemon for a while.
+    HeldOff,
+    /// It rejected a request as full a moment ago.
+    Full,
+    /// It failed recently.
+    Paused,
+    /// It was commanded to load weights and has not loaded them.
+    LoadingWeights,
+    /// It limits its requests, and there is no token for one.
+    AtLimit,
+}
+
+/// All that the decision depends on, for one incarnation of a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplicaState {
+    /// Whether it is known to be leaving.
+    pub leaving: bool,
+    /// How long it wants nothing from this daemon.
+    pub hold_off: HoldOff,
+    /// Other requests of this daemon that run on it.
+    pub running: u32,
+    /// Until when it counts as full.
+    pub full_until: Duration,
+    /// Its health.
+    pub health: HealthState,
+    /// Whether it is loading weights.
+    pub is_loading: bool,
+    /// Until when there is no token for a request, if it limits them.
+    pub limited_until: Duration,
+}
+
+impl ReplicaState {
+    /// The first reason that keeps the replica from being used at `now`; `None` if it may be used.
+    /// What the replica says of itself comes before what the daemon concluded.
+    pub fn withhold_reason(&self, now: Duration, usage: ReplicaUse) -> Option<WithholdReason> {
+        let is_request = usage == ReplicaUse::Request;
+        // Requests return step by step after a hold-off; all else is rare.
+        let running = if is_request { self.running } else { 0 };
+        let is_unhealthy = match usage {
+            ReplicaUse::Request => self.health == HealthState::Paused,
+            // Commands find out whether the replica is back.
+            ReplicaUse::Command => false,
+            ReplicaUse::PartSource => self.health != HealthState::Healthy,
+        };
+        let reasons = [
+            (self.leaving, WithholdReason::Leaving),
+            (!self.hold_off.allows(now, running), WithholdReason::HeldOff),
+            (now < self.full_until && usage != ReplicaUse::Command, WithholdReason::Full),
+            (is_unhealthy, WithholdReason::Paused),
+            (self.is_loading && usage != ReplicaUse::Command, WithholdReason::LoadingWeights),
+            (now < self.limited_until && is_request, WithholdReason::AtLimit),
+        ];
+        reasons.into_iter().find_map(|(holds, reason)| holds.then_some(reason))
+    }
+}
+
+impl WithholdReason {
+    /// Its name in metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            WithholdReason::Leaving => "leaving",
+            WithholdReason::HeldOff => "held_off",
+            WithholdReason::Full => "full",
+            WithholdReason::Paused => "paused",
+            WithholdReason::LoadingWeights => "loading",
+            WithholdReason::AtLimit => "limited",
+        }
+    }
+
+    /// Whether the replica said so itself, which binds also what was already placed on it.
+    pub fn is_stated(self) -> bool {
+        matches!(self, WithholdReason::Leaving | WithholdReason::HeldOff)
+    }
+}
+
+impl fmt::Display for WithholdReason {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            WithholdReason::Leaving => "it is leaving",
+            WithholdReason::HeldOff => "it wants nothing for a while",
+            WithholdReason::Full => "it is full",
+            WithholdReason::Paused => "it failed recently",
+            WithholdReason::LoadingWeights => "it is loading weights",
+            WithholdReason::AtLimit => "its limit of requests is reached",
+        })
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate does no IO, reads no clock and spawns no tasks. Callers pass in the time and random
 //! numbers, so that tests and simulations exercise the same code as the daemon.
 
+pub mod admission;
 pub mod bucket;
 pub mod buffer_budget;
 pub mod chain;
