Ask once more right before a request is written to a replica

A request was held against a replica's state when it was placed, and then waited for a token or a connection (up to 400 ms). What the replica said of itself meanwhile, that it is leaving or wants nothing for a while, did not keep it back.

Change: ConnectionTable::send, the one way to write to a replica, takes the decision as an argument and asks it once the connection is open. A withheld request goes to another replica, spends no retry and does not count against the replica's health. Commands, and questions after them, are decided there too. kingcupshift_attempts_withheld_total counts them by reason.

--- a/crates/gateway/src/attempt_error.rs
+++ b/crates/gateway/src/attempt_error.rs
@@ -1,8 +1,10 @@
 //! Why an attempt at a replica failed.
 
 use http::StatusCode;
+use policy::admission::WithholdReason;
 use web::client::CallError;
 
+use crate::connections::SendError;
 use crate::dialect::AnswerHead;
 
 /// Why an attempt at a replica brought no usable answer.
@@ -11,6 +13,9 @@
     /// The connection failed or the time ran out.
     #[error(transparent)]
     Connection(#[from] CallError),
+    /// The request was not sent, as the replica may not get it any more.
+    #[error("not sent to the replica: {0}")]
+    Withheld(WithholdReason),
     /// The replica said that it did not run the request.
     #[error("the replica did not run the request, status {0}")]
     NotRun(StatusCode, AnswerHead),
@@ -27,3 +32,12 @@
     #[error("the answer lacks the replica's seal header")]
     Unsealed,
 }
+
+impl From<SendError> for AttemptError {
+    fn from(error: SendError) -> AttemptError {
+        match error {
+            SendError::Withheld(reason) => AttemptError::Withheld(reason),
+            SendError::Call(error) => AttemptError::Connection(error),
+        }
+    }
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -235,8 +235,10 @@
         };
         self.attempts += 1;
         let connections = &self.gateway.connections;
+        let fleet = &self.gateway.fleet;
+        let admit = || lock(fleet).admit_placed(self.gateway.now(), target);
         let sending =
-            connections.send(target.address, target.id.as_str(), request, connection, left);
+            connections.send(target.address, target.id.as_str(), request, connection, left, admit);
         tokio::pin!(sending);
         let timeout = self.attempt_timeout(target);
         let sent = match tokio::time::timeout(timeout, &mut sending).await {
@@ -244,7 +246,7 @@
             Err(_) if self.abandons_attempt() => return Err(AttemptError::TooSlow),
             Err(_) => sending.await,
         };
-        let answer = sent.map_err(AttemptError::Connection)?;
+        let answer = sent?;
         let head = self.gateway.dialect.parse_answer(&answer.headers);
         self.record_notice(target, answer.status, &head);
         // A faulty replica may write the refusal of an earlier request once more.
--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -24,7 +24,9 @@
     ) -> Result<(), CallRefusal> {
         placement.is_answered = matches!(
             error,
-            AttemptError::Connection(CallError::NotSent(_)) | AttemptError::NotRun(..)
+            AttemptError::Connection(CallError::NotSent(_))
+                | AttemptError::Withheld(_)
+                | AttemptError::NotRun(..)
         );
         let (reason, kind) = self.record_failure(placement, error);
         if !placement.is_answered {
@@ -42,7 +44,7 @@
         let refusal = refusal.retry_after(self.retry_delay());
         let deadline_passed = self.gateway.now() >= self.deadline;
         let may_retry = match error {
-            AttemptError::Connection(CallError::NotSent(_)) => {
+            AttemptError::Connection(CallError::NotSent(_)) | AttemptError::Withheld(_) => {
                 self.unsent_attempts += 1;
                 self.unsent_attempts < MAX_UNSENT_ATTEMPTS
             }
@@ -75,6 +77,11 @@
                 fleet.record_failure(now, &placement.target, true);
                 (RetryReason::ConnectFailed, ErrorKind::NoTarget)
             }
+            AttemptError::Withheld(reason) => {
+                self.attempts -= 1;
+                self.gateway.metrics.record_withheld(*reason);
+                (RetryReason::TargetBusy, ErrorKind::NoTarget)
+            }
             AttemptError::NotRun(status, head) => {
                 self.attempts -= 1;
                 let is_other =
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
+use policy::admission::WithholdReason;
 use ports::Clock;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
@@ -58,6 +59,26 @@
 /// Address and id of a replica: a later replica may get the same address.
 type ReplicaKey = (SocketAddr, Box<str>);
 
+/// Why a request brought no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// It was not sent, as the replica may not get it any more.
+    #[error("not sent to the replica: {0}")]
+    Withheld(WithholdReason),
+    /// The connection failed or the time ran out.
+    #[error(transparent)]
+    Call(#[from] CallError),
+}
+
+impl From<SendError> for CallError {
+    fn from(error: SendError) -> CallError {
+        match error {
+            SendError::Withheld(_) => CallError::NotSent(error.to_string().into()),
+            SendError::Call(error) => error,
+        }
+    }
+}
+
 /// Idle connections by replica.
 type IdleConnections = IndexMap<ReplicaKey, Vec<OpenConnection>>;
 
@@ -88,7 +109,9 @@
     }
 
     /// Sends a request to `address`, where the replica `id` is expected, and waits up to `timeout`
-    /// for the answer's headers. `which` says whether an idle connection may be reused.
+    /// for the answer's headers. `which` says whether an idle connection may be reused. `admit` is
+    /// asked once a connection is open, right before the request is written to it: much may have
+    /// become known since the replica was chosen.
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -96,9 +119,11 @@
         request: Request<Full<Bytes>>,
         which: Connection,
         timeout: Duration,
-    ) -> Result<OpenAnswer, CallError> {
-        let exchange = self.exchange(address, id, request, which);
-        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(CallError::Timeout(timeout)))
+        admit: impl Fn() -> Result<(), WithholdReason>,
+    ) -> Result<OpenAnswer, SendError> {
+        let exchange = self.exchange(address, id, request, which, admit);
+        let res = tokio::time::timeout(timeout, exchange).await;
+        res.unwrap_or(Err(SendError::Call(CallError::Timeout(timeout))))
     }
 
     async fn exchange(
@@ -107,7 +132,8 @@
         id: &str,
         mut request: Request<Full<Bytes>>,
         which: Connection,
-    ) -> Result<OpenAnswer, CallError> {
+        admit: impl Fn() -> Result<(), WithholdReason>,
+    ) -> Result<OpenAnswer, SendError> {
         let key = (address, Box::from(id));
         loop {
             let kept = match which {
@@ -118,6 +144,7 @@
                 Some(it) => it,
                 None => open(address).await?,
             };
+            admit().map_err(SendError::Withheld)?;
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => {
                     let (parts, body) = answer.into_parts();
@@ -132,8 +159,14 @@
                 Err(mut error) => match error.take_message() {
                     // The replica closed the idle connection before the request was sent.
                     Some(unsent) if connection.is_reused => request = unsent,
-                    Some(_) => return Err(CallError::NotSent(client::join_causes(error.error()))),
-                    None => return Err(CallError::Broken(client::join_causes(error.error()))),
+                    Some(_) => {
+                        let causes = client::join_causes(error.error());
+                        return Err(CallError::NotSent(causes).into());
+                    }
+                    None => {
+                        let causes = client::join_causes(error.error());
+                        return Err(CallError::Broken(causes).into());
+                    }
                 },
             }
         }
--- a/crates/gateway/src/kv_store.rs
+++ b/crates/gateway/src/kv_store.rs
@@ -79,8 +79,15 @@
 
 async fn probe<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, address: SocketAddr) {
     let request = gateway.dialect.kv_store_request();
-    let answer =
-        target_client::send_request(gateway, address, "kv-store", request, PROBE_TIMEOUT).await;
+    let answer = target_client::send_request(
+        gateway,
+        address,
+        "kv-store",
+        request,
+        PROBE_TIMEOUT,
+        || Ok(()),
+    )
+    .await;
     let epoch = match &answer {
         Ok(answer) if answer.status().is_success() => gateway.dialect.parse_kv_store(answer.body()),
         _ => None,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use policy::admission::WithholdReason;
 use prometheus::core::Collector;
 use prometheus::{
     Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts,
@@ -26,6 +27,7 @@
     refusals: IntCounterVec,
     /// Requests that were sent to a replica again, by reason.
     retries: IntCounterVec,
+    attempts_withheld: IntCounterVec,
     /// Calls to the store that have ended, also failed ones.
     store_calls: IntCounterVec,
     store_errors: IntCounterVec,
@@ -160,6 +162,11 @@
                 "kind",
             ),
             retries: builder.counter("kingcupshift_retries_total", "Requests sent again", "reason"),
+            attempts_withheld: builder.counter(
+                "kingcupshift_attempts_withheld_total",
+                "Requests not sent to the replica chosen for them, by reason",
+                "reason",
+            ),
             store_calls: builder.counter(
                 "kingcupshift_store_calls_total",
                 "Calls to the store",
@@ -255,6 +262,11 @@
         }
     }
 
+    /// Records a request that was not sent to the replica chosen for it.
+    pub(crate) fn record_withheld(&self, reason: WithholdReason) {
+        self.attempts_withheld.with_label_values(&[reason.code()]).inc();
+    }
+
     /// Records how long a replica took from a command to having the weights.
     pub fn record_command(&self, took: Duration) {
         self.order_seconds.observe(took.as_secs_f64());
--- a/crates/gateway/src/notice_table.rs
+++ b/crates/gateway/src/notice_table.rs
@@ -5,6 +5,7 @@
 
 use http::StatusCode;
 use indexmap::IndexMap;
+use policy::admission::ReplicaState;
 use policy::hold_off::HoldOff;
 
 use crate::dialect::AnswerHead;
@@ -76,6 +77,12 @@
 }
 
 impl ReplicaNotices {
+    /// The state of a replica of which nothing else is known.
+    pub(crate) fn state(self) -> ReplicaState {
+        let ReplicaNotices { leaving, hold_off } = self;
+        ReplicaState { leaving, hold_off, ..ReplicaState::default() }
+    }
+
     /// Adds later notices: none takes an earlier one back.
     fn merge(&mut self, later: ReplicaNotices) {
         self.leaving |= later.leaving;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ids::{PoolId, RequestRate, TargetId};
-use policy::admission::ReplicaUse;
+use policy::admission::{ReplicaUse, WithholdReason};
 use policy::engine_choice::{EngineView, PrefillSpeed};
 use policy::fetch_source::{self, PartSource};
 use policy::health::HealthState;
@@ -390,6 +390,21 @@
         usable.then_some(PartSource { source: replica.entry.address, used_at, is_store: false })
     }
 
+    /// Whether a placed request may still be sent: fails if the replica, in the incarnation that
+    /// was chosen, said meanwhile that it takes no more.
+    pub fn admit_placed(&self, now: Duration, placed: &PlacedTarget) -> Result<(), WithholdReason> {
+        let replica = self.replicas.get(&placed.member);
+        let replica = replica.filter(|it| it.entry.incarnation == placed.incarnation);
+        let mut state = match replica {
+            Some(it) => it.state(now),
+            None => self.notices.get(placed.member, placed.incarnation).state(),
+        };
+        // The placed request itself is counted.
+        state.running = state.running.saturating_sub(placed.load.running);
+        let reason = state.withhold_reason(now, ReplicaUse::Request);
+        reason.filter(|it| it.is_stated()).map_or(Ok(()), Err)
+    }
+
     /// Adds a request to a replica's load; `None` if the replica is not listed any more.
     fn reserve(&mut self, member: u64, load: LoadCount) -> Option<PlacedTarget> {
         let replica = self.replicas.get_mut(&member)?;
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -13,7 +13,7 @@
 use http::{Request, StatusCode};
 use ids::TargetId;
 use indexmap::IndexMap;
-use policy::admission::ReplicaUse;
+use policy::admission::{ReplicaUse, WithholdReason};
 use policy::health::HealthState;
 use policy::weight_rollout::{self, LaggingTarget};
 use ports::{CommitResult, StoreError};
@@ -473,18 +473,25 @@
 ) -> Result<(StatusCode, bytes::Bytes), CallError> {
     let (address, incarnation) = {
         let fleet = lock(&gateway.fleet);
-        let replica = fleet.get(target);
-        let replica = replica.ok_or(CallError::NotSent("the replica is not listed".into()))?;
-        let now = gateway.now();
-        if let Some(reason) = replica.state(now).withhold_reason(now, ReplicaUse::Command) {
-            return Err(CallError::NotSent(format!("the replica may get none: {reason}").into()));
-        }
+        let unlisted = || CallError::NotSent("the replica is not listed".into());
+        let replica = fleet.get(target).ok_or_else(unlisted)?;
         (replica.entry.address, replica.entry.incarnation)
     };
-    let id = target.as_str();
-    let answer = target_client::send_request(gateway, address, id, request, CALL_TIMEOUT).await?;
+    let admit = || admit_command(gateway, target);
+    let (id, timeout) = (target.as_str(), CALL_TIMEOUT);
+    let answer = target_client::send_request(gateway, address, id, request, timeout, admit).await?;
     let notice =
         AnswerNotice::new(answer.status(), &gateway.dialect.parse_answer(answer.headers()));
     lock(&gateway.fleet).record_notice(gateway.now(), target, incarnation, notice);
     Ok((answer.status(), answer.into_body()))
 }
+
+fn admit_command<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    target: &TargetId,
+) -> Result<(), WithholdReason> {
+    let now = gateway.now();
+    let state = lock(&gateway.fleet).get(target).map(|it| it.state(now));
+    let reason = state.and_then(|it| it.withhold_reason(now, ReplicaUse::Command));
+    reason.inspect(|it| gateway.metrics.record_withheld(*it)).map_or(Ok(()), Err)
+}
--- /dev/null
+++ b/crates/gateway/tests/withheld_requests.rs
@@ -0,0 +1,136 @@
+//! Requests that were placed on a replica are not sent any more once it has said that it takes none.
+
+mod fixtures;
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fixtures::entry;
+use gateway::connections::{ConnectionTable, SendError};
+use gateway::fleet::FleetTable;
+use gateway::notice_table::AnswerNotice;
+use gateway::placement::{PlacedTarget, PlacementQuery, ReleaseFilter};
+use http::Request;
+use http_body_util::Full;
+use policy::admission::WithholdReason;
+use ports::Clock;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use web::client::Connection;
+
+const NOW: Duration = Duration::from_secs(30);
+const HOLD_OFF: Duration = Duration::from_secs(2);
+const LEAVING: AnswerNotice = AnswerNotice { leaving: true, hold_off: None };
+const WANTS_NONE: AnswerNotice = AnswerNotice { leaving: false, hold_off: Some(HOLD_OFF) };
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// The time in which a request that was written arrives.
+const SETTLE_TIME: Duration = Duration::from_millis(100);
+
+fn fleet_of_one() -> FleetTable {
+    let mut fleet = FleetTable::new("a".parse().expect("an id"), Duration::from_secs(8));
+    fleet.apply_listing(&[entry("r-1", false)]);
+    fleet
+}
+
+fn place(fleet: &mut FleetTable, now: Duration) -> Option<PlacedTarget> {
+    let pool = "desk".parse().expect("an id");
+    let releases = ReleaseFilter::Any;
+    let query = PlacementQuery { pool: &pool, releases, excluded_targets: &[], min_weights: 0 };
+    fleet.place_plain(now, query)
+}
+
+#[rstest]
+#[case::leaving(LEAVING, WithholdReason::Leaving)]
+#[case::hold_off(WANTS_NONE, WithholdReason::HeldOff)]
+fn a_notice_withholds_placed_requests(
+    #[case] notice: AnswerNotice,
+    #[case] reason: WithholdReason,
+    #[values(true, false)] stays_listed: bool,
+) {
+    let mut fleet = fleet_of_one();
+    let placed = place(&mut fleet, NOW).expect("it is open");
+    assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
+    if !stays_listed {
+        fleet.apply_listing(&[]);
+    }
+    fleet.record_notice(NOW, &placed.id, 1, notice);
+    assert_eq!(fleet.admit_placed(NOW, &placed), Err(reason));
+}
+
+#[test]
+fn the_notice_of_an_earlier_process_withholds_nothing() {
+    let mut fleet = fleet_of_one();
+    let mut restarted = entry("r-1", false);
+    restarted.incarnation = 2;
+    fleet.apply_listing(&[restarted]);
+    let placed = place(&mut fleet, NOW).expect("it is open");
+    fleet.record_notice(NOW, &placed.id, 1, LEAVING);
+    assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
+}
+
+/// Requests that were placed before a hold-off may return with those placed after it.
+#[test]
+fn placed_requests_return_step_by_step() {
+    let mut fleet = fleet_of_one();
+    let placed: Vec<_> = (0..3).map(|_| place(&mut fleet, NOW).expect("it is open")).collect();
+    fleet.record_notice(NOW, &placed[0].id, 1, WANTS_NONE);
+    let ended_at = NOW + HOLD_OFF;
+    let admitted =
+        |after_ms| fleet.admit_placed(ended_at + Duration::from_millis(after_ms), &placed[0]);
+    assert_eq!(admitted(150), Err(WithholdReason::HeldOff));
+    assert_eq!(admitted(200), Ok(()));
+}
+
+struct TestClock(Instant);
+
+impl Clock for TestClock {
+    fn now(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
+/// Answers each request on each connection; counts them.
+async fn serve(listener: TcpListener, arrived: Arc<AtomicUsize>) {
+    loop {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let arrived = arrived.clone();
+        tokio::spawn(async move {
+            let mut buffer = [0; 4_096];
+            while stream.read(&mut buffer).await.is_ok_and(|it| it > 0) {
+                arrived.fetch_add(1, Ordering::Relaxed);
+                let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                stream.write_all(answer).await.expect("the connection is open");
+            }
+        });
+    }
+}
+
+#[rstest]
+#[case::pooled(Connection::Pooled)]
+#[case::fresh(Connection::Fresh)]
+#[tokio::test]
+async fn a_withheld_request_is_not_written(#[case] which: Connection) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let arrived = Arc::new(AtomicUsize::new(0));
+    let server = tokio::spawn(serve(listener, arrived.clone()));
+    let connections = ConnectionTable::new(TestClock(Instant::now()));
+    for number in 0..3 {
+        let request = Request::new(Full::new(Bytes::new()));
+        let admit = || if number == 0 { Ok(()) } else { Err(WithholdReason::Leaving) };
+        let answer = connections.send(address, "r-1", request, which, TIMEOUT, admit).await;
+        match answer {
+            Ok(answer) => connections.put_back(answer.split().3),
+            Err(error) => {
+                assert!(matches!(error, SendError::Withheld(WithholdReason::Leaving)), "{error}");
+            }
+        }
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+    assert_eq!(arrived.load(Ordering::Relaxed), 1);
+    server.abort();
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -39,7 +39,7 @@
 }
 
 /// All that the decision depends on, for one incarnation of a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReplicaState {
     /// Whether it is known to be leaving.
     pub leaving: bool,
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -22,9 +22,10 @@
 const MIN_FIRST_TOKEN_SAMPLES: u32 = 16;
 
 /// Whether a replica gets work and, if not, why.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum HealthState {
     /// It gets its share of the work.
+    #[default]
     Healthy,
     /// It gets nothing until its pause ends. If it is paused again before a request succeeds, that
     /// pause is twice as long.
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -12,15 +12,7 @@
 const USES: [ReplicaUse; 3] = [ReplicaUse::Request, ReplicaUse::Command, ReplicaUse::PartSource];
 
 fn open() -> ReplicaState {
-    ReplicaState {
-        leaving: false,
-        hold_off: HoldOff::default(),
-        running: 0,
-        full_until: Duration::ZERO,
-        health: HealthState::Healthy,
-        is_loading: false,
-        limited_until: Duration::ZERO,
-    }
+    ReplicaState::default()
 }
 
 fn held_off() -> HoldOff {
