Read prompt parts from replicas that are leaving

A replica that is leaving was no source of kept prompt parts, so what only it held was prefilled again by the next engine although it could still be read.

Change: until it has been leaving for drainMs it may be read; engines that are not leaving and the KV store come first (policy::fetch_source). The prompt itself moves at once, as before.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -18,7 +18,7 @@
 use crate::notice_table::{AnswerNotice, NoticeTable, ReplicaNotices};
 use crate::peer_message::{PrefixPlacement, RequestLimitReport, TargetLoad, WeightStatus};
 use crate::placement::PlacedTarget;
-use crate::replica::{self, LoadCount, Replica};
+use crate::replica::{self, LoadCount, Replica, ReplicaTimeouts};
 
 /// How long the reported weights of a replica are kept while it is not listed: its entry may arrive
 /// later than the report.
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub struct FleetTable {
     pub(crate) domain: FailureDomain,
-    load_timeout: Duration,
+    timeouts: ReplicaTimeouts,
     /// By the hash of the replica's id.
     pub(crate) replicas: IndexMap<u64, Replica>,
     /// Positions of the replicas in the order of their hashes, by pool. All daemons use this order.
@@ -78,12 +78,11 @@
 }
 
 impl FleetTable {
-    /// An empty table for a daemon in `domain`. A load command that is not confirmed within
-    /// `load_timeout` counts as lost.
-    pub fn new(domain: FailureDomain, load_timeout: Duration) -> FleetTable {
+    /// An empty table for a daemon in `domain`.
+    pub fn new(domain: FailureDomain, timeouts: ReplicaTimeouts) -> FleetTable {
         FleetTable {
             domain,
-            load_timeout,
+            timeouts,
             replicas: IndexMap::new(),
             pool_orders: IndexMap::new(),
             peer_loads: LoadTable::default(),
@@ -97,10 +96,10 @@
         }
     }
 
-    /// Changes the time after which a load command counts as lost.
-    pub fn set_load_timeout(&mut self, load_timeout: Duration) {
-        self.load_timeout = load_timeout;
-        self.replicas.values_mut().for_each(|it| it.load_timeout = load_timeout);
+    /// Changes the bounds on what replicas do.
+    pub fn set_timeouts(&mut self, timeouts: ReplicaTimeouts) {
+        self.timeouts = timeouts;
+        self.replicas.values_mut().for_each(|it| it.timeouts = timeouts);
     }
 
     /// Replaces the list of replicas. What is known of a replica is kept while its incarnation is
@@ -133,7 +132,7 @@
 
     /// A replica that was not listed before, or not in this incarnation.
     fn new_replica(&self, entry: &TargetEntry) -> Replica {
-        let mut replica = Replica::new(entry.clone(), self.load_timeout);
+        let mut replica = Replica::new(entry.clone(), self.timeouts);
         let notices = self.notices.get(replica.member, entry.incarnation);
         replica.leaving |= notices.leaving;
         replica.hold_off = notices.hold_off;
@@ -196,8 +195,9 @@
         self.peer_loads.update(reported_at, peer, loads);
     }
 
-    /// Drops reports that are too old to be counted.
+    /// Drops reports that are too old to be counted, and notes which replicas are leaving.
     pub fn sweep(&mut self, now: Duration) {
+        self.replicas.values_mut().for_each(|it| it.observe_leaving(now));
         self.peer_loads.expire(now);
         self.reported_weights.retain(|_, it| now < it.reported_at + REPORTED_WEIGHTS_TTL);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,8 +37,9 @@
 use crate::metrics::{GaugeSample, Metrics};
 use crate::peer_message::ListingChange;
 use crate::peer_socket::PeerSocket;
+use crate::replica::ReplicaTimeouts;
 use crate::rollout_table::RolloutTable;
-use crate::settings::GatewaySettings;
+use crate::settings::{GatewayBounds, GatewaySettings};
 
 /// Share of the configured retry ratio that a daemon uses, so that the sum over all daemons stays
 /// within the ratio.
@@ -160,7 +161,10 @@
             capacity_freed: Notify::new(),
             view: Mutex::default(),
             members: Mutex::new(MemberTable::new(own.clone(), settings.seeds.clone())),
-            fleet: Mutex::new(FleetTable::new(settings.domain.clone(), settings.bounds.version)),
+            fleet: Mutex::new(FleetTable::new(
+                settings.domain.clone(),
+                replica_timeouts(&settings.bounds),
+            )),
             quotas: Mutex::new(QuotaTable::new(allowance)),
             request_limits: Mutex::default(),
             suspects: Mutex::default(),
@@ -201,7 +205,7 @@
             "daemon: settings reloaded"
         );
         lock(&self.members).set_seeds(next.seeds.clone());
-        lock(&self.fleet).set_load_timeout(next.bounds.version);
+        lock(&self.fleet).set_timeouts(replica_timeouts(&next.bounds));
         lock(&self.quotas).set_allowance(quota_allowance(&next));
         *lock(&self.settings) = Arc::new(next);
     }
@@ -416,6 +420,10 @@
     }
 }
 
+fn replica_timeouts(bounds: &GatewayBounds) -> ReplicaTimeouts {
+    ReplicaTimeouts { load: bounds.version, drain: bounds.drain }
+}
+
 fn quota_allowance(settings: &GatewaySettings) -> QuotaAllowance {
     QuotaAllowance {
         window: settings.bounds.quota_window,
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -273,7 +273,7 @@
     }
 
     /// Records that a placed prompt is about to be sent: the replica will hold its shared prefixes.
-    pub(crate) fn record_placed_prompt(
+    pub fn record_placed_prompt(
         &mut self,
         now: Duration,
         placed: &PlacedTarget,
@@ -378,7 +378,12 @@
             .kv_store
             .filter(|it| (it.member(), it.live_epoch(now)) == (member, Some(incarnation)));
         if let Some(store) = store {
-            return Some(PartSource { source: store.address, used_at, is_store: true });
+            return Some(PartSource {
+                source: store.address,
+                used_at,
+                is_store: true,
+                is_leaving: false,
+            });
         }
         let replica = self.replicas.get(&member)?;
         if replica.entry.incarnation != incarnation {
@@ -387,7 +392,12 @@
         let usable = member != chosen.member
             && replica.weights == chosen.weights
             && replica.state(now).withhold_reason(now, ReplicaUse::PartSource).is_none();
-        usable.then_some(PartSource { source: replica.entry.address, used_at, is_store: false })
+        usable.then_some(PartSource {
+            source: replica.entry.address,
+            used_at,
+            is_store: false,
+            is_leaving: replica.leaving,
+        })
     }
 
     /// Whether a placed request may still be sent: fails if the replica, in the incarnation that
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -17,6 +17,15 @@
 /// How long a replica that rejected a request as full gets no requests.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 
+/// Bounds on what replicas do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplicaTimeouts {
+    /// How long a command to load weights may keep requests away before it counts as lost.
+    pub load: Duration,
+    /// How long a replica that is leaving surely runs on.
+    pub drain: Duration,
+}
+
 /// The load of requests on a replica.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LoadCount {
@@ -59,8 +68,9 @@
     pub accepted_commands: u64,
     /// When this daemon last learned of a command to it.
     pub last_command_at: Option<Duration>,
-    /// How long a command may keep requests away before it counts as lost.
-    pub(crate) load_timeout: Duration,
+    /// When this daemon first counted it as leaving.
+    leaving_since: Option<Duration>,
+    pub(crate) timeouts: ReplicaTimeouts,
 }
 
 /// The requests that a replica takes from all daemons together, by its last answer.
@@ -112,7 +122,7 @@
 }
 
 impl Replica {
-    pub(crate) fn new(entry: TargetEntry, load_timeout: Duration) -> Replica {
+    pub(crate) fn new(entry: TargetEntry, timeouts: ReplicaTimeouts) -> Replica {
         Replica {
             member: rendezvous::hash_member(entry.id.as_str()),
             local_load: LoadCount::default(),
@@ -126,7 +136,8 @@
             last_command: None,
             accepted_commands: 0,
             last_command_at: None,
-            load_timeout,
+            leaving_since: None,
+            timeouts,
             entry,
         }
     }
@@ -152,6 +163,13 @@
         self.full_until = now + FULL_BACKOFF;
     }
 
+    /// Notes the time if it has begun to leave since the last call.
+    pub(crate) fn observe_leaving(&mut self, now: Duration) {
+        if self.leaving {
+            self.leaving_since.get_or_insert(now);
+        }
+    }
+
     /// Whether it may get a request now.
     pub fn accepts_requests(&self, now: Duration) -> bool {
         self.state(now).withhold_reason(now, ReplicaUse::Request).is_none()
@@ -161,6 +179,7 @@
     pub fn state(&self, now: Duration) -> ReplicaState {
         ReplicaState {
             leaving: self.leaving,
+            may_be_gone: self.leaving_since.is_some_and(|it| now >= it + self.timeouts.drain),
             hold_off: self.hold_off,
             running: self.local_load.running,
             full_until: self.full_until,
@@ -184,7 +203,7 @@
     /// until its last running one has ended, which may take long. A command that counts as lost is
     /// sent again.
     pub fn is_loading(&self, now: Duration) -> bool {
-        self.last_command.is_some_and(|it| it.0 > self.weights && now < it.1 + self.load_timeout)
+        self.last_command.is_some_and(|it| it.0 > self.weights && now < it.1 + self.timeouts.load)
     }
 }
 
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -43,6 +43,8 @@
 pub struct ReplicaState {
     /// Whether it is known to be leaving.
     pub leaving: bool,
+    /// Whether it has been leaving for so long that it may have stopped.
+    pub may_be_gone: bool,
     /// How long it wants nothing from this daemon.
     pub hold_off: HoldOff,
     /// Other requests of this daemon that run on it.
@@ -64,6 +66,11 @@
         let is_request = usage == ReplicaUse::Request;
         // Requests return step by step after a hold-off; all else is rare.
         let running = if is_request { self.running } else { 0 };
+        let is_leaving = match usage {
+            ReplicaUse::Request | ReplicaUse::Command => self.leaving,
+            // It keeps its parts until it stops.
+            ReplicaUse::PartSource => self.may_be_gone,
+        };
         let is_unhealthy = match usage {
             ReplicaUse::Request => self.health == HealthState::Paused,
             // Commands find out whether the replica is back.
@@ -71,7 +78,7 @@
             ReplicaUse::PartSource => self.health != HealthState::Healthy,
         };
         let reasons = [
-            (self.leaving, WithholdReason::Leaving),
+            (is_leaving, WithholdReason::Leaving),
             (!self.hold_off.allows(now, running), WithholdReason::HeldOff),
             (now < self.full_until && usage != ReplicaUse::Command, WithholdReason::Full),
             (is_unhealthy, WithholdReason::Paused),
--- a/crates/policy/src/fetch_source.rs
+++ b/crates/policy/src/fetch_source.rs
@@ -19,17 +19,21 @@
     pub used_at: Duration,
     /// Whether the source is a KV store rather than an engine.
     pub is_store: bool,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
 }
 
 /// Returns the best of several sources of the same parts: the engine that used them last if it
-/// should still hold them, else the store, else the engine that used them last. `None` if there are
-/// no sources.
+/// should still hold them, else the store, else the engine that used them last. An engine that is
+/// leaving comes after the store, as it may stop during the transfer. `None` if there are no
+/// sources.
 pub fn choose<S: Copy>(now: Duration, sources: &[PartSource<S>]) -> Option<S> {
     let rank = |it: &&PartSource<S>| {
         let order = match it.is_store {
-            false if now <= it.used_at + RETENTION_TIME => 0,
+            false if now > it.used_at + RETENTION_TIME => 3,
+            false if it.is_leaving => 2,
+            false => 0,
             true => 1,
-            false => 2,
         };
         (order, now.saturating_sub(it.used_at))
     };
