Share the memory of answered queries between rates and limits

Customers' rates and replicas' limits each kept the answers to the last queries. Both use policy::repeated_query now.

--- a/crates/policy/src/customer_quota.rs
+++ b/crates/policy/src/customer_quota.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 
 use crate::bucket::TokenBucket;
+use crate::repeated_query::AnsweredQueries;
 
 /// Upper limit of a new home's initial tokens, as a ratio of the burst: the new home does not know
 /// what was spent before.
@@ -26,8 +27,6 @@
 /// Number of daemons that are asked in place of one home at the same time, by daemons whose views
 /// of the fleet differ.
 const SUBSTITUTES_PER_HOME: f64 = 3.0;
-/// Number of queries whose answers are kept: a repeated query is not charged again.
-const MAX_RECENT_ANSWERS: usize = 256;
 /// A home that reaches a smaller share of the daemons than this leaves no debt: in a large fleet many
 /// daemons that hear nobody, as after they stood still, would each overdraw a small bucket.
 const MIN_DEBT_SHARE: f64 = 0.1;
@@ -75,7 +74,7 @@
     home: IndexMap<CustomerId, HomeBucket>,
     substitute: IndexMap<CustomerId, TokenBucket>,
     local: IndexMap<CustomerId, TokenBucket>,
-    recent_answers: IndexMap<u64, Result<(), Duration>>,
+    answered: AnsweredQueries,
     /// When the daemon was last known to run.
     alive_at: Duration,
 }
@@ -103,7 +102,7 @@
             home: IndexMap::new(),
             substitute: IndexMap::new(),
             local: IndexMap::new(),
-            recent_answers: IndexMap::new(),
+            answered: AnsweredQueries::default(),
             alive_at: Duration::ZERO,
         }
     }
@@ -124,14 +123,11 @@
         tokens: u64,
         source: QuotaSource,
     ) -> Result<(), Duration> {
-        if let Some(answer) = self.recent_answers.get(&query_id) {
-            return *answer;
+        if let Some(answer) = self.answered.get(query_id) {
+            return answer;
         }
         let answer = self.take(now, customer, rate, tokens, source);
-        if self.recent_answers.len() == MAX_RECENT_ANSWERS {
-            self.recent_answers.shift_remove_index(0);
-        }
-        self.recent_answers.insert(query_id, answer);
+        self.answered.record(query_id, answer);
         answer
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod rate_shares;
 pub mod read_schedule;
 pub mod rendezvous;
+pub mod repeated_query;
 pub mod request_limit;
 pub mod retry;
 pub mod rollout_stage;
--- a/crates/policy/src/request_limit.rs
+++ b/crates/policy/src/request_limit.rs
@@ -12,13 +12,12 @@
 use indexmap::IndexMap;
 
 use crate::bucket::TokenBucket;
+use crate::repeated_query::AnsweredQueries;
 
 /// What a bucket holds at most, as the time in which it fills.
 const BURST_TIME: Duration = Duration::from_millis(500);
 /// Upper limit of buckets. At the limit the one made first is dropped.
 const MAX_BUCKETS: usize = 10_000;
-/// Number of queries whose answers are kept: a repeated query takes one token.
-const MAX_RECENT_ANSWERS: usize = 256;
 /// How long a request waits at least that gets no token, so that a replica is not asked for again
 /// and again.
 const MIN_WAIT: Duration = Duration::from_millis(5);
@@ -29,7 +28,7 @@
 #[derive(Debug, Default)]
 pub struct RequestLimitTable {
     buckets: IndexMap<u64, TokenBucket>,
-    recent_answers: IndexMap<u64, Result<(), Duration>>,
+    answered: AnsweredQueries,
 }
 
 impl RequestLimitTable {
@@ -42,14 +41,11 @@
         rate: RequestRate,
         share: f64,
     ) -> Result<(), Duration> {
-        if let Some(answer) = self.recent_answers.get(&query_id) {
-            return *answer;
+        if let Some(answer) = self.answered.get(query_id) {
+            return answer;
         }
         let answer = self.take(now, process, rate, share);
-        if self.recent_answers.len() == MAX_RECENT_ANSWERS {
-            self.recent_answers.shift_remove_index(0);
-        }
-        self.recent_answers.insert(query_id, answer);
+        self.answered.record(query_id, answer);
         answer
     }
 
