--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -4,14 +4,9 @@
 use std::time::Duration;
 
 use gateway::config::{ControlState, TargetEntry, WeightVersion};
-use gateway::peer_message::{
-    self, MAX_DATAGRAM_BYTES, PeerMessage, QuotaQuery, RolloutReport, WeightStatus,
-};
+use gateway::peer_message::{self, MAX_DATAGRAM_BYTES, PeerMessage, WeightStatus};
 use ids::Revision;
 use policy::crash_suspects::{SuspectKey, SuspectTable};
-use policy::quarantine::Fingerprint;
-use policy::rollout_stage::{RolloutStage, TrafficShare};
-use policy::rollout_trial::{AttemptOutcome, RolloutEvidence};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -43,40 +38,6 @@
     PeerMessage::Control(Revision(4), Duration::from_secs(1), Box::new(state))
 }
 
-fn quota_query() -> PeerMessage {
-    PeerMessage::QuotaQuery(QuotaQuery {
-        query_id: 77,
-        customer: "coop".parse().expect("an id"),
-        tokens: 900,
-        substitute: false,
-    })
-}
-
-fn rollouts() -> PeerMessage {
-    let mut evidence = RolloutEvidence::default();
-    for number in 0..40 {
-        let latency = Duration::from_millis(number * number);
-        evidence.record(number % 3, number % 2 == 0, AttemptOutcome::Answered(latency));
-        evidence.record(number % 3, number % 4 == 0, AttemptOutcome::Failed);
-    }
-    let report = RolloutReport {
-        pool: "desk".parse().expect("an id"),
-        order: Revision(9),
-        stage: Some(RolloutStage::Running(TrafficShare(80))),
-        evidence: evidence.routes().copied().collect(),
-    };
-    PeerMessage::Rollouts { sender: 5, reports: vec![report] }
-}
-
-fn suspects() -> PeerMessage {
-    let mut table = SuspectTable::default();
-    for number in 0..3 {
-        let keys = [(SuspectKey::Shared(7), number), (SuspectKey::Request(Fingerprint(8)), number)];
-        table.record_crash(Duration::from_secs(number), Duration::from_secs(number), &keys, number);
-    }
-    PeerMessage::Suspects(table.repeat_reports(Duration::from_secs(3)))
-}
-
 fn encode(message: &PeerMessage) -> Vec<u8> {
     peer_message::encode(message).expect("a message of this version")
 }
@@ -93,9 +54,9 @@
 #[case::listing(listing())]
 #[case::control(control())]
 #[case::members(PeerMessage::Members(vec![fixtures::member("edge-1"), fixtures::member("edge-2")]))]
-#[case::quota_query(quota_query())]
-#[case::rollouts(rollouts())]
-#[case::suspects(suspects())]
+#[case::quota_query(fixtures::quota_query(false))]
+#[case::rollouts(fixtures::rollouts())]
+#[case::suspects(fixtures::suspects())]
 fn damaged_messages_are_rejected_without_a_panic(#[case] message: PeerMessage) {
     let bytes = encode(&message);
     assert_eq!(peer_message::decode(&bytes), Some((message, None)));
@@ -134,7 +95,7 @@
 #[case::beyond_this_machine(1 << 42)]
 #[case::beyond_a_small_instance(1 << 30)]
 fn a_text_longer_than_its_datagram_is_rejected(#[case] length: u64) {
-    let bytes = encode(&quota_query());
+    let bytes = encode(&fixtures::quota_query(false));
     let at = bytes.windows(4).position(|it| it == b"coop").expect("the customer's id") - 1;
     let mut claimed = bytes.clone();
     claimed.splice(at..=at, long_length(length));
