--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -6,7 +6,7 @@
 use ids::{PoolId, RequestRate, TargetId};
 use policy::admission::{ReplicaUse, WithholdReason};
 use policy::engine_choice::{EngineView, PrefillSpeed};
-use policy::fetch_source::{self, PartSource};
+use policy::fetch_source::{self, PartSource, SourceKind};
 use policy::health::HealthState;
 use policy::plain_choice::PlainView;
 use policy::prefix_table::{PrefixHolder, PromptPrefix};
@@ -378,12 +378,7 @@
             .kv_store
             .filter(|it| (it.member(), it.live_epoch(now)) == (member, Some(incarnation)));
         if let Some(store) = store {
-            return Some(PartSource {
-                source: store.address,
-                used_at,
-                is_store: true,
-                is_leaving: false,
-            });
+            return Some(PartSource { source: store.address, used_at, kind: SourceKind::Store });
         }
         let replica = self.replicas.get(&member)?;
         if replica.entry.incarnation != incarnation {
@@ -392,12 +387,8 @@
         let usable = member != chosen.member
             && replica.weights == chosen.weights
             && replica.state(now).withhold_reason(now, ReplicaUse::PartSource).is_none();
-        usable.then_some(PartSource {
-            source: replica.entry.address,
-            used_at,
-            is_store: false,
-            is_leaving: replica.leaving,
-        })
+        let kind = if replica.leaving { SourceKind::LeavingEngine } else { SourceKind::Engine };
+        usable.then_some(PartSource { source: replica.entry.address, used_at, kind })
     }
 
     /// Whether a placed request may still be sent: fails if the replica, in the incarnation that
--- a/crates/policy/src/fetch_source.rs
+++ b/crates/policy/src/fetch_source.rs
@@ -17,10 +17,19 @@
     pub source: S,
     /// When the source last used the parts; an engine may evict them some time after that.
     pub used_at: Duration,
-    /// Whether the source is a KV store rather than an engine.
-    pub is_store: bool,
-    /// Whether it is about to stop.
-    pub is_leaving: bool,
+    /// What keeps the parts there.
+    pub kind: SourceKind,
+}
+
+/// What a source is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceKind {
+    /// A KV store.
+    Store,
+    /// An engine.
+    Engine,
+    /// An engine that is about to stop.
+    LeavingEngine,
 }
 
 /// Returns the best of several sources of the same parts: the engine that used them last if it
@@ -29,11 +38,12 @@
 /// sources.
 pub fn choose<S: Copy>(now: Duration, sources: &[PartSource<S>]) -> Option<S> {
     let rank = |it: &&PartSource<S>| {
-        let order = match it.is_store {
-            false if now > it.used_at + RETENTION_TIME => 3,
-            false if it.is_leaving => 2,
-            false => 0,
-            true => 1,
+        let is_kept = now <= it.used_at + RETENTION_TIME;
+        let order = match it.kind {
+            SourceKind::Engine if is_kept => 0,
+            SourceKind::Store => 1,
+            SourceKind::LeavingEngine if is_kept => 2,
+            SourceKind::Engine | SourceKind::LeavingEngine => 3,
         };
         (order, now.saturating_sub(it.used_at))
     };
--- a/crates/policy/tests/fetch_source.rs
+++ b/crates/policy/tests/fetch_source.rs
@@ -2,26 +2,21 @@
 
 use std::time::Duration;
 
-use policy::fetch_source::{self, PartSource};
+use policy::fetch_source::{self, PartSource, SourceKind};
 use rstest::rstest;
 
 const NOW: Duration = Duration::from_secs(100);
 
 fn engine(source: u32, age_ms: u64) -> PartSource<u32> {
-    PartSource {
-        source,
-        used_at: NOW - Duration::from_millis(age_ms),
-        is_store: false,
-        is_leaving: false,
-    }
+    PartSource { source, used_at: NOW - Duration::from_millis(age_ms), kind: SourceKind::Engine }
 }
 
 fn leaving(source: u32, age_ms: u64) -> PartSource<u32> {
-    PartSource { is_leaving: true, ..engine(source, age_ms) }
+    PartSource { kind: SourceKind::LeavingEngine, ..engine(source, age_ms) }
 }
 
 fn store(source: u32, age_ms: u64) -> PartSource<u32> {
-    PartSource { is_store: true, ..engine(source, age_ms) }
+    PartSource { kind: SourceKind::Store, ..engine(source, age_ms) }
 }
 
 #[rstest]
@@ -57,13 +52,8 @@
         let subject = (number * 7) % SUBJECTS;
         let Some(last) = used[subject as usize].replace(now) else { continue };
         let sources = [
-            PartSource { source: STORE, used_at: last, is_store: true, is_leaving: false },
-            PartSource {
-                source: subject % ENGINES,
-                used_at: last,
-                is_store: false,
-                is_leaving: false,
-            },
+            PartSource { source: STORE, used_at: last, kind: SourceKind::Store },
+            PartSource { source: subject % ENGINES, used_at: last, kind: SourceKind::Engine },
         ];
         if fetch_source::choose(now, &sources) == Some(STORE) {
             free_at = free_at.max(now) + STORE_TRANSFER;
