--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -291,13 +291,13 @@
             gauges.replicas.with_label_values(&[state]).set(f64::from(count));
         }
         for (reason, count) in [
-            ("leaving", replicas.leaving),
-            ("held_off", replicas.held_off),
-            ("limited", replicas.limited),
-            ("paused", replicas.paused),
-            ("loading", replicas.loading),
+            (WithholdReason::Leaving, replicas.leaving),
+            (WithholdReason::HeldOff, replicas.held_off),
+            (WithholdReason::AtLimit, replicas.limited),
+            (WithholdReason::Paused, replicas.paused),
+            (WithholdReason::LoadingWeights, replicas.loading),
         ] {
-            gauges.withheld.with_label_values(&[reason]).set(f64::from(count));
+            gauges.withheld.with_label_values(&[reason.code()]).set(f64::from(count));
         }
         gauges.prefill_speed.set(sample.prefill_speed);
         gauges.dropped_lines.set(dropped_lines as f64);
