Adds a case: a request that crashes replicas late is sent on

Cause: AnswerProgress::has_just_begun counts no crash against a request whose events came for a second or more. A request crashes each replica that runs it 1.6 s after it has begun, and its caller sends it again.

--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -21,6 +21,7 @@
 
 mod engine;
 mod flooded_report;
+mod late_crash;
 
 /// `limits.memoryMb` of the settings.
 pub const MEMORY_MB: u64 = 110;
@@ -1073,6 +1074,7 @@
     };
     let res = match case.as_str() {
         "flooded-report" => flooded_report::run(&site),
+        "late-crash" => late_crash::run(&site),
         _ => Err(io::Error::other("no such case")),
     };
     let status = match res {
