Adds a case: rows of another writer end all daemons

Cause: PlatformStore::read_rows puts the last key of a page into its query without encoding it, and follows hasMore without end. Another writer leaves 20 unreadable rows, more than one answer of the store holds, under keys with '#'.

--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -21,6 +21,7 @@
 
 mod engine;
 mod flooded_report;
+mod foreign_rows;
 mod late_crash;
 
 /// `limits.memoryMb` of the settings.
@@ -1074,6 +1075,7 @@
     };
     let res = match case.as_str() {
         "flooded-report" => flooded_report::run(&site),
+        "foreign-rows" => foreign_rows::run(&site),
         "late-crash" => late_crash::run(&site),
         _ => Err(io::Error::other("no such case")),
     };
