Adds a case: what a tenant had cached stays shared once it is isolated

Cause: PromptSpec::salt names only the version of the weights for tenants that are not isolated. A change of the configuration isolates one of two tenants whose requests share parts of their prompts.

--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -22,6 +22,7 @@
 mod engine;
 mod flooded_report;
 mod foreign_rows;
+mod isolated_tenant;
 mod late_crash;
 
 /// `limits.memoryMb` of the settings.
@@ -1076,6 +1077,7 @@
     let res = match case.as_str() {
         "flooded-report" => flooded_report::run(&site),
         "foreign-rows" => foreign_rows::run(&site),
+        "isolated-tenant" => isolated_tenant::run(&site),
         "late-crash" => late_crash::run(&site),
         _ => Err(io::Error::other("no such case")),
     };
