Adds a case: a stream cut by a crash ends as complete

Cause: check_end takes an answer without length or chunks for whole unless new connections to its replica are refused. Replicas are processes whose supervisor keeps the listening socket; one of four is killed every 1.5 s.

--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -24,6 +24,7 @@
 mod foreign_rows;
 mod isolated_tenant;
 mod late_crash;
+mod unframed_crash;
 
 /// `limits.memoryMb` of the settings.
 pub const MEMORY_MB: u64 = 110;
@@ -1032,8 +1033,8 @@
     orders.iter().filter(is_lost).collect()
 }
 
-/// The daemons that run now, for the watchdog.
-static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The processes that run now, for the watchdog.
+pub static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 /// Ends the case, and what it has started, if it takes too long.
 fn start_watchdog() {
@@ -1065,6 +1066,10 @@
         eprintln!("usage: review_stand_in CASE RECORD");
         std::process::exit(2);
     };
+    if case == "replica-process" {
+        let status = i32::from(unframed_crash::serve_inherited(&path).is_err());
+        std::process::exit(status);
+    }
     start_watchdog();
     let record = Record::new();
     let site = match Site::start(&record) {
@@ -1079,6 +1084,7 @@
         "foreign-rows" => foreign_rows::run(&site),
         "isolated-tenant" => isolated_tenant::run(&site),
         "late-crash" => late_crash::run(&site),
+        "unframed-crash" => unframed_crash::run(&site),
         _ => Err(io::Error::other("no such case")),
     };
     let status = match res {
