Bound the answers to the daemon's own questions to replicas

Cause: target_client::send_request collected the body of a report, of an answer to a command and of a KV store's answer to a probe with no limit but the timeout. The pieces kept the read buffers that they were parts of, so that packets took about three times their bytes.

Change: one reader for bodies that are read whole. It copies the pieces, counts them to the memory that all bodies share, and stops at a limit that the kind of answer names: 64 KiB for reports and answers to commands, 1 MiB for a KV store's list of events. The connection is then closed.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -1,14 +1,14 @@
 //! Answers that are read whole before they are forwarded, so that a failure on the way can still be
 //! retried.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::BodyExt;
 use web::client::CallError;
 use web::hop_by_hop;
 
 use crate::attempt_error::AttemptError;
 use crate::body::CallerBody;
+use crate::body_reader;
 use crate::buffer_share::BufferShare;
 use crate::call::Call;
 use crate::connections::{CallerResponse, OpenAnswer};
@@ -35,17 +35,9 @@
     let (status, headers, mut body, connection) = answer.split();
     let mut share = BufferShare::new(&call.gateway.buffers);
     let read = async {
-        let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| CallError::Broken(error.to_string().into()))?;
-            let Some(data) = frame.data_ref() else { continue };
-            share.extend(&mut bytes, data).map_err(|_| CallError::TooLong(bytes.len()))?;
-            if bytes.len() > MAX_ANSWER_BYTES {
-                return Err(CallError::TooLong(MAX_ANSWER_BYTES));
-            }
-        }
+        let bytes = body_reader::read_body(&mut body, &mut share, MAX_ANSWER_BYTES).await?;
         call.gateway.connections.check_end(&connection).await?;
-        Ok(bytes.freeze())
+        Ok(bytes)
     };
     let body = tokio::time::timeout(left, read).await.unwrap_or(Err(CallError::Timeout(left)))?;
     // After a failure the replica may not have read the whole request, so the connection cannot be
--- a/crates/gateway/src/kv_store.rs
+++ b/crates/gateway/src/kv_store.rs
@@ -13,14 +13,15 @@
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
 use crate::peer_message::KvStoreStatus;
-use crate::target_client;
+use crate::target_client::{self, AnswerLimits};
 
 /// The time between two probes by the first daemon in rank.
 const PROBE_PERIOD: Duration = Duration::from_millis(1_000);
 /// Each further rank waits this much longer for a result of the others.
 const RANK_DELAY: Duration = Duration::from_millis(400);
-/// How long the store may take to answer a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// What the store's answer to a probe may take. It lists the newest changes of the cache.
+const PROBE_LIMITS: AnswerLimits =
+    AnswerLimits { timeout: Duration::from_millis(300), max_bytes: 1 << 20 };
 /// A result this old is not relied on any more.
 const PROBE_MAX_AGE: Duration = Duration::from_millis(4_000);
 
@@ -79,15 +80,9 @@
 
 async fn probe<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, address: SocketAddr) {
     let request = gateway.dialect.kv_store_request();
-    let answer = target_client::send_request(
-        gateway,
-        address,
-        "kv-store",
-        request,
-        PROBE_TIMEOUT,
-        || Ok(()),
-    )
-    .await;
+    let answer =
+        target_client::send_request(gateway, address, "kv-store", request, PROBE_LIMITS, || Ok(()))
+            .await;
     let epoch = match &answer {
         Ok(answer) if answer.status().is_success() => gateway.dialect.parse_kv_store(answer.body()),
         _ => None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt_error;
 mod body;
+mod body_reader;
 mod buffer_share;
 mod buffered;
 mod call;
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -25,7 +25,7 @@
 use crate::gossip;
 use crate::notice_table::AnswerNotice;
 use crate::peer_message::WeightStatus;
-use crate::target_client;
+use crate::target_client::{self, AnswerLimits};
 
 /// Another daemon waits for one part in this many of the lease beyond its end, since clocks differ
 /// in speed.
@@ -36,8 +36,9 @@
 const ROUND_PERIOD: Duration = Duration::from_millis(60);
 /// The longest time between two rounds while there is nothing to do.
 const IDLE_PERIOD: Duration = Duration::from_secs(1);
-/// How long a replica may take to answer a command or to report.
-const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// What a replica's answer to a command and its report may take.
+const ANSWER_LIMITS: AnswerLimits =
+    AnswerLimits { timeout: Duration::from_millis(600), max_bytes: 64 << 10 };
 /// The first pause between two reports that are fetched to see whether a command is done.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// The factor by which that pause grows, since each report has a cost.
@@ -478,8 +479,8 @@
         (replica.entry.address, replica.entry.incarnation)
     };
     let admit = || admit_command(gateway, target);
-    let (id, timeout) = (target.as_str(), CALL_TIMEOUT);
-    let answer = target_client::send_request(gateway, address, id, request, timeout, admit).await?;
+    let (id, limits) = (target.as_str(), ANSWER_LIMITS);
+    let answer = target_client::send_request(gateway, address, id, request, limits, admit).await?;
     let notice =
         AnswerNotice::new(answer.status(), &gateway.dialect.parse_answer(answer.headers()));
     lock(&gateway.fleet).record_notice(gateway.now(), target, incarnation, notice);
