Copy the pieces of bodies that are read whole

Chunks of one byte took thousands of times the length that the limit allows: answers of the platform's stores, of targets and of the admin interface (web::client), bodies of callers of our own interface (daemon::front) and of the servers that get whole bodies (web::hyper_server).

Change: all of them read with web::body_reader, which copies the pieces.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -13,9 +13,9 @@
 use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ids::{ErrorKind, KeyDigest, Refusal, RequestId};
+use web::body_reader::{self, BodyError};
 use web::hyper_server::{self, HyperServer};
 use web::server::StartError;
 
@@ -220,11 +220,11 @@
 async fn read_body(router: &Router, body: Incoming) -> Result<Bytes, Refusal> {
     let limit = router.settings.limits.body_bytes;
     let timeout = router.settings.timeouts.caller_body_ms.duration();
-    let body = Limited::new(body, limit).collect();
+    let body = body_reader::read_body(body, limit);
     match tokio::time::timeout(timeout, body).await {
         Err(_) => Err(Refusal::not_run(ErrorKind::CallerTimeout)),
-        Ok(Ok(it)) => Ok(it.to_bytes()),
-        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong(limit))) => {
             let detail = format!("allowed: {limit} bytes");
             Err(Refusal::not_run(ErrorKind::BodyTooLarge).detail(detail))
         }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -5,11 +5,13 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::{self, connect};
 use hyper_util::rt;
 
+use crate::body_reader::{self, BodyError};
+
 /// The longest time that opening a TCP connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Idle time after which TCP probes a connection, and the interval of the probes.
@@ -96,15 +98,12 @@
         let buffered = async {
             let answer = self.send_request(request, connection, deadline).await?;
             let (parts, body) = answer.into_parts();
-            let body = Limited::new(body, max_bytes).collect().await.map_err(|error| {
-                let too_long = error.downcast_ref::<http_body_util::LengthLimitError>().is_some();
-                if too_long {
-                    CallError::TooLong(max_bytes)
-                } else {
-                    CallError::Broken(error.to_string().into())
-                }
-            })?;
-            Ok(Response::from_parts(parts, body.to_bytes()))
+            let body =
+                body_reader::read_body(body, max_bytes).await.map_err(|error| match error {
+                    BodyError::TooLong(limit) => CallError::TooLong(limit),
+                    BodyError::Broken(text) => CallError::Broken(text),
+                })?;
+            Ok(Response::from_parts(parts, body))
         };
         match tokio::time::timeout(deadline, buffered).await {
             Ok(res) => res,
--- a/crates/web/src/hyper_server.rs
+++ b/crates/web/src/hyper_server.rs
@@ -14,13 +14,13 @@
 use dropshot::Body;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper_util::rt;
 use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+use crate::body_reader;
 use crate::server::StartError;
 
 /// The longest time that a caller may take to send its headers.
@@ -71,8 +71,8 @@
 {
     start_streaming(address, context, move |context, request: Request<Incoming>| async move {
         let (parts, body) = request.into_parts();
-        match Limited::new(body, max_body_bytes).collect().await {
-            Ok(body) => handler(context, parts, body.to_bytes()).await,
+        match body_reader::read_body(body, max_body_bytes).await {
+            Ok(body) => handler(context, parts, body).await,
             Err(_) => {
                 let mut answer = Response::new(Body::empty());
                 *answer.status_mut() = StatusCode::BAD_REQUEST;
