Limit the body of an engine's failed answer

A body without end, or one that trickles, kept the caller waiting and the daemon's memory growing until the caller left.

Change: the body may be as long as other answers (limits.answer_bytes) and has to arrive within the time for the first token; otherwise the attempt has failed.

--- a/crates/daemon/src/model_exchange.rs
+++ b/crates/daemon/src/model_exchange.rs
@@ -8,7 +8,8 @@
 use ids::RequestId;
 use ports::SystemClock;
 use targets::{AnswerHead, EventReader, ExchangeError, StreamEvent};
-use web::client::Connection;
+use web::body_reader;
+use web::client::{CallError, Connection};
 
 use crate::model_call::ModelRequest;
 use crate::place::PlacedTarget;
@@ -77,8 +78,12 @@
         let head = AnswerHead::parse(answer.headers());
         if !answer.status().is_success() {
             let status = answer.status();
-            let body = http_body_util::BodyExt::collect(answer.into_body()).await;
-            let body = body.unwrap_or_default().to_bytes();
+            let limit = self.router.settings.limits.answer_bytes;
+            let left = first_event_by.saturating_duration_since(Instant::now());
+            let body = body_reader::read_body(answer.into_body(), limit);
+            let body =
+                tokio::time::timeout(left, body).await.map_err(|_| ExchangeError::Timeout)?;
+            let body = body.map_err(CallError::from).map_err(ExchangeError::from)?;
             return Err(AttemptError::Status(status, body, head));
         }
         let mut reader = EventReader::new(answer.into_body(), 0);
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -38,6 +38,15 @@
     TooLong(usize),
 }
 
+impl From<BodyError> for CallError {
+    fn from(error: BodyError) -> CallError {
+        match error {
+            BodyError::TooLong(limit) => CallError::TooLong(limit),
+            BodyError::Broken(text) => CallError::Broken(text),
+        }
+    }
+}
+
 type PooledClient = legacy::Client<connect::HttpConnector, Full<Bytes>>;
 
 /// An HTTP client with a connection pool. It never sends a request twice by itself. Clones share
