Name the customers that share cached prompts in the cache salt

Cause: the salt that all customers without isolation share was the version of the weights alone. It did not change with who shares it, so that engines, KV stores and the daemons' own tables of prefixes went on finding what a customer had cached before it was isolated.

Change: the salt names the set of customers that share it (policy::cache_scope), as do the digests of the tables. The name is derived from the configuration in force, so that it needs no state: daemons that restart or are new compute the same one. Weighed against it: naming the set of isolated customers. That keeps the cache when a customer without isolation comes or goes, but leads back to an isolated customer's parts once it is removed from the configuration. The price: when a customer is added, removed, isolated or taken back, the shared parts have to be read once more.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -103,8 +103,7 @@
         rate_limit::take(gateway, &request.head.attempt_id, id, rule, tokens).await?;
     }
     gateway.earn_retry(&pool);
-    let prompt =
-        caller_request::prompt_spec(&config, &pool, customer.as_ref(), rule, &request.head);
+    let prompt = caller_request::prompt_spec(&config, &pool, customer.as_ref(), &request.head);
     let call = Call {
         gateway: gateway.clone(),
         urgency: rule.and_then(|it| it.priority).unwrap_or(route.priority),
@@ -308,7 +307,7 @@
         let target = &placement.target;
         let engine = self.prompt.as_ref().map(|prompt| EngineParams {
             version: target.weights,
-            salt: prompt.salt(target.weights),
+            salt: prompt.cache_scope.salt(target.weights),
             urgency: self.urgency,
             fetch_from: target.fetch_from,
             save_to: target.save_to.map(|it| it.address),
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3;
 
 use crate::buffer_share::BufferShare;
-use crate::config::{CustomerRule, RouteRule, SiteConfig};
+use crate::config::{RouteRule, SiteConfig};
 use crate::crash_reports::CrashKeys;
 use crate::dialect::{HeadError, PromptPart, RequestHead};
 use crate::prompt_spec::PromptSpec;
@@ -75,7 +75,6 @@
     config: &SiteConfig,
     pool: &PoolId,
     customer: Option<&CustomerId>,
-    rule: Option<&CustomerRule>,
     head: &RequestHead,
 ) -> Option<PromptSpec> {
     let engine = config.pools.get(pool)?.engine.as_ref()?;
@@ -89,7 +88,6 @@
     });
     let prefixes: Vec<PromptPrefix> = prefixes.collect();
     let (prompt, output) = head.tokens.map_or((tokens, 0), |it| (it.0.0, it.1.0));
-    let cache_scope = customer.filter(|_| rule.is_some_and(|it| it.isolated));
     Some(PromptSpec {
         model,
         shared_prefixes: prefixes.len().saturating_sub(1),
@@ -97,7 +95,7 @@
         prompt_tokens: prompt,
         output_tokens: output,
         token_gap_s: config.min_event_gap(pool).map(|it| it.as_secs_f64()),
-        cache_scope: cache_scope.map(|it| it.as_str().into()),
+        cache_scope: config.cache_scope(customer),
     })
 }
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -6,6 +6,7 @@
 
 use ids::{CustomerId, FailureDomain, KeyDigest, PoolId, Revision, RouteId, TokenCount, TokenRate};
 use indexmap::IndexMap;
+use policy::cache_scope::{CacheScope, SharingGroup};
 use policy::customer_quota::CustomerRate;
 use serde::{Deserialize, Serialize};
 
@@ -226,6 +227,19 @@
         routes.filter_map(|it| it.gap).min()
     }
 
+    /// Whose cached prompts a request may use. A customer that is not configured shares none, nor does
+    /// one that is isolated; all others share theirs, also on open routes.
+    pub fn cache_scope(&self, customer: Option<&CustomerId>) -> CacheScope {
+        let is_sharing = |it: &CustomerId| self.customers.get(it).is_some_and(|it| !it.isolated);
+        match customer {
+            Some(id) if !is_sharing(id) => CacheScope::Customer(id.as_str().into()),
+            _ => {
+                let sharing = self.customers.iter().filter(|it| !it.1.isolated);
+                CacheScope::Group(SharingGroup::new(sharing.map(|it| it.0.as_str())))
+            }
+        }
+    }
+
     /// The address of the KV store, if the site has one.
     pub fn kv_store(&self) -> Option<SocketAddr> {
         self.pools.values().find_map(|it| it.kv_store)
--- a/crates/gateway/src/prompt_spec.rs
+++ b/crates/gateway/src/prompt_spec.rs
@@ -1,5 +1,6 @@
 //! What placement needs to know of a prompt: prefixes, token counts and cache salt.
 
+use policy::cache_scope::CacheScope;
 use policy::engine_choice::PromptSize;
 use policy::prefix_table::PromptPrefix;
 use policy::rendezvous;
@@ -19,8 +20,8 @@
     pub output_tokens: u64,
     /// The smallest gap between tokens that an objective in the pool allows, in seconds.
     pub token_gap_s: Option<f64>,
-    /// The customer, if its cached prompts are isolated from other customers'.
-    pub cache_scope: Option<Box<str>>,
+    /// Whose cached prompts it may use.
+    pub cache_scope: CacheScope,
 }
 
 impl PromptSpec {
@@ -39,21 +40,9 @@
         }
     }
 
-    /// The cache salt for this version of the weights; with a `cache_scope` it also names the
-    /// customer, so that other customers' prompts do not match.
-    pub fn salt(&self, version: u64) -> Box<str> {
-        match &self.cache_scope {
-            Some(customer) => format!("{version}/{customer}").into(),
-            None => format!("{version}").into(),
-        }
-    }
-
     /// The prefixes with digests that depend on the model, the version and the cache scope.
     pub fn salted_prefixes(&self, version: u64) -> Vec<PromptPrefix> {
-        let mut seed = rendezvous::weight(version, self.model_seed());
-        if let Some(customer) = &self.cache_scope {
-            seed ^= rendezvous::hash_member(customer);
-        }
+        let seed = rendezvous::weight(version, self.model_seed()) ^ self.cache_scope.digest();
         let salt = |it: &PromptPrefix| PromptPrefix {
             digest: rendezvous::weight(it.digest, seed),
             tokens: it.tokens,
--- a/crates/gateway/tests/leaving_homes.rs
+++ b/crates/gateway/tests/leaving_homes.rs
@@ -11,6 +11,7 @@
 use gateway::notice_table::AnswerNotice;
 use gateway::placement::{PlacedTarget, PlacementQuery, PromptQuery, ReleaseFilter};
 use gateway::prompt_spec::PromptSpec;
+use policy::cache_scope::CacheScope;
 use policy::engine_choice::PrefillSpeed;
 use policy::prefix_table::PromptPrefix;
 use policy::rendezvous;
@@ -57,7 +58,7 @@
         prompt_tokens: 6_100,
         output_tokens: 10,
         token_gap_s: None,
-        cache_scope: None,
+        cache_scope: CacheScope::Customer("shop".into()),
     };
     let engine = EngineRule { batch: 8, kv_tokens: 100_000, models: vec!["m".into()] };
     let pool = "desk".parse().expect("an id");
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod bucket;
 pub mod buffer_budget;
+pub mod cache_scope;
 pub mod chain;
 pub mod claim;
 pub mod crash_suspects;
