Apply a change of who shares cached prompts to requests that wait

Change: the scope is taken from the configuration in force each time a replica is chosen.

Test: platform cache_isolation, a_request_that_waited_across_the_change_has_the_salt_of_the_new_configuration.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -68,7 +68,7 @@
     body: Bytes,
     /// The memory of the body.
     _body_share: BufferShare,
-    customer: Option<CustomerId>,
+    pub(crate) customer: Option<CustomerId>,
     urgency: u8,
     pub(crate) pool: PoolId,
     pub(crate) prompt: Option<PromptSpec>,
--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -66,6 +66,7 @@
     async fn wait_for_placement(&mut self) -> Result<Placement<D, S>, CallRefusal> {
         let give_up_at = self.gateway.now() + self.route.objective.mul_f64(PLACEMENT_WAIT_SHARE);
         loop {
+            self.update_cache_scope();
             let freed = self.gateway.capacity_freed.notified();
             if let Some(placement) = self.try_placement() {
                 match self.take_limit_token(&placement.target).await {
@@ -105,6 +106,15 @@
         }
     }
 
+    /// Applies a change of the configuration since the request arrived to whose cached prompts it may
+    /// use.
+    fn update_cache_scope(&mut self) {
+        let Some(config) = self.gateway.config() else { return };
+        if let Some(prompt) = self.prompt.as_mut().filter(|_| !Arc::ptr_eq(&config, &self.config)) {
+            prompt.cache_scope = config.cache_scope(self.customer.as_ref());
+        }
+    }
+
     /// Records that the request is about to be sent to a replica.
     fn record_placement(&self, target: &PlacedTarget) {
         let now = self.gateway.now();
