Refuse requests that come late in the grace time of a stop

Reported by other operators (LOST): in a planned stop in calm, requests that came late in the grace time were passed on and cut at its end, with no answer.

It can happen here: a request of which a part had arrived before the listener closed, or whose body trickles, keeps its connection open. When the rest came it was passed on, up to the end of the grace time.

Change: once the listener is closed and the requests that crossed that have been read, requests are refused with 503 as not run, which is true, and may come again at once.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -31,6 +31,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// When a caller may send again that was refused because the memory for bodies was used up.
 const BUFFER_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// When a caller may send again that was refused because this daemon is about to end: other daemons
+/// take the request at once.
+const LEAVING_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Delay after a failed accept, because it keeps failing while file descriptors are exhausted.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Idle connections are kept this many times longer than the limit, so that a caller that observes
@@ -41,7 +44,7 @@
 
 /// How long connections stay open after the listener is closed, for requests that callers have sent
 /// by then.
-const CLOSE_LINGER: Duration = Duration::from_millis(250);
+pub(crate) const CLOSE_LINGER: Duration = Duration::from_millis(250);
 
 /// Accepts connections until `stop` is true; then serves those that the kernel has accepted, and
 /// closes each one after its current request.
@@ -153,6 +156,11 @@
         let time_limit = head.deadline.map_or(BODY_TIMEOUT, |it| it.min(BODY_TIMEOUT));
         let limit = config.limits.body_bytes;
         let body = read_body(body, limit, time_limit, &mut share).await?;
+        // Parts of it may have arrived before the listener was closed.
+        if gateway.is_closed() {
+            let refusal = CallRefusal::not_run(ErrorKind::Leaving);
+            return Err(refusal.retry_after(LEAVING_RETRY_DELAY));
+        }
         // A newer configuration may have been applied while the body was read.
         let config = gateway.config().unwrap_or(config);
         let route = config.route(&head.host, parts.uri.path()).cloned();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -91,6 +91,7 @@
     /// Callers' connections that are open.
     open_connections: Arc<AtomicUsize>,
     leaving: AtomicBool,
+    closed: AtomicBool,
 }
 
 /// Where a daemon got shared state from.
@@ -176,6 +177,7 @@
             buffers: Arc::new(Mutex::new(BufferBudget::new(settings.memory_bytes))),
             open_connections: Arc::default(),
             leaving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             own,
             started_at: clock.now(),
             settings: Mutex::new(Arc::new(settings)),
@@ -241,6 +243,16 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether requests are refused, since they may not end before this daemon does.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
+
+    /// Refuses requests from now on, which cannot be undone.
+    pub(crate) fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn track_request(self: &Arc<Self>) -> InFlightGuard<D, S> {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,6 +13,7 @@
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::front::CLOSE_LINGER;
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::peer_socket::PeerSocket;
@@ -168,6 +169,8 @@
     tokio::time::sleep(LEAVE_NOTICE_TIME.min(gateway.settings().bounds.grace / 2)).await;
     // Stop accepting requests: later ones could not end within the grace period.
     stop.send_replace(true);
+    tokio::time::sleep(CLOSE_LINGER).await;
+    gateway.close();
     while gateway.now() < deadline && gateway.has_callers() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
