Answer requests that outlast the grace time before the daemon ends

Change: at the end of the drain, before the last answers are flushed, requests without an answer get 504 as "may have run". Streams that have begun are still broken off visibly.

Test: platform stop_in_calm, a_request_that_outlasts_the_grace_time_gets_an_answer: no answer before, now 504.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use ids::ErrorKind;
+use ids::{ErrorKind, RunState};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time;
@@ -175,7 +175,14 @@
             body_share: share,
             started_at,
         };
-        call::handle(gateway, config, route, customer, request).await
+        tokio::select! {
+            biased;
+            res = call::handle(gateway, config, route, customer, request) => res,
+            () = gateway.wait_drain_end() => Err(CallRefusal {
+                run: RunState::MaybeRun,
+                ..CallRefusal::not_run(ErrorKind::TargetTimeout)
+            }),
+        }
     };
     res.await.map_err(log_refusal)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 use policy::retry::RetryBudget;
 use policy::unanswered::UnansweredTable;
 use ports::{Clock, SystemClock};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::buffer_share::SharedBudget;
 use crate::cluster_view::{ClusterView, TargetListing, UnseenVersion, ViewChange};
@@ -92,6 +92,7 @@
     open_connections: Arc<AtomicUsize>,
     leaving: AtomicBool,
     closed: AtomicBool,
+    drain_ended: watch::Sender<bool>,
 }
 
 /// Where a daemon got shared state from.
@@ -178,6 +179,7 @@
             open_connections: Arc::default(),
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            drain_ended: watch::Sender::new(false),
             own,
             started_at: clock.now(),
             settings: Mutex::new(Arc::new(settings)),
@@ -253,6 +255,18 @@
         self.closed.store(true, Ordering::Relaxed);
     }
 
+    /// Waits for [`Gateway::end_drain`].
+    pub(crate) async fn wait_drain_end(&self) {
+        let mut drain_ended = self.drain_ended.subscribe();
+        // The sender lives as long as this gateway.
+        let _ = drain_ended.wait_for(|it| *it).await;
+    }
+
+    /// Gives up all requests that have no answer yet, right before the daemon ends.
+    pub(crate) fn end_drain(&self) {
+        self.drain_ended.send_replace(true);
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn track_request(self: &Arc<Self>) -> InFlightGuard<D, S> {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -174,6 +174,7 @@
     while gateway.now() < deadline && gateway.has_callers() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    gateway.end_drain();
     // Let the last answers be sent.
     tokio::time::sleep(FLUSH_TIME).await;
 }
