End streams that never pause at their deadline

Cause: each frame was awaited with a timer of its own for the time that was left. Timers have a resolution of a millisecond, so that none of them fired while frames came faster than that.

Change: the time that is left is checked before each frame.

Test: platform floods, a_stream_without_a_pause_ends_at_its_deadline: an event in chunks of one byte, events, comments, with and without chunks, on both kinds of streams.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -97,20 +97,28 @@
                 return Ok(Some(bytes));
             }
             let left = self.call.deadline.saturating_sub(self.call.gateway.now());
-            let step = tokio::time::timeout(left, self.step()).await;
-            let error = match step {
-                Ok(Ok(StreamStep::Events)) => continue,
-                Ok(Ok(StreamStep::End)) => {
+            let error = match self.step_within(left).await {
+                Ok(StreamStep::Events) => continue,
+                Ok(StreamStep::End) => {
                     self.finish();
                     return Ok(None);
                 }
-                Ok(Err(error)) => AttemptError::Connection(error),
-                Err(_) => AttemptError::Connection(CallError::Timeout(left)),
+                Err(error) => AttemptError::Connection(error),
             };
             self.resume(error).await?;
         }
     }
 
+    async fn step_within(&mut self, left: Duration) -> Result<StreamStep, CallError> {
+        // A timer has a resolution of a millisecond: one for each frame never fires while frames
+        // come faster than that.
+        if left.is_zero() {
+            return Err(CallError::Timeout(left));
+        }
+        let step = tokio::time::timeout(left, self.step()).await;
+        step.unwrap_or(Err(CallError::Timeout(left)))
+    }
+
     /// Reads one frame, and queues its events without those that the caller already has.
     async fn step(&mut self) -> Result<StreamStep, CallError> {
         let broken = |text: String| CallError::Broken(text.into());
