Limit the events of engines' streams on our own interface

Reported by other operators: bytes without end in a body were all kept, and the process ran out of memory. On our own interface an event that never ended was kept until the time for the next token was over (20 s for the first one), and parsed anew with each piece of it.

Change: more than 64 KiB without an event are an error of the stream. A limit of 1 MiB, as on the users' interface, was tried first: parsing it anew took longer than 8 s in a debug build.

--- a/crates/targets/src/event_stream.rs
+++ b/crates/targets/src/event_stream.rs
@@ -1,11 +1,15 @@
 //! Reads the server-sent events in which an engine streams an answer.
 
 use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use eventsource_stream::{EventStream, Eventsource};
-use futures::StreamExt;
+use eventsource_stream::{EventStream, EventStreamError, Eventsource};
+use futures::{Stream, StreamExt};
 use http_body_util::BodyDataStream;
 use hyper::body::Incoming;
 
@@ -13,6 +17,8 @@
 
 /// The data of the end mark, the last event of a complete stream.
 const END_MARK: &str = "[DONE]";
+/// Longest event accepted, in bytes, so that an engine that never ends one cannot exhaust the memory.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 /// Text in an event's JSON which shows that the event carries no piece of the answer.
 const NO_CHOICES: &str = "\"choices\":[]";
 
@@ -35,10 +41,34 @@
 /// Reads events from the body of an answer. If the engine does not number its pieces, they are
 /// counted here.
 pub struct EventReader {
-    events: EventStream<BodyDataStream<Incoming>>,
+    events: EventStream<LimitedBody>,
+    /// Bytes received since the last event.
+    received: Arc<AtomicUsize>,
     last_number: u64,
 }
 
+/// The bytes of a body; ends with an error if too many come without an event.
+struct LimitedBody {
+    body: BodyDataStream<Incoming>,
+    received: Arc<AtomicUsize>,
+}
+
+impl Stream for LimitedBody {
+    type Item = Result<Bytes, ExchangeError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.body.poll_next_unpin(context).map(|it| {
+            let bytes = match it? {
+                Ok(bytes) => bytes,
+                Err(error) => return Some(Err(ExchangeError::Broken(error.to_string().into()))),
+            };
+            let received = self.received.fetch_add(bytes.len(), Ordering::Relaxed) + bytes.len();
+            let is_too_long = received > MAX_EVENT_BYTES;
+            Some(if is_too_long { Err(ExchangeError::TooLong(MAX_EVENT_BYTES)) } else { Ok(bytes) })
+        })
+    }
+}
+
 impl fmt::Debug for EventReader {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "EventReader({})", self.last_number)
@@ -49,7 +79,9 @@
     /// A reader of `body`. A piece without a number gets the number after the previous one, the
     /// first the number after `after`.
     pub fn new(body: Incoming, after: u64) -> EventReader {
-        EventReader { events: BodyDataStream::new(body).eventsource(), last_number: after }
+        let received = Arc::default();
+        let body = LimitedBody { body: BodyDataStream::new(body), received: Arc::clone(&received) };
+        EventReader { events: body.eventsource(), received, last_number: after }
     }
 
     /// Waits up to `deadline` for the next event. A stream that ends before its end mark is
@@ -58,9 +90,11 @@
         let event = match tokio::time::timeout(deadline, self.events.next()).await {
             Err(_) => return Err(ExchangeError::Timeout),
             Ok(None) => return Err(ExchangeError::Broken("ended before its end mark".into())),
+            Ok(Some(Err(EventStreamError::Transport(error)))) => return Err(error),
             Ok(Some(Err(error))) => return Err(ExchangeError::Broken(error.to_string().into())),
             Ok(Some(Ok(event))) => event,
         };
+        self.received.store(0, Ordering::Relaxed);
         if event.data == END_MARK {
             return Ok(StreamEvent::End);
         }
