Count answers that wait for their callers as memory

Callers that do not fetch long answers took the daemon over the memory of its instance.

Change: a long answer counts until its last byte is handed to the kernel, against a budget of its own, so that slow callers are not taken for replicas that flood.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -9,7 +9,7 @@
 use crate::attempt_error::AttemptError;
 use crate::body::CallerBody;
 use crate::body_reader;
-use crate::buffer_share::BufferShare;
+use crate::buffer_share::{BufferExhausted, BufferShare, SharedBudget};
 use crate::call::Call;
 use crate::connections::{CallerResponse, OpenAnswer};
 use crate::dialect::Dialect;
@@ -49,12 +49,33 @@
 }
 
 impl BufferedAnswer {
-    /// The answer to the caller: end-to-end headers only.
-    pub(crate) fn into_response(self) -> CallerResponse {
-        let mut response = Response::new(CallerBody::full(self.body));
+    /// The answer to the caller: end-to-end headers only. Counts as memory of `budget` until it is sent;
+    /// fails if there is none left for a long one.
+    pub(crate) fn into_response(
+        self,
+        budget: &SharedBudget,
+    ) -> Result<CallerResponse, BufferExhausted> {
+        let mut share = BufferShare::new(budget);
+        share.resize(self.body.len())?;
+        // The buffer that it was read into may be twice as long.
+        let bytes = Box::from(&self.body[..]);
+        let body = Bytes::from_owner(WaitingBody { bytes, _share: share });
+        let mut response = Response::new(CallerBody::full(body));
         *response.status_mut() = self.status;
         *response.headers_mut() = end_to_end(self.headers);
-        response
+        Ok(response)
+    }
+}
+
+/// The body of an answer, until the last byte of it is sent.
+struct WaitingBody {
+    bytes: Box<[u8]>,
+    _share: BufferShare,
+}
+
+impl AsRef<[u8]> for WaitingBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -164,7 +164,7 @@
                     self.excluded.push(placement.target.id.clone());
                     failure = Some((placement.target.clone(), answer));
                 }
-                Ok(answer) => return Ok(self.forward_answer(&placement.target, answer)),
+                Ok(answer) => return self.forward_answer(&placement.target, answer),
                 Err(error) => {
                     if let Err(refusal) = self.handle_failure(&mut placement, &error) {
                         break refusal;
@@ -173,7 +173,7 @@
             }
         };
         match failure {
-            Some((target, answer)) => Ok(self.forward_answer(&target, answer)),
+            Some((target, answer)) => self.forward_answer(&target, answer),
             None => Err(refusal),
         }
     }
@@ -190,10 +190,17 @@
         }
     }
 
-    fn forward_answer(&self, target: &PlacedTarget, answer: BufferedAnswer) -> CallerResponse {
+    fn forward_answer(
+        &self,
+        target: &PlacedTarget,
+        answer: BufferedAnswer,
+    ) -> Result<CallerResponse, CallRefusal> {
         lock(&self.gateway.fleet).record_success(self.gateway.now(), target);
         self.log_answer(target, answer.status);
-        answer.into_response()
+        answer.into_response(&self.gateway.waiting_answers).map_err(|error| {
+            tracing::warn!(request = %self.head.attempt_id, "call: answer dropped: {error}");
+            CallRefusal { run: self.run, ..CallRefusal::not_run(ErrorKind::Internal) }
+        })
     }
 
     fn is_stream(&self) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -86,8 +86,10 @@
     settings: Mutex<Arc<GatewaySettings>>,
     retry_budgets: Mutex<IndexMap<PoolId, RetryBudget>>,
     in_flight: AtomicUsize,
-    /// The memory of message bodies.
+    /// The memory of message bodies that are read.
     pub(crate) buffers: SharedBudget,
+    /// The memory of whole answers that their callers have not read yet.
+    pub(crate) waiting_answers: SharedBudget,
     /// Callers' connections that are open.
     open_connections: Arc<AtomicUsize>,
     leaving: AtomicBool,
@@ -176,6 +178,7 @@
             retry_budgets: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             buffers: Arc::new(Mutex::new(BufferBudget::new(settings.memory_bytes))),
+            waiting_answers: Arc::new(Mutex::new(BufferBudget::new(settings.memory_bytes))),
             open_connections: Arc::default(),
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
