Count a late crash against the request itself

Cause: a crash counted only against requests that had just begun. That tells the guilty parts of prompts apart, which are read before the first event, but not the request itself.

Change: a crash counts against the request itself however long it ran, and against the parts of its prompt only if it had just begun, as before.

--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use ids::ErrorKind;
-use policy::crash_suspects::{CrashEvent, SuspectKey, SuspectReport, SuspectVerdict};
+use policy::crash_suspects::{
+    AnswerProgress, CrashEvent, SuspectKey, SuspectReport, SuspectVerdict,
+};
 use policy::quarantine::Strike;
 use policy::unanswered::{ReplicaProcess, UnansweredRequest};
 
@@ -15,7 +17,6 @@
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
 use crate::peer_message::PeerMessage;
-use crate::placement::PlacedTarget;
 use crate::refusal::CallRefusal;
 
 /// A daemon that reaches no more than this share of all leaves trying suspects again to others.
@@ -35,10 +36,14 @@
         self.successors.push(successor);
     }
 
-    /// The keys, each with what follows it when the request ran on `replica`.
-    fn with_successors(&self, replica: u64) -> Vec<(SuspectKey, u64)> {
-        let successors = self.successors.iter().map(|it| it.unwrap_or(replica));
-        self.keys.iter().copied().zip(successors).collect()
+    /// What may have crashed `replica` when it ran the request, each with what follows it. The request
+    /// itself may at any time, its parts only while they are read.
+    fn suspects(&self, replica: u64, progress: AnswerProgress) -> Vec<(SuspectKey, u64)> {
+        let has_just_begun = progress.has_just_begun();
+        let keys = self.keys.iter().zip(&self.successors);
+        keys.filter(|(_, successor)| has_just_begun || successor.is_none())
+            .map(|(key, successor)| (*key, successor.unwrap_or(replica)))
+            .collect()
     }
 }
 
@@ -91,7 +96,7 @@
     /// it has crashed: this is recorded against the request here and at all peers.
     pub(crate) fn report_crash(&self, placement: &Placement<D, S>) {
         let now = self.gateway.now();
-        let has_just_begun = placement.progress.has_just_begun();
+        let progress = placement.progress;
         let target = &placement.target;
         let shared_parts = self.head.shared_parts().iter().map(|it| &*it.id);
         let shared_parts = shared_parts.collect::<Vec<_>>().join(",");
@@ -101,20 +106,22 @@
             if !gateway.connections.refuses_connections(target.address).await {
                 gateway.metrics.record_crash_probe("not_refused");
                 tracing::info!(
-                    target = %target.id, has_just_begun, suspects = keys.keys.len(),
+                    target = %target.id, has_just_begun = progress.has_just_begun(),
+                    suspects = keys.keys.len(),
                     "call: connection broke and the replica does not refuse new ones, not counted"
                 );
                 return;
             }
             gateway.metrics.record_crash_probe("refused");
             lock(&gateway.fleet).record_failure(gateway.now(), &target, true);
-            if has_just_begun {
-                tracing::info!(
-                    target = %target.id, shared_parts, suspects = keys.keys.len(),
-                    "call: replica crashed under a request that had just begun, counted against it"
-                );
-                record_crash(&gateway, now, &keys, &target);
-            }
+            let replica = target.process().digest();
+            let suspects = keys.suspects(replica, progress);
+            tracing::info!(
+                target = %target.id, shared_parts, suspects = suspects.len(),
+                "call: replica crashed under a request, counted against it"
+            );
+            let reports = lock(&gateway.suspects).record_crash(now, now, &suspects, replica);
+            tell_peers(&gateway, now, None, reports);
         });
     }
 
@@ -127,18 +134,6 @@
     }
 }
 
-fn record_crash<D: Dialect, S: Directory>(
-    gateway: &Gateway<D, S>,
-    crashed_at: Duration,
-    keys: &CrashKeys,
-    target: &PlacedTarget,
-) {
-    let replica = target.process().digest();
-    let keys = keys.with_successors(replica);
-    let reports = lock(&gateway.suspects).record_crash(crashed_at, crashed_at, &keys, replica);
-    tell_peers(gateway, crashed_at, None, reports);
-}
-
 /// Remembers a request that its replica did not answer: its caller left, time ran out or the
 /// connection broke. If the replica's process turns out to have ended, it counts as a crash.
 pub(crate) fn record_unanswered<D: Dialect, S: Directory>(
@@ -148,9 +143,9 @@
 ) {
     let now = gateway.now();
     let process = placement.target.process();
-    if placement.progress.has_just_begun() && !lock(&gateway.fleet).is_leaving(process) {
-        let request =
-            UnansweredRequest { keys: keys.with_successors(process.digest()), ended_at: now };
+    if !lock(&gateway.fleet).is_leaving(process) {
+        let keys = keys.suspects(process.digest(), placement.progress);
+        let request = UnansweredRequest { keys, ended_at: now };
         lock(&gateway.unanswered).record(process, request);
     }
 }
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -1,8 +1,8 @@
 //! Requests that crash the replicas that run them: the same request again, or requests that share one
 //! part of their prompts.
 //!
-//! When a replica crashes, every request that had just begun on it is a suspect, and so is each part
-//! that its prompt shares with others. Chance puts a request on a crashing replica now and then, so
+//! When a replica crashes, every request on it is a suspect; if it had just begun, so is each part that
+//! its prompt shares with others. Chance puts a request on a crashing replica now and then, so
 //! it takes several crashes, and one answer that comes to its end clears all that its request
 //! consists of. A part is refused early only if what follows it in the prompts differed: otherwise
 //! that may be what crashes replicas, and other requests with the part are sound. If requests that
@@ -18,7 +18,8 @@
 
 use crate::quarantine::Fingerprint;
 
-/// For how long after its first event a stream may still be what crashed its replica.
+/// For how long after its first event the parts of a stream's prompt may still be what crashed its
+/// replica.
 const BEGIN_TIME: Duration = Duration::from_secs(1);
 /// Crashes after which requests are refused.
 pub const CRASH_LIMIT: usize = 3;
@@ -71,7 +72,7 @@
     Shared(u64),
 }
 
-/// A crash of a replica on which a suspect had just begun.
+/// A crash of a replica under a suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashEvent {
     /// A hash of the replica and its incarnation.
@@ -119,8 +120,8 @@
         self.span = Some((first_at, now));
     }
 
-    /// Whether the request may be what its replica crashed under: it had not begun, or had just begun
-    /// when the last event came. How long ago that was says nothing, as the end may show late.
+    /// Whether its replica may have crashed as it read the prompt: the request had not begun, or had just
+    /// begun when the last event came. How long ago that was says nothing, as the end may show late.
     pub fn has_just_begun(&self) -> bool {
         self.span.is_none_or(|(first_at, last_at)| last_at < first_at + BEGIN_TIME)
     }
--- a/crates/policy/src/unanswered.rs
+++ b/crates/policy/src/unanswered.rs
@@ -53,7 +53,7 @@
 }
 
 impl UnansweredTable {
-    /// Records a request that had just begun, or had not begun, when it was given up or broke.
+    /// Records a request.
     pub fn record(&mut self, process: ReplicaProcess, request: UnansweredRequest) {
         let requests = self.records.entry(process).or_default();
         if requests.len() < MAX_REQUESTS {
