Allow many events of an engine in one chunk

Found on reading the whole change again.

Change: the bytes before a chunk count, which hold no whole event.

Test: targets event_reader, many_events_in_one_chunk_are_read: 20,000 events in one chunk broke off after 6,520 before. endless_answers still passes.

--- a/crates/targets/src/event_stream.rs
+++ b/crates/targets/src/event_stream.rs
@@ -62,9 +62,11 @@
                 Ok(bytes) => bytes,
                 Err(error) => return Some(Err(ExchangeError::Broken(error.to_string().into()))),
             };
-            let received = self.received.fetch_add(bytes.len(), Ordering::Relaxed) + bytes.len();
-            let is_too_long = received > MAX_EVENT_BYTES;
-            Some(if is_too_long { Err(ExchangeError::TooLong(MAX_EVENT_BYTES)) } else { Ok(bytes) })
+            // The bytes before these hold no whole event.
+            if self.received.fetch_add(bytes.len(), Ordering::Relaxed) > MAX_EVENT_BYTES {
+                return Some(Err(ExchangeError::TooLong(MAX_EVENT_BYTES)));
+            }
+            Some(Ok(bytes))
         })
     }
 }
