Log how many crashes count against a suspect, and what changed it

The log said that a replica crashed under a request, but not which request, how many crashes counted by then, what a peer reported and what an answer cleared. A request that is not recognised, one whose crashes count once and one that was cleared again left the same lines. Broken connections now name the request, changes of suspects of more than one crash name the suspect, its crashes, those that count and the peer, and a refusal names the suspect and its count.

--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -60,7 +60,17 @@
         verdict = lock(&gateway.suspects).verdict(now, &keys.keys, rank);
     }
     match verdict {
-        SuspectVerdict::Refused => Err(CallRefusal::not_run(ErrorKind::CrashSuspect)),
+        SuspectVerdict::Refused => {
+            let suspects = lock(&gateway.suspects);
+            let counted = |it: &SuspectKey| suspects.counted_crashes(now, *it);
+            let crashes = keys.keys.iter().map(counted).max();
+            tracing::info!(
+                suspect = keys.keys.first().map(tracing::field::display),
+                crashes,
+                "call: refused as a suspect"
+            );
+            Err(CallRefusal::not_run(ErrorKind::CrashSuspect))
+        }
         other => Ok(other),
     }
 }
@@ -100,13 +110,15 @@
         let target = &placement.target;
         let shared_parts = self.head.shared_parts().iter().map(|it| &*it.id);
         let shared_parts = shared_parts.collect::<Vec<_>>().join(",");
+        let request = self.head.attempt_id.clone();
         let (gateway, keys, target) =
             (self.gateway.clone(), self.crash_keys.clone(), target.clone());
         tokio::spawn(async move {
             if !gateway.connections.refuses_connections(target.address).await {
                 gateway.metrics.record_crash_probe("not_refused");
                 tracing::info!(
-                    target = %target.id, has_just_begun = progress.has_just_begun(),
+                    request = %request, target = %target.id,
+                    has_just_begun = progress.has_just_begun(),
                     suspects = keys.keys.len(),
                     "call: connection broke and the replica does not refuse new ones, not counted"
                 );
@@ -117,11 +129,11 @@
             let replica = target.process().digest();
             let suspects = keys.suspects(replica, progress);
             tracing::info!(
-                target = %target.id, shared_parts, suspects = suspects.len(),
+                request = %request, target = %target.id, shared_parts, suspects = suspects.len(),
                 "call: replica crashed under a request, counted against it"
             );
             let reports = lock(&gateway.suspects).record_crash(now, now, &suspects, replica);
-            tell_peers(&gateway, now, None, reports);
+            share_news(&gateway, now, None, reports);
         });
     }
 
@@ -130,7 +142,7 @@
         let now = self.gateway.now();
         lock(&self.gateway.unanswered).clear(&self.crash_keys.keys);
         let reports = lock(&self.gateway.suspects).clear(now, &self.crash_keys.keys);
-        tell_peers(&self.gateway, now, None, reports);
+        share_news(&self.gateway, now, None, reports);
     }
 }
 
@@ -168,7 +180,7 @@
             news = reports.len(),
             "call: replica ended under a request without an answer, counted against it"
         );
-        tell_peers(gateway, now, None, reports);
+        share_news(gateway, now, None, reports);
     }
 }
 
@@ -229,7 +241,7 @@
         let keys: Vec<SuspectKey> = news.map(|it| it.key).collect();
         keys.into_iter().filter_map(|it| suspects.report(now, it)).collect()
     };
-    tell_peers(gateway, now, from, news);
+    share_news(gateway, now, from, news);
 }
 
 /// Merges a crash that a daemon of the version before reports.
@@ -241,7 +253,7 @@
     let now = gateway.now();
     let keys = [(SuspectKey::Request(strike.fingerprint), strike.member)];
     let reports = lock(&gateway.suspects).record_crash(now, now, &keys, strike.member);
-    tell_peers(gateway, now, Some(from), reports);
+    share_news(gateway, now, Some(from), reports);
 }
 
 /// Tells peers of the suspects again, for those that have missed it or have just started.
@@ -252,6 +264,25 @@
     tell_peers(gateway, now, None, reports);
 }
 
+/// Logs what has changed about suspects of more than one crash, and tells peers of all.
+fn share_news<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    now: Duration,
+    source: Option<IpAddr>,
+    reports: Vec<SuspectReport>,
+) {
+    for report in reports.iter().filter(|it| it.events.len() > 1 || it.cleared.is_some()) {
+        let counted = lock(&gateway.suspects).counted_crashes(now, report.key);
+        let cleared_ms = report.cleared.map(|it| it.as_millis() as u64);
+        tracing::info!(
+            suspect = %report.key, crashes = report.events.len(), counted, cleared_ms,
+            source = source.map(tracing::field::display),
+            "call: crash record changed"
+        );
+    }
+    tell_peers(gateway, now, source, reports);
+}
+
 fn tell_peers<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     now: Duration,
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -11,6 +11,7 @@
 //! Load pattern: a few such requests a second between many sound ones, on any daemon, while up to
 //! all requests on a crashed replica break at once.
 
+use std::fmt;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -72,6 +73,15 @@
     Shared(u64),
 }
 
+impl fmt::Display for SuspectKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SuspectKey::Request(fingerprint) => write!(formatter, "request-{:016x}", fingerprint.0),
+            SuspectKey::Shared(digest) => write!(formatter, "shared-{digest:016x}"),
+        }
+    }
+}
+
 /// A crash of a replica under a suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashEvent {
@@ -165,7 +175,7 @@
     ) -> SuspectVerdict {
         let mut verdict = SuspectVerdict::Allowed;
         for key in keys {
-            let crashes = self.crash_count(now, *key, MAX_EXPLANATION_DEPTH);
+            let crashes = self.counted_crashes(now, *key);
             let Some(record) = self.records.get(key).filter(|_| crashes >= CRASH_LIMIT) else {
                 continue;
             };
@@ -182,7 +192,7 @@
     pub fn record_probe(&mut self, now: Duration, keys: &[SuspectKey]) -> Vec<SuspectReport> {
         let mut reports = Vec::new();
         for key in keys {
-            let crashes = self.crash_count(now, *key, MAX_EXPLANATION_DEPTH);
+            let crashes = self.counted_crashes(now, *key);
             if let Some(record) = self.records.get_mut(key).filter(|_| crashes >= CRASH_LIMIT) {
                 record.probed_at = Some(now);
                 reports.push(record.report(now, *key));
@@ -247,6 +257,11 @@
         is_news
     }
 
+    /// The crashes that count against a suspect.
+    pub fn counted_crashes(&self, now: Duration, key: SuspectKey) -> usize {
+        self.crash_count(now, key, MAX_EXPLANATION_DEPTH)
+    }
+
     /// What is known of a suspect, to be passed on.
     pub fn report(&self, now: Duration, key: SuspectKey) -> Option<SuspectReport> {
         self.records.get(&key).map(|it| it.report(now, key))
@@ -274,10 +289,9 @@
     }
 
     fn is_refused(&self, now: Duration, key: SuspectKey) -> bool {
-        self.crash_count(now, key, MAX_EXPLANATION_DEPTH) >= CRASH_LIMIT
+        self.counted_crashes(now, key) >= CRASH_LIMIT
     }
 
-    /// The crashes that count against a suspect.
     fn crash_count(&self, now: Duration, key: SuspectKey, depth: usize) -> usize {
         let Some(record) = self.records.get(&key) else { return 0 };
         let independent = record.independent_crashes(now, key).len();
