Count each crash under a request without a body

Cause: such a request was recorded like a part that many prompts share. Crashes of a shared part count once if they are within 200 ms of each other, as a rack that fails takes several replicas with it. An idempotent request that the daemon retries and its caller repeats takes four replicas in that time, so what crashed replicas fastest counted least.

Now all requests are recorded as requests: each replica counts. What the distance guarded against, a rack that fails under a popular request, has rules of its own: - a request that was answered up to a second before is not the cause; - crashes at one moment refuse a request but do not prove it, and it is tried again after 5 s instead of 15 s; to be proven, crashes must have come at three separate moments.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -116,11 +116,10 @@
 }
 
 /// The key by which a request is recognised when it is sent again: a hash of its customer, path and
-/// body. Without a body it is taken from all that else tells requests apart, and may still be that of
-/// unrelated ones.
+/// body. Without a body it is taken from all that else tells requests apart.
 fn request_key(customer: Option<&CustomerId>, request: &CallerRequest) -> SuspectKey {
-    let seed = rendezvous::hash_member(customer.map_or("", |it| it.as_str()));
     let hash = |seed: u64, text: &[u8]| xxh3::xxh3_64_with_seed(text, seed);
+    let seed = rendezvous::hash_member(customer.map_or("", |it| it.as_str()));
     if !request.body.is_empty() {
         let seed = hash(seed, request.uri.path().as_bytes());
         return SuspectKey::Request(Fingerprint(hash(seed, &request.body)));
@@ -128,5 +127,6 @@
     let path = request.uri.path_and_query().map_or("", |it| it.as_str());
     let seed = hash(hash(seed, request.method.as_str().as_bytes()), path.as_bytes());
     let parts = request.head.parts.iter();
-    SuspectKey::Shared(parts.fold(seed, |seed, part| hash(seed, part.id.as_bytes())))
+    let digest = parts.fold(seed, |seed, part| hash(seed, part.id.as_bytes()));
+    SuspectKey::Request(Fingerprint(digest))
 }
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -4,7 +4,9 @@
 //! When a replica crashes, every request on it is a suspect; if it had just begun, so is each part that
 //! its prompt shares with others. Chance puts a request on a crashing replica now and then, so
 //! it takes several crashes, and one answer that comes to its end clears all that its request
-//! consists of. A part is refused early only if what follows it in the prompts differed: otherwise
+//! consists of. Crashes at one moment may be those of a rack under a popular request, or of one
+//! request that was repeated at once: they refuse the request, but do not prove that it is what
+//! crashes replicas, and it is soon tried again. A part is refused early only if what follows it in the prompts differed: otherwise
 //! that may be what crashes replicas, and other requests with the part are sound. If requests that
 //! share what follows are answered, more crashes refuse the part all the same.
 //!
@@ -24,22 +26,28 @@
 const BEGIN_TIME: Duration = Duration::from_secs(1);
 /// Crashes after which requests are refused.
 pub const CRASH_LIMIT: usize = 3;
-/// Crashes after which a refused part is not tried again.
+/// Crashes after which a refused suspect is not tried again.
 const PROVEN_CRASHES: usize = 5;
 /// Further crashes that a part needs if the same part follows it in all prompts.
 const SAME_SUCCESSOR_CRASHES: usize = 2;
 /// How many parts further in a prompt one is looked for that explains a crash.
 const MAX_EXPLANATION_DEPTH: usize = 3;
-/// Replicas that crash within this time count once against what requests share: a rack that fails
-/// takes replicas with it on which several of them ran.
+/// Replicas that crash within this time may have a common cause: a rack that fails takes replicas with
+/// it on which several requests ran.
 const CRASH_SEPARATION: Duration = Duration::from_millis(200);
 /// How long after its last crash a refused part is tried again.
 const PROBE_DELAY: Duration = Duration::from_secs(15);
+/// The same for a request all of whose crashes may have a common cause other than itself.
+const ONE_MOMENT_PROBE_DELAY: Duration = Duration::from_secs(5);
 /// What each further rank among the daemons waits beyond that, so that one of them tries: longer than
 /// the period in which peers are told again.
 const PROBE_RANK_DELAY: Duration = Duration::from_millis(1_500);
 /// The most that ranks add.
 const MAX_PROBE_RANK_DELAY: Duration = Duration::from_secs(15);
+/// How long before a crash an answer still shows that its request is not the cause.
+const ANSWER_VALIDITY: Duration = Duration::from_secs(1);
+/// Upper limit of what is remembered as answered.
+const MAX_ANSWERED: usize = 1_024;
 /// How long crashes count.
 const RETENTION: Duration = Duration::from_secs(3_600);
 /// How long peers are told that a suspect was cleared.
@@ -67,8 +75,7 @@
 pub enum SuspectKey {
     /// One request, which may be sent again.
     Request(Fingerprint),
-    /// All requests that share this, given as a hash: a part of their prompts, or the target of requests
-    /// without a body.
+    /// All requests that share this, given as a hash: a part of their prompts.
     #[serde(rename = "Part")]
     Shared(u64),
 }
@@ -141,6 +148,8 @@
 #[derive(Debug, Default)]
 pub struct SuspectTable {
     records: IndexMap<SuspectKey, SuspectRecord>,
+    /// When what was answered lately was answered last.
+    answered: IndexMap<SuspectKey, Duration>,
 }
 
 #[derive(Debug, Default)]
@@ -179,8 +188,8 @@
             let Some(record) = self.records.get(key).filter(|_| crashes >= CRASH_LIMIT) else {
                 continue;
             };
-            let is_due = rank.is_some_and(|it| record.next_probe_at(it) <= now);
-            if crashes >= PROVEN_CRASHES || !is_due {
+            let is_due = rank.is_some_and(|it| record.next_probe_at(now, *key, it) <= now);
+            if record.is_proven(now, *key, crashes) || !is_due {
                 return SuspectVerdict::Refused;
             }
             verdict = SuspectVerdict::Probe;
@@ -212,6 +221,9 @@
     ) -> Vec<SuspectReport> {
         let mut reports = Vec::new();
         for (key, successor) in keys {
+            if self.was_answered_before(*key, crashed_at) {
+                continue;
+            }
             let crash = TimedCrash { replica, successor: *successor, at: crashed_at };
             let record = self.record_mut(*key);
             if record.add(*key, crash) {
@@ -225,6 +237,9 @@
     pub fn clear(&mut self, now: Duration, keys: &[SuspectKey]) -> Vec<SuspectReport> {
         let mut reports = Vec::new();
         for key in keys {
+            if self.answered.len() < MAX_ANSWERED || self.answered.contains_key(key) {
+                self.answered.insert(*key, now);
+            }
             let record = self.records.get_mut(key).filter(|it| !it.events.is_empty());
             let Some(record) = record else { continue };
             record.events.clear();
@@ -236,6 +251,8 @@
 
     /// Merges what a peer knew at `reported_at`. Returns whether anything was new.
     pub fn merge(&mut self, reported_at: Duration, report: &SuspectReport) -> bool {
+        let answered_until =
+            self.answered.get(&report.key).map_or(Duration::ZERO, |it| *it + ANSWER_VALIDITY);
         let record = self.record_mut(report.key);
         let mut is_news = false;
         if let Some(age) = report.cleared {
@@ -252,7 +269,7 @@
         }
         for CrashEvent { replica, successor, age } in report.events.iter().copied() {
             let crash = TimedCrash { replica, successor, at: reported_at.saturating_sub(age) };
-            is_news |= record.add(report.key, crash);
+            is_news |= answered_until <= crash.at && record.add(report.key, crash);
         }
         is_news
     }
@@ -271,6 +288,7 @@
     /// cleared lately, refused ones first. Forgets what is too old to count.
     pub fn repeat_reports(&mut self, now: Duration) -> Vec<SuspectReport> {
         self.records.retain(|_, it| !it.is_expired(now));
+        self.answered.retain(|_, it| now < *it + ANSWER_VALIDITY);
         let repeated = self.records.iter().rev().filter(|(_, it)| it.is_repeated(now));
         let (refused, others): (Vec<_>, Vec<_>) =
             repeated.partition(|(key, _)| self.is_refused(now, **key));
@@ -288,6 +306,11 @@
         reports
     }
 
+    /// Whether a suspect was answered so shortly before a crash that it is not the cause.
+    fn was_answered_before(&self, key: SuspectKey, crashed_at: Duration) -> bool {
+        self.answered.get(&key).is_some_and(|it| crashed_at < *it + ANSWER_VALIDITY)
+    }
+
     fn is_refused(&self, now: Duration, key: SuspectKey) -> bool {
         self.counted_crashes(now, key) >= CRASH_LIMIT
     }
@@ -402,11 +425,22 @@
         distinct
     }
 
-    fn next_probe_at(&self, rank: usize) -> Duration {
+    /// Whether the suspect is not tried again, as so many crashes count against it. Those of a request
+    /// must have come at enough different moments.
+    fn is_proven(&self, now: Duration, key: SuspectKey, crashes: usize) -> bool {
+        crashes >= PROVEN_CRASHES
+            && (matches!(key, SuspectKey::Shared(_))
+                || self.separate_crashes(now).len() >= CRASH_LIMIT)
+    }
+
+    fn next_probe_at(&self, now: Duration, key: SuspectKey, rank: usize) -> Duration {
         let last_at = self.events.last().map(|it| it.at).max(self.probed_at);
         let rank = u32::try_from(rank).unwrap_or(u32::MAX);
         let rank_delay = PROBE_RANK_DELAY.saturating_mul(rank).min(MAX_PROBE_RANK_DELAY);
-        last_at.unwrap_or_default() + PROBE_DELAY + rank_delay
+        let is_one_moment =
+            matches!(key, SuspectKey::Request(_)) && self.separate_crashes(now).len() == 1;
+        let delay = if is_one_moment { ONE_MOMENT_PROBE_DELAY } else { PROBE_DELAY };
+        last_at.unwrap_or_default() + delay + rank_delay
     }
 
     fn is_repeated(&self, now: Duration) -> bool {
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -104,6 +104,65 @@
     assert_eq!(table.verdict(s(2), &[key], Some(0)), SuspectVerdict::Refused);
 }
 
+/// Replicas crash at the same moment under one request.
+fn crash_at_once(table: &mut SuspectTable, key: SuspectKey, replicas: u64) {
+    for replica in 0..replicas {
+        table.record_crash(s(1), s(1), &[(key, replica)], replica);
+    }
+}
+
+/// A rack that fails may take several replicas that run the same request.
+#[test]
+fn a_request_that_was_on_a_failed_rack_is_soon_tried_again() {
+    let key = SuspectKey::Request(Fingerprint(7));
+    let mut table = SuspectTable::default();
+    crash_at_once(&mut table, key, 8);
+    assert_eq!(table.verdict(s(2), &[key], Some(0)), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(6), &[key], Some(0)), SuspectVerdict::Probe);
+    table.record_probe(s(6), &[key]);
+    assert_eq!(table.verdict(s(7), &[key], Some(0)), SuspectVerdict::Refused, "one at a time");
+    table.clear(s(7), &[key]);
+    assert_eq!(table.verdict(s(7), &[key], Some(0)), SuspectVerdict::Allowed);
+}
+
+/// Three requests may reach replicas late.
+#[test]
+fn a_request_that_crashes_replicas_at_once_and_again_is_tried_twice() {
+    let key = SuspectKey::Request(Fingerprint(7));
+    let mut table = SuspectTable::default();
+    crash_at_once(&mut table, key, 4);
+    let mut trials = 0;
+    for second in 2..3_000 {
+        if table.verdict(s(second), &[key], Some(0)) == SuspectVerdict::Probe {
+            table.record_probe(s(second), &[key]);
+            trials += 1;
+            table.record_crash(s(second), s(second), &[(key, 10 + trials)], 10 + trials);
+        }
+    }
+    assert_eq!(trials, 2);
+}
+
+#[rstest]
+#[case::own_crash(false)]
+#[case::crash_that_a_peer_reports(true)]
+fn a_request_that_was_just_answered_is_not_suspected(#[case] is_reported: bool) {
+    let key = SuspectKey::Request(Fingerprint(7));
+    let mut table = SuspectTable::default();
+    let mut peer = SuspectTable::default();
+    table.clear(Duration::from_millis(500), &[key]);
+    if is_reported {
+        crash_at_once(&mut peer, key, 8);
+        peer.repeat_reports(s(1)).iter().for_each(|it| assert!(!table.merge(s(1), it)));
+    } else {
+        crash_at_once(&mut table, key, 8);
+    }
+    assert_eq!(table.verdict(s(2), &[key], Some(0)), SuspectVerdict::Allowed);
+    for replica in 10..13 {
+        table.record_crash(s(2), s(2), &[(key, replica)], replica);
+    }
+    assert_eq!(table.verdict(s(3), &[key], Some(0)), SuspectVerdict::Refused, "no more answers");
+}
+
 #[test]
 fn an_answer_that_ends_clears_all_parts_of_its_request_everywhere() {
     let (mut table, mut peer) = (SuspectTable::default(), SuspectTable::default());
