Let one daemon at a time try a refused request again

A refused request is tried again, since it brings no evidence otherwise. The daemons' delays had an upper limit of 15 s, and a daemon that was due stayed due: copies of a rare request that came to several daemons at the same moment later on were sent by all of them.

Now ranks take turns of 1.5 s each, eight of them, from when the suspect is due. A daemon that learns that another one has tried it starts anew.

Price: a request that was refused wrongly and comes rarely waits for the daemon whose turn it is.

--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -53,9 +53,9 @@
     keys: &CrashKeys,
 ) -> Result<SuspectVerdict, CallRefusal> {
     let now = gateway.now();
-    let mut verdict = lock(&gateway.suspects).verdict(now, &keys.keys, Some(0));
+    let mut verdict = lock(&gateway.suspects).verdict(now, &keys.keys, None);
     // The rank is costly and matters only to a suspect.
-    if verdict == SuspectVerdict::Probe {
+    if verdict == SuspectVerdict::Refused {
         let rank = probe_rank(gateway, now);
         verdict = lock(&gateway.suspects).verdict(now, &keys.keys, rank);
     }
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -39,11 +39,11 @@
 const PROBE_DELAY: Duration = Duration::from_secs(15);
 /// The same for a request all of whose crashes may have a common cause other than itself.
 const ONE_MOMENT_PROBE_DELAY: Duration = Duration::from_secs(5);
-/// What each further rank among the daemons waits beyond that, so that one of them tries: longer than
-/// the period in which peers are told again.
-const PROBE_RANK_DELAY: Duration = Duration::from_millis(1_500);
-/// The most that ranks add.
-const MAX_PROBE_RANK_DELAY: Duration = Duration::from_secs(15);
+/// The turn of each rank among the daemons from then on, so that one daemon at a time tries: longer
+/// than the period in which peers are told again.
+const PROBE_TURN: Duration = Duration::from_millis(1_500);
+/// How many ranks take turns. With too many, a request that comes rarely meets the right daemon too late.
+const PROBE_TURNS: u128 = 8;
 /// How long before a crash an answer still shows that its request is not the cause.
 const ANSWER_VALIDITY: Duration = Duration::from_secs(1);
 /// Upper limit of what is remembered as answered.
@@ -188,8 +188,8 @@
             let Some(record) = self.records.get(key).filter(|_| crashes >= CRASH_LIMIT) else {
                 continue;
             };
-            let is_due = rank.is_some_and(|it| record.next_probe_at(now, *key, it) <= now);
-            if record.is_proven(now, *key, crashes) || !is_due {
+            let may_probe = rank.is_some_and(|it| record.has_probe_turn(now, *key, it));
+            if record.is_proven(now, *key, crashes) || !may_probe {
                 return SuspectVerdict::Refused;
             }
             verdict = SuspectVerdict::Probe;
@@ -433,14 +433,15 @@
                 || self.separate_crashes(now).len() >= CRASH_LIMIT)
     }
 
-    fn next_probe_at(&self, now: Duration, key: SuspectKey, rank: usize) -> Duration {
+    /// Whether the daemon of a rank may try the suspect again now.
+    fn has_probe_turn(&self, now: Duration, key: SuspectKey, rank: usize) -> bool {
         let last_at = self.events.last().map(|it| it.at).max(self.probed_at);
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        let rank_delay = PROBE_RANK_DELAY.saturating_mul(rank).min(MAX_PROBE_RANK_DELAY);
         let is_one_moment =
             matches!(key, SuspectKey::Request(_)) && self.separate_crashes(now).len() == 1;
         let delay = if is_one_moment { ONE_MOMENT_PROBE_DELAY } else { PROBE_DELAY };
-        last_at.unwrap_or_default() + delay + rank_delay
+        let due_for = now.checked_sub(last_at.unwrap_or_default() + delay);
+        let turn = due_for.map(|it| it.as_millis() / PROBE_TURN.as_millis() % PROBE_TURNS);
+        turn == Some(rank as u128)
     }
 
     fn is_repeated(&self, now: Duration) -> bool {
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -289,6 +289,24 @@
     assert_eq!(table.verdict(s(5), &[BAD], Some(0)), SuspectVerdict::Refused);
 }
 
+/// Refused requests may come rarely, and then to many daemons at the same moment.
+#[rstest]
+#[case::as_soon_as_it_is_due(s(17))]
+#[case::later(s(27))]
+#[case::much_later(s(1_000))]
+fn one_daemon_at_a_time_tries_a_suspect_again(#[case] now: Duration) {
+    const DAEMONS: usize = 88;
+    let mut table = SuspectTable::default();
+    crash_in_series(&mut table, 3);
+    let tries = |now: Duration, rank: usize| {
+        table.verdict(now, &[BAD], Some(rank)) == SuspectVerdict::Probe
+    };
+    assert!((0..DAEMONS).filter(|it| tries(now, *it)).count() <= 1);
+    for rank in 0..4 {
+        assert!((0..15).any(|it| tries(now + s(it), rank)), "rank {rank} gets a turn");
+    }
+}
+
 /// That a replica crashed may show seconds later, after the suspect was cleared elsewhere.
 #[test]
 fn a_crash_that_shows_late_is_told_with_its_age() {
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -387,6 +387,14 @@
         package: "policy",
         test: "crash_suspects::a_request_that_was_on_a_failed_rack_is_soon_tried_again",
     },
+    Mutant {
+        name: "9 one daemon at a time tries a suspect again",
+        file: "crates/policy/src/crash_suspects.rs",
+        original: "        turn == Some(rank as u128)",
+        replacement: "        turn >= Some(rank as u128)",
+        package: "policy",
+        test: "crash_suspects::one_daemon_at_a_time_tries_a_suspect_again",
+    },
     Mutant {
         name: "9 a request that was just answered is not what crashed a replica",
         file: "crates/policy/src/crash_suspects.rs",
