Recognise a crashing request by its host too

A request is recognised by its customer, path and body. Two hosts may have the same path, served by different pools: a sound request to one of them cleared what had crashed replicas of the other.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -115,11 +115,12 @@
     keys
 }
 
-/// The key by which a request is recognised when it is sent again: a hash of its customer, path and
-/// body. Without a body it is taken from all that else tells requests apart.
+/// The key by which a request is recognised when it is sent again: a hash of its customer, host, path
+/// and body. Without a body it is taken from all that else tells requests apart.
 fn request_key(customer: Option<&CustomerId>, request: &CallerRequest) -> SuspectKey {
     let hash = |seed: u64, text: &[u8]| xxh3::xxh3_64_with_seed(text, seed);
     let seed = rendezvous::hash_member(customer.map_or("", |it| it.as_str()));
+    let seed = hash(seed, request.head.host.to_ascii_lowercase().as_bytes());
     if !request.body.is_empty() {
         let seed = hash(seed, request.uri.path().as_bytes());
         return SuspectKey::Request(Fingerprint(hash(seed, &request.body)));
