Ask who is at the address when an unframed answer ends

An answer with neither a length nor chunks ends with its connection.

Cause: the new connection that was opened then showed only that somebody listens. Now the replica is asked for its report on it: another id, in a report or in a refusal, or another start than was listed means that the answer was cut. Price: one report for each unframed answer. Left: a replica that was started again under its id, while the list still shows the process before, is taken for crashed.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -6,6 +6,7 @@
 use web::client::CallError;
 use web::hop_by_hop;
 
+use crate::answer_end;
 use crate::attempt_error::AttemptError;
 use crate::body::CallerBody;
 use crate::body_reader;
@@ -14,6 +15,7 @@
 use crate::connections::{CallerResponse, OpenAnswer};
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::placement::PlacedTarget;
 
 /// Longest answer that is buffered; a longer one is a failure of the replica.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -29,6 +31,7 @@
 /// after a success.
 pub(crate) async fn collect<D: Dialect, S: Directory>(
     call: &Call<D, S>,
+    target: &PlacedTarget,
     answer: OpenAnswer,
 ) -> Result<BufferedAnswer, AttemptError> {
     let left = call.deadline.saturating_sub(call.gateway.now());
@@ -36,7 +39,7 @@
     let mut share = BufferShare::new(&call.gateway.buffers);
     let read = async {
         let bytes = body_reader::read_body(&mut body, &mut share, MAX_ANSWER_BYTES).await?;
-        call.gateway.connections.check_end(&connection).await?;
+        answer_end::check(&call.gateway, target, &connection).await?;
         Ok(bytes)
     };
     let body = tokio::time::timeout(left, read).await.unwrap_or(Err(CallError::Timeout(left)))?;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -146,7 +146,7 @@
                 Ok(answer) if self.is_stream() && answer.status.is_success() => {
                     return Ok(stream::answer(self, placement, answer));
                 }
-                Ok(answer) => buffered::collect(&self, answer).await,
+                Ok(answer) => buffered::collect(&self, &placement.target, answer).await,
                 Err(error) => Err(error),
             };
             if let Ok(answer) = &outcome {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -255,6 +255,13 @@
     is_unframed: bool,
 }
 
+impl ReusableConnection {
+    /// Whether nothing but the end of the connection marks the end of its answer.
+    pub fn is_unframed(&self) -> bool {
+        self.is_unframed
+    }
+}
+
 impl OpenAnswer {
     /// Splits off the connection, which can be reused once the body is read.
     pub fn split(self) -> (StatusCode, HeaderMap, Incoming, ReusableConnection) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! the traits [`dialect::Dialect`] and [`directory::Directory`]. The `policy` crate makes the
 //! decisions; this crate owns the sockets, the tasks and the tables that requests share.
 
+mod answer_end;
 mod attempt_error;
 mod body;
 mod body_reader;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,6 +12,7 @@
 use policy::retry::RetryReason;
 use web::client::CallError;
 
+use crate::answer_end;
 use crate::attempt_error::AttemptError;
 use crate::body::{BodyAborted, CallerBody};
 use crate::buffer_share::BufferShare;
@@ -127,7 +128,8 @@
                 return Err(broken("the stream ended in the middle of an event".into()));
             }
             if let Some(connection) = &self.connection {
-                self.call.gateway.connections.check_end(connection).await?;
+                let target = &self.placement.target;
+                answer_end::check(&self.call.gateway, target, connection).await?;
             }
             return Ok(StreamStep::End);
         };
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -331,6 +331,14 @@
         package: "platform",
         test: "unframed_answers::an_answer_that_is_broken_off_does_not_look_whole",
     },
+    Mutant {
+        name: "4 an unframed answer is broken off if another process stands in its place",
+        file: "crates/gateway/src/answer_end.rs",
+        original: "ended.is_unframed() && was_replaced",
+        replacement: "!ended.is_unframed() && was_replaced",
+        package: "platform",
+        test: "unframed_answers::an_answer_cut_by_a_crash_is_not_whole_although_its_replica_is_back_at_once",
+    },
     Mutant {
         name: "9 a crashing part that the same part always follows is refused",
         file: "crates/policy/src/crash_suspects.rs",
