--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -381,7 +381,7 @@
     },
     Mutant {
         name: "9 crashes of one request count at any distance",
-        file: "crates/policy/src/crash_suspects.rs",
+        file: "crates/policy/src/crash_record.rs",
         original: "SuspectKey::Request(_) => Duration::ZERO,",
         replacement: "SuspectKey::Request(_) => CRASH_SEPARATION,",
         package: "platform",
@@ -389,7 +389,7 @@
     },
     Mutant {
         name: "9 crashes at one moment do not prove a request",
-        file: "crates/policy/src/crash_suspects.rs",
+        file: "crates/policy/src/crash_record.rs",
         original: "let delay = if is_one_moment { ONE_MOMENT_PROBE_DELAY } else { PROBE_DELAY };",
         replacement: "let delay = if is_one_moment { PROBE_DELAY } else { PROBE_DELAY };",
         package: "policy",
@@ -397,7 +397,7 @@
     },
     Mutant {
         name: "9 one daemon at a time tries a suspect again",
-        file: "crates/policy/src/crash_suspects.rs",
+        file: "crates/policy/src/crash_record.rs",
         original: "        turn == Some(rank as u128)",
         replacement: "        turn >= Some(rank as u128)",
         package: "policy",
@@ -405,7 +405,7 @@
     },
     Mutant {
         name: "9 a request that was just answered is not what crashed a replica",
-        file: "crates/policy/src/crash_suspects.rs",
+        file: "crates/policy/src/crash_record.rs",
         original: "let exonerates = |it: &Duration| crashed_at < *it + ANSWER_VALIDITY;",
         replacement: "let exonerates = |it: &Duration| crashed_at < *it;",
         package: "policy",
