Refuse a part that takes several replicas at a time when it does so again

Crashes within 200 ms of each other count once against a prompt part, as a rack that fails takes replicas with it on which sound requests share parts.

Now five replicas at two moments refuse a part; they do not prove it, so it is tried again. Such crashes are kept in full records and stored.

--- a/crates/policy/src/crash_record.rs
+++ b/crates/policy/src/crash_record.rs
@@ -10,7 +10,7 @@
 /// Crashes after which requests are refused.
 pub const CRASH_LIMIT: usize = 3;
 /// Crashes after which a refused suspect is not tried again.
-const PROVEN_CRASHES: usize = 5;
+pub(crate) const PROVEN_CRASHES: usize = 5;
 /// Further crashes that a part needs if the same part follows it in all prompts.
 pub(crate) const SAME_SUCCESSOR_CRASHES: usize = 2;
 /// Replicas that crash within this time may have a common cause: a rack that fails takes replicas with
@@ -18,7 +18,7 @@
 const CRASH_SEPARATION: Duration = Duration::from_millis(200);
 /// How long after its last crash a refused part is tried again.
 const PROBE_DELAY: Duration = Duration::from_secs(15);
-/// The same for a request all of whose crashes may have a common cause other than itself.
+/// The same for a suspect all of whose crashes may have a common cause other than itself.
 const ONE_MOMENT_PROBE_DELAY: Duration = Duration::from_secs(5);
 /// The turn of each rank among the daemons from then on, so that one daemon at a time tries: longer
 /// than the period in which peers are told again.
@@ -36,7 +36,7 @@
 const CLEARANCE_STEP: Duration = Duration::from_secs(1);
 /// Crashes kept of one suspect.
 const MAX_EVENTS: usize = 16;
-/// Crashes of a refused suspect that are stored: as many as prove a part.
+/// Crashes of a refused suspect that are stored, of each kind that counts: as many as prove a part.
 const MAX_STORED_EVENTS: usize = PROVEN_CRASHES + SAME_SUCCESSOR_CRASHES;
 
 /// What is suspected of crashing replicas.
@@ -144,10 +144,9 @@
     /// The position of the last crash that does not count; of the last one if all do.
     fn last_surplus(&self, key: SuspectKey) -> usize {
         let now = self.events.last().map_or(Duration::ZERO, |it| it.at);
-        let (independent, separate) =
-            (self.independent_crashes(now, key), self.separate_crashes(now));
-        let counts = |it: &TimedCrash| independent.contains(it) || separate.contains(it);
-        self.events.iter().rposition(|it| !counts(it)).unwrap_or(self.events.len() - 1)
+        let proof = self.proof(now, key);
+        let position = self.events.iter().rposition(|it| !proof.contains(it));
+        position.unwrap_or(self.events.len() - 1)
     }
 
     /// Crashes that cannot have one common cause other than the suspect.
@@ -160,6 +159,12 @@
         self.distinct_crashes(now, separation, same_successor)
     }
 
+    /// Crashes of one replica each at any distance, each with another successor. A failed rack may have
+    /// caused them.
+    pub(crate) fn crashed_replicas(&self, now: Duration) -> Vec<TimedCrash> {
+        self.distinct_crashes(now, Duration::ZERO, |a, b| a.successor == b.successor)
+    }
+
     /// Crashes that are not one event, whatever followed the suspect.
     pub(crate) fn separate_crashes(&self, now: Duration) -> Vec<TimedCrash> {
         self.distinct_crashes(now, CRASH_SEPARATION, |_, _| false)
@@ -193,10 +198,9 @@
     }
 
     /// Whether the daemon of a rank may try the suspect again now.
-    pub(crate) fn has_probe_turn(&self, now: Duration, key: SuspectKey, rank: usize) -> bool {
+    pub(crate) fn has_probe_turn(&self, now: Duration, rank: usize) -> bool {
         let last_at = self.events.last().map(|it| it.at).max(self.probed_at);
-        let is_one_moment =
-            matches!(key, SuspectKey::Request(_)) && self.separate_crashes(now).len() == 1;
+        let is_one_moment = self.separate_crashes(now).len() == 1;
         let delay = if is_one_moment { ONE_MOMENT_PROBE_DELAY } else { PROBE_DELAY };
         let due_for = now.checked_sub(last_at.unwrap_or_default() + delay);
         let turn = due_for.map(|it| it.as_millis() / PROBE_TURN.as_millis() % PROBE_TURNS);
@@ -216,17 +220,24 @@
         !counts && !self.was_cleared_lately(now)
     }
 
-    /// The report with just the crashes that prove the suspect. Of the crashes that count the first
-    /// ones are kept: which ones count depends on those before them.
+    /// The report with just the crashes that prove the suspect.
     pub(crate) fn stored_report(&self, now: Duration, key: SuspectKey) -> SuspectReport {
-        let mut proof = self.independent_crashes(now, key);
-        proof.truncate(MAX_STORED_EVENTS);
-        let mut separate = self.separate_crashes(now);
-        separate.truncate(MAX_STORED_EVENTS);
-        let events = self.events.iter().filter(|it| proof.contains(it) || separate.contains(it));
+        let proof = self.proof(now, key);
+        let events = self.events.iter().filter(|it| proof.contains(it));
         SuspectRecord { events: events.copied().collect(), ..*self }.report(now, key)
     }
 
+    /// The crashes by which a suspect is refused. The first ones are kept: which ones count depends on
+    /// those before them.
+    fn proof(&self, now: Duration, key: SuspectKey) -> Vec<TimedCrash> {
+        let mut proof = Vec::new();
+        let counted = [self.independent_crashes(now, key), self.separate_crashes(now)];
+        for crashes in counted.into_iter().chain([self.crashed_replicas(now)]) {
+            proof.extend(crashes.into_iter().take(MAX_STORED_EVENTS));
+        }
+        proof
+    }
+
     pub(crate) fn report(&self, now: Duration, key: SuspectKey) -> SuspectReport {
         let age = |at: Duration| now.saturating_sub(at);
         let event = |it: &TimedCrash| CrashEvent {
--- a/crates/policy/src/crash_suspects.rs
+++ b/crates/policy/src/crash_suspects.rs
@@ -6,7 +6,8 @@
 //! it takes several crashes, and one answer that comes to its end clears all that its request
 //! consists of. Crashes at one moment may be those of a rack under a popular request, or of one
 //! request that was repeated at once: they refuse the request, but do not prove that it is what
-//! crashes replicas, and it is soon tried again. A part is refused early only if what follows it in the prompts differed: otherwise
+//! crashes replicas, and it is soon tried again. Sound requests share parts, and crashes at one moment
+//! do not refuse a part. A part is refused early only if what follows it in the prompts differed: otherwise
 //! that may be what crashes replicas, and other requests with the part are sound. If requests that
 //! share what follows are answered, more crashes refuse the part all the same.
 //!
@@ -17,7 +18,9 @@
 
 use indexmap::IndexMap;
 
-use crate::crash_record::{ANSWER_VALIDITY, SAME_SUCCESSOR_CRASHES, SuspectRecord, TimedCrash};
+use crate::crash_record::{
+    ANSWER_VALIDITY, PROVEN_CRASHES, SAME_SUCCESSOR_CRASHES, SuspectRecord, TimedCrash,
+};
 pub use crate::crash_record::{CRASH_LIMIT, CrashEvent, SuspectKey, SuspectReport};
 
 /// For how long after its first event the parts of a stream's prompt may still be what crashed its
@@ -99,7 +102,7 @@
             let Some(record) = self.records.get(key).filter(|_| crashes >= CRASH_LIMIT) else {
                 continue;
             };
-            let may_probe = rank.is_some_and(|it| record.has_probe_turn(now, *key, it));
+            let may_probe = rank.is_some_and(|it| record.has_probe_turn(now, it));
             if record.is_proven(now, *key, crashes) || !may_probe {
                 return SuspectVerdict::Refused;
             }
@@ -225,11 +228,14 @@
             return independent;
         }
         let separate = record.separate_crashes(now);
+        // So many replicas refuse a part, but do not prove it, if it was more than one moment.
+        let are_many = record.crashed_replicas(now).len() >= PROVEN_CRASHES && separate.len() > 1;
+        let counted = if are_many { independent.max(CRASH_LIMIT) } else { independent };
         if separate.len() < CRASH_LIMIT + SAME_SUCCESSOR_CRASHES {
-            return independent;
+            return counted;
         }
         let unexplained = separate.iter().filter(|it| !self.is_explained(now, it, depth)).count();
-        independent.max(unexplained.saturating_sub(SAME_SUCCESSOR_CRASHES))
+        counted.max(unexplained.saturating_sub(SAME_SUCCESSOR_CRASHES))
     }
 
     /// Whether a part further in the prompt of the crashed request is refused.
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -94,6 +94,22 @@
     assert_eq!(table.verdict(s(2), &[BAD], Some(0)), SuspectVerdict::Allowed);
 }
 
+/// Requests with the part come several at a time.
+#[test]
+fn a_part_that_takes_several_replicas_at_a_time_is_refused_the_second_time() {
+    let mut table = SuspectTable::default();
+    for number in 0..5 {
+        let at = s(1 + 3 * (number / 4));
+        assert_eq!(table.verdict(at, &[FIRST, BAD], Some(0)), SuspectVerdict::Allowed);
+        table.record_crash(at, at, &[(FIRST, 2), (BAD, 100 + number)], number);
+    }
+    assert_eq!(table.verdict(s(5), &[BAD], Some(0)), SuspectVerdict::Refused);
+    assert_eq!(table.verdict(s(5), &[FIRST], Some(0)), SuspectVerdict::Allowed);
+    let mut restarted = SuspectTable::default();
+    table.refused_reports(s(5)).iter().for_each(|it| assert!(restarted.merge(s(5), it)));
+    assert_eq!(restarted.verdict(s(5), &[BAD], Some(0)), SuspectVerdict::Refused);
+}
+
 #[test]
 fn the_same_request_is_refused_after_three_crashes_at_any_distance() {
     let key = SuspectKey::Request(Fingerprint(7));
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -342,8 +342,8 @@
     Mutant {
         name: "9 a crashing part that the same part always follows is refused",
         file: "crates/policy/src/crash_suspects.rs",
-        original: "        independent.max(unexplained.saturating_sub(SAME_SUCCESSOR_CRASHES))",
-        replacement: "        independent.max(unexplained.min(0))",
+        original: "        counted.max(unexplained.saturating_sub(SAME_SUCCESSOR_CRASHES))",
+        replacement: "        counted.max(unexplained.min(0))",
         package: "policy",
         test: "crash_suspects::a_part_that_the_same_part_always_follows_is_refused",
     },
@@ -379,6 +379,14 @@
         package: "platform",
         test: "crash_recognition::a_crashing_request_stops_reaching_replicas",
     },
+    Mutant {
+        name: "9 a part that takes several replicas at a time is refused",
+        file: "crates/policy/src/crash_suspects.rs",
+        original: "record.crashed_replicas(now).len() >= PROVEN_CRASHES && separate.len() > 1",
+        replacement: "separate.is_empty()",
+        package: "policy",
+        test: "crash_suspects::a_part_that_takes_several_replicas_at_a_time_is_refused_the_second_time",
+    },
     Mutant {
         name: "9 crashes of one request count at any distance",
         file: "crates/policy/src/crash_record.rs",
