Review: keep all crashes that count in full records, name the suspect of a refusal

Found on reading the diff. A full record kept only the first seven crashes of each kind that counts, which is meant for what is stored. The line of a refusal named the request even if one of its parts was refused.

--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -61,20 +61,22 @@
     }
     match verdict {
         SuspectVerdict::Refused => {
-            let suspects = lock(&gateway.suspects);
-            let counted = |it: &SuspectKey| suspects.counted_crashes(now, *it);
-            let crashes = keys.keys.iter().map(counted).max();
-            tracing::info!(
-                suspect = keys.keys.first().map(tracing::field::display),
-                crashes,
-                "call: refused as a suspect"
-            );
+            log_refusal(gateway, now, keys);
             Err(CallRefusal::not_run(ErrorKind::CrashSuspect))
         }
         other => Ok(other),
     }
 }
 
+/// Logs which suspect of a refused request has most crashes.
+fn log_refusal<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, now: Duration, keys: &CrashKeys) {
+    let suspects = lock(&gateway.suspects);
+    let counted = keys.keys.iter().map(|it| (suspects.counted_crashes(now, *it), it));
+    if let Some((crashes, suspect)) = counted.max() {
+        tracing::info!(%suspect, crashes, "call: refused, requests like it crash replicas");
+    }
+}
+
 /// This daemon's rank for trying suspects again; `None` if others may hold the same one, as it has
 /// just started or reaches few of them.
 fn probe_rank<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, now: Duration) -> Option<usize> {
--- a/crates/policy/src/crash_record.rs
+++ b/crates/policy/src/crash_record.rs
@@ -144,8 +144,8 @@
     /// The position of the last crash that does not count; of the last one if all do.
     fn last_surplus(&self, key: SuspectKey) -> usize {
         let now = self.events.last().map_or(Duration::ZERO, |it| it.at);
-        let proof = self.proof(now, key);
-        let position = self.events.iter().rposition(|it| !proof.contains(it));
+        let counted = self.counted_crashes(now, key).concat();
+        let position = self.events.iter().rposition(|it| !counted.contains(it));
         position.unwrap_or(self.events.len() - 1)
     }
 
@@ -220,22 +220,19 @@
         !counts && !self.was_cleared_lately(now)
     }
 
-    /// The report with just the crashes that prove the suspect.
+    /// The report with just the crashes that prove the suspect. Of the crashes that count the first
+    /// ones are kept: which ones count depends on those before them.
     pub(crate) fn stored_report(&self, now: Duration, key: SuspectKey) -> SuspectReport {
-        let proof = self.proof(now, key);
+        let mut proof = self.counted_crashes(now, key);
+        proof.iter_mut().for_each(|it| it.truncate(MAX_STORED_EVENTS));
+        let proof = proof.concat();
         let events = self.events.iter().filter(|it| proof.contains(it));
         SuspectRecord { events: events.copied().collect(), ..*self }.report(now, key)
     }
 
-    /// The crashes by which a suspect is refused. The first ones are kept: which ones count depends on
-    /// those before them.
-    fn proof(&self, now: Duration, key: SuspectKey) -> Vec<TimedCrash> {
-        let mut proof = Vec::new();
-        let counted = [self.independent_crashes(now, key), self.separate_crashes(now)];
-        for crashes in counted.into_iter().chain([self.crashed_replicas(now)]) {
-            proof.extend(crashes.into_iter().take(MAX_STORED_EVENTS));
-        }
-        proof
+    /// The crashes that count, by each way of counting.
+    fn counted_crashes(&self, now: Duration, key: SuspectKey) -> [Vec<TimedCrash>; 3] {
+        [self.independent_crashes(now, key), self.separate_crashes(now), self.crashed_replicas(now)]
     }
 
     pub(crate) fn report(&self, now: Duration, key: SuspectKey) -> SuspectReport {
