Collect message bodies in segments instead of buffers that move as they grow

Cause: a body that is read whole lay in one buffer that doubled. With a counting allocator the process holds 25.5 MiB at most, while up to 38 MiB of anonymous memory are resident: the gaps that buffers of a hundred messages leave when they move are too short for the next, larger ones. The budget for bodies counts bytes held, and cannot see this. After each kind of flood more was resident (30, 38, 42 MiB).

Now a body is held in segments of up to 16 KiB, which never move. The answer to the caller is these segments: it was copied a second time before. Bodies of requests and of reports, which are needed in one piece, are copied once if they have several segments.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of answers to callers.
 
+use std::collections::VecDeque;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -15,8 +16,8 @@
 
 /// The body of an answer: buffered, or streamed.
 pub enum CallerBody {
-    /// All bytes at once; `None` once they are sent, or if the body is empty.
-    Full(Option<Bytes>),
+    /// The parts that are not sent yet, none of them empty.
+    Full(VecDeque<Bytes>),
     /// Chunks that are sent as they arrive.
     Chunks(BoxStream<'static, Result<Bytes, BodyAborted>>),
 }
@@ -30,7 +31,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match self.get_mut() {
-            CallerBody::Full(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            CallerBody::Full(parts) => Poll::Ready(parts.pop_front().map(|it| Ok(Frame::data(it)))),
             CallerBody::Chunks(chunks) => {
                 let chunk = chunks.as_mut().poll_next(context);
                 chunk.map(|it| it.map(|it| it.map(Frame::data)))
@@ -39,13 +40,13 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, CallerBody::Full(None))
+        matches!(self, CallerBody::Full(parts) if parts.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            CallerBody::Full(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |it| it.len() as u64))
+            CallerBody::Full(parts) => {
+                SizeHint::with_exact(parts.iter().map(|it| it.len() as u64).sum())
             }
             CallerBody::Chunks(_) => SizeHint::default(),
         }
@@ -55,6 +56,6 @@
 impl CallerBody {
     /// A body that is sent with a known length.
     pub fn full(bytes: Bytes) -> CallerBody {
-        CallerBody::Full(Some(bytes).filter(|it| !it.is_empty()))
+        CallerBody::Full(Some(bytes).filter(|it| !it.is_empty()).into_iter().collect())
     }
 }
--- a/crates/gateway/src/buffer_share.rs
+++ b/crates/gateway/src/buffer_share.rs
@@ -2,7 +2,6 @@
 
 use std::sync::{Arc, Mutex};
 
-use bytes::BytesMut;
 use policy::buffer_budget::BufferBudget;
 
 use crate::gateway::lock;
@@ -28,20 +27,9 @@
         BufferShare { budget: budget.clone(), held: 0 }
     }
 
-    /// Appends to the body of the message; fails before it allocates if there is no memory for it.
-    pub(crate) fn extend(
-        &mut self,
-        body: &mut BytesMut,
-        data: &[u8],
-    ) -> Result<(), BufferExhausted> {
-        let needed = body.len() + data.len();
-        if needed > body.capacity() {
-            let capacity = needed.max(2 * body.capacity());
-            self.resize(capacity)?;
-            body.reserve(capacity - body.len());
-        }
-        body.extend_from_slice(data);
-        Ok(())
+    /// The bytes that the message holds.
+    pub(crate) fn held(&self) -> usize {
+        self.held
     }
 
     /// Records that the message holds `bytes` now; fails if there is no memory for a longer one.
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -1,6 +1,8 @@
 //! Answers that are read whole before they are forwarded, so that a failure on the way can still be
 //! retried.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 use web::client::CallError;
@@ -9,6 +11,7 @@
 use crate::answer_end;
 use crate::attempt_error::AttemptError;
 use crate::body::CallerBody;
+use crate::body_buffer::BodyBuffer;
 use crate::body_reader;
 use crate::buffer_share::{BufferExhausted, BufferShare, SharedBudget};
 use crate::call::Call;
@@ -24,7 +27,7 @@
 pub(crate) struct BufferedAnswer {
     pub(crate) status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    body: BodyBuffer,
 }
 
 /// Reads an answer to its end, within the caller's deadline, and returns the connection to the pool
@@ -60,23 +63,25 @@
     ) -> Result<CallerResponse, BufferExhausted> {
         let mut share = BufferShare::new(budget);
         share.resize(self.body.len())?;
-        // The buffer that it was read into may be twice as long.
-        let bytes = Box::from(&self.body[..]);
-        let body = Bytes::from_owner(WaitingBody { bytes, _share: share });
-        let mut response = Response::new(CallerBody::full(body));
+        let share = Arc::new(share);
+        let segments = self
+            .body
+            .into_segments()
+            .map(|bytes| Bytes::from_owner(WaitingSegment { bytes, _share: share.clone() }));
+        let mut response = Response::new(CallerBody::Full(segments.collect()));
         *response.status_mut() = self.status;
         *response.headers_mut() = end_to_end(self.headers);
         Ok(response)
     }
 }
 
-/// The body of an answer, until the last byte of it is sent.
-struct WaitingBody {
-    bytes: Box<[u8]>,
-    _share: BufferShare,
+/// A part of an answer's body until it is sent. All of them share the memory of the answer.
+struct WaitingSegment {
+    bytes: Bytes,
+    _share: Arc<BufferShare>,
 }
 
-impl AsRef<[u8]> for WaitingBody {
+impl AsRef<[u8]> for WaitingSegment {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::body_buffer::BodyBuffer;
 use crate::buffer_share::BufferShare;
 use crate::call;
 use crate::caller_request::{self, CallerRequest};
@@ -207,20 +208,20 @@
 ) -> Result<Bytes, CallRefusal> {
     let refuse = |kind| Err(CallRefusal::not_run(kind));
     let read = async {
-        let mut bytes = BytesMut::new();
+        let mut buffer = BodyBuffer::default();
         while let Some(frame) = body.frame().await {
             // After an error the caller has disconnected, so this answer is not delivered.
             let Ok(frame) = frame else { return refuse(ErrorKind::BadRequest) };
             let Some(data) = frame.data_ref() else { continue };
-            if bytes.len() + data.len() > limit {
+            if buffer.len() + data.len() > limit {
                 return refuse(ErrorKind::BodyTooLarge);
             }
-            if share.extend(&mut bytes, data).is_err() {
+            if buffer.extend(data, share).is_err() {
                 let refusal = CallRefusal::not_run(ErrorKind::QueueFull);
                 return Err(refusal.retry_after(BUFFER_RETRY_DELAY));
             }
         }
-        Ok(bytes.freeze())
+        Ok(buffer.into_bytes())
     };
     let read = time::timeout(time_limit, read).await;
     read.unwrap_or_else(|_| refuse(ErrorKind::CallerTimeout))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer_end;
 mod attempt_error;
 mod body;
+mod body_buffer;
 mod body_reader;
 mod buffer_share;
 mod buffered;
--- a/crates/gateway/src/target_client.rs
+++ b/crates/gateway/src/target_client.rs
@@ -53,7 +53,7 @@
     let body = tokio::time::timeout(timeout, body).await;
     let body = body.map_err(|_| CallError::Timeout(timeout))??;
     gateway.connections.put_back(connection);
-    let mut response = Response::new(body);
+    let mut response = Response::new(body.into_bytes());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     Ok(response)
