Count the memory of an unfinished event before it is allocated, and free it when its stream fails

A stream's buffer grew first and was charged to the budget for bodies after that; a stream that failed kept the buffer while it waited for another replica. A hundred streams of events that never end held 16.8 MiB of it, though 11 MiB and 16 KiB each are allowed (seen with a counting allocator).

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -38,6 +38,8 @@
 impl EventSplitter {
     /// Appends bytes; fails if more than the longest event is buffered.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
+        let capacity = self.capacity_with(bytes.len());
+        self.buffer.reserve(capacity - self.buffer.len());
         self.buffer.extend_from_slice(bytes);
         if self.buffer.len() > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(()) }
     }
@@ -54,9 +56,13 @@
         Some(StreamEvent { id: event_id(&bytes), bytes })
     }
 
-    /// The memory that the buffer takes, in bytes.
-    pub fn buffered_bytes(&self) -> usize {
-        self.buffer.capacity()
+    /// The memory that the buffer takes once `more` bytes are appended, in bytes.
+    pub fn capacity_with(&self, more: usize) -> usize {
+        let needed = self.buffer.len() + more;
+        match needed > self.buffer.capacity() {
+            true => needed.max(2 * self.buffer.capacity()),
+            false => self.buffer.capacity(),
+        }
     }
 
     /// Whether the buffer holds no part of an event, so that the stream may end here.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -135,9 +135,9 @@
         };
         let frame = frame.map_err(|error| broken(error.to_string()))?;
         if let Some(data) = frame.data_ref() {
+            let wanted = self.splitter.capacity_with(data.len());
+            self.share.resize(wanted).map_err(|error| broken(error.to_string()))?;
             self.splitter.push(data).map_err(|error| broken(error.to_string()))?;
-            let buffered = self.splitter.buffered_bytes();
-            self.share.resize(buffered).map_err(|error| broken(error.to_string()))?;
         }
         let ready_before = self.ready.len();
         while let Some(event) = self.splitter.next_event() {
@@ -198,6 +198,7 @@
     async fn resume(&mut self, mut error: AttemptError) -> Result<(), BodyAborted> {
         // Closing the connection first cancels the request on the old replica.
         self.connection = None;
+        self.drop_unfinished_event();
         tracing::info!(
             request = %self.call.head.attempt_id, target = %self.placement.target.id,
             event = self.last_event_id, "stream: failed on the replica: {error}"
@@ -225,6 +226,12 @@
         }
     }
 
+    /// Frees the memory of an event whose rest is not going to arrive.
+    fn drop_unfinished_event(&mut self) {
+        self.splitter = EventSplitter::default();
+        self.share = BufferShare::new(&self.call.gateway.buffers);
+    }
+
     /// Counts and logs a stream that ends without its regular end.
     fn abort(&self, refusal: &CallRefusal) -> BodyAborted {
         self.call.gateway.metrics.record_refusal(refusal.kind.code());
@@ -239,7 +246,6 @@
         let (_, _, body, connection) = answer.split();
         self.body = body;
         self.connection = Some(connection);
-        self.splitter = EventSplitter::default();
         self.is_resumed = true;
         self.has_first_event = false;
         self.call.gateway.metrics.record_retry(RetryReason::StreamReplayed.code());
