--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use policy::admission::WithholdReason;
+use policy::customer_quota::QuotaSource;
 use prometheus::core::Collector;
 use prometheus::{
     Encoder, Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts,
@@ -33,6 +34,8 @@
     store_errors: IntCounterVec,
     /// Replicas that were asked whether they had crashed, by what was found.
     crash_probes: IntCounterVec,
+    /// Tokens of customers' rates that this daemon granted, by the bucket that they came from.
+    granted_tokens: IntCounterVec,
     /// Bytes sent to other daemons, by kind of message.
     peer_bytes: IntCounterVec,
     /// Time from a request to the headers of its answer.
@@ -182,6 +185,11 @@
                 "Replicas probed after a connection broke",
                 "finding",
             ),
+            granted_tokens: builder.counter(
+                "kingcupshift_granted_tokens_total",
+                "Tokens of customers' rates that were granted",
+                "bucket",
+            ),
             peer_bytes: builder.counter(
                 "kingcupshift_peer_bytes_total",
                 "Bytes sent to other daemons",
@@ -253,6 +261,16 @@
         self.crash_probes.with_label_values(&[finding]).inc();
     }
 
+    /// Counts tokens of a customer's rate that were granted from a bucket of this daemon.
+    pub fn record_granted_tokens(&self, source: QuotaSource, tokens: u64) {
+        let bucket = match source {
+            QuotaSource::Home(_) => "home",
+            QuotaSource::Substitute => "substitute",
+            QuotaSource::Local(_) => "local",
+        };
+        self.granted_tokens.with_label_values(&[bucket]).inc_by(tokens);
+    }
+
     /// Records a call to the store that has ended, and whether it failed.
     pub fn record_store_call(&self, call: &str, took: Duration, failed: bool) {
         self.store_calls.with_label_values(&[call]).inc();
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -54,14 +54,16 @@
         }
         HomeReply::IsSelf(substitute) => {
             let source = source_as_home(gateway, customer, substitute);
-            let rate = rule.quota_rate();
-            (lock(&gateway.quotas).take(now, customer, rate, tokens, source), "here")
+            let result =
+                lock(&gateway.quotas).take(now, customer, rule.quota_rate(), tokens, source);
+            (record_grant(gateway, source, tokens, result), "here")
         }
         HomeReply::Unreachable => {
             let share = 1.0 / lock(&gateway.members).fleet_size() as f64;
             let source = QuotaSource::Local(share);
-            let rate = rule.quota_rate();
-            (lock(&gateway.quotas).take(now, customer, rate, tokens, source), "alone")
+            let result =
+                lock(&gateway.quotas).take(now, customer, rule.quota_rate(), tokens, source);
+            (record_grant(gateway, source, tokens, result), "alone")
         }
     };
     result.map_err(|wait| {
@@ -83,6 +85,7 @@
     let source = source_as_home(gateway, customer, *substitute);
     let (now, rate) = (gateway.now(), rule.quota_rate());
     let result = lock(&gateway.quotas).take_once(now, *query_id, customer, rate, *tokens, source);
+    let result = record_grant(gateway, source, *tokens, result);
     gateway.peer_socket.send(
         now,
         &[from],
@@ -90,6 +93,19 @@
     );
 }
 
+/// Counts the tokens if they were granted.
+fn record_grant<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    source: QuotaSource,
+    tokens: u64,
+    result: Result<(), Duration>,
+) -> Result<(), Duration> {
+    if result.is_ok() {
+        gateway.metrics.record_granted_tokens(source, tokens);
+    }
+    result
+}
+
 /// The bucket that this daemon takes tokens from for a query: the home's or a substitute's. A peer
 /// may see other daemons as reachable than this one does, and two homes would grant the rate twice.
 fn source_as_home<D: Dialect, S: Directory>(
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -6,6 +6,7 @@
 
 use gateway::fleet::ReplicaCounts;
 use gateway::metrics::{GaugeSample, Metrics};
+use policy::customer_quota::QuotaSource;
 
 const SAMPLE: GaugeSample = GaugeSample {
     in_flight: 3,
@@ -42,11 +43,15 @@
     let metrics = Metrics::new();
     metrics.record_answer(200, Duration::from_millis(40));
     metrics.record_refusal("no_target");
+    metrics.record_granted_tokens(QuotaSource::Home(0.5), 900);
+    metrics.record_granted_tokens(QuotaSource::Substitute, 20);
     metrics.record_store_call("lease", Duration::from_millis(5), true);
     let text = String::from_utf8(metrics.encode(SAMPLE, 2)).unwrap();
     for line in [
         "kingcupshift_answers_total{status=\"200\"} 1",
         "kingcupshift_refusals_total{kind=\"no_target\"} 1",
+        "kingcupshift_granted_tokens_total{bucket=\"home\"} 900",
+        "kingcupshift_granted_tokens_total{bucket=\"substitute\"} 20",
         "kingcupshift_first_byte_seconds_count 1",
         "kingcupshift_store_errors_total{call=\"lease\"} 1",
         "kingcupshift_store_call_seconds_count{call=\"lease\"} 1",
