Count each daemon for one home of a customer's rate

Daemons that hear the same others but not each other were homes of the customer side by side, for shares that add up to two.

Hubs now tell each other what they take for the hubs, after a change and every 2 s, in a message of its own that older daemons ignore. A home counts the daemons whose hub takes it for the home. Each daemon is covered by one hub, so it counts for one home. Keepers of tokens of replicas that limit their requests had the same fault and use the same share. KnownDaemon moves into a file of its own.

All tests of gateway, policy and xtask pass.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,6 +12,7 @@
 use crate::dialect::Dialect;
 use crate::directory::{Directory, Snapshot};
 use crate::gateway::{Gateway, StateSource, lock};
+use crate::hub_reports::{self, SentHubs};
 use crate::kv_store::KvStoreView;
 use crate::listing_change::ListingUpdate;
 use crate::members::{GOSSIP_PERIOD, MemberTable};
@@ -44,6 +45,7 @@
     prefixes_from_hubs: Mutex<Vec<PrefixPlacement>>,
     /// The daemons that this one sent a report as their hub in the last round.
     last_children: Mutex<IndexSet<u64>>,
+    pub(crate) sent_hubs: Mutex<SentHubs>,
     /// What lagging daemons were sent.
     resend_limit: Mutex<ResendLimit>,
 }
@@ -85,6 +87,7 @@
     prefixes.extend(own_prefixes);
     send_report(gateway, &peers.hubs, GossipDirection::BetweenHubs, &prefixes, full);
     send_report(gateway, &peers.lost_hubs, GossipDirection::BetweenHubs, &[], full);
+    hub_reports::send(gateway, &peers, full);
     prefixes.extend(from_hubs);
     // Spread over the period: a link that gets all of a hub's reports at once drops other
     // datagrams.
@@ -307,6 +310,7 @@
         PeerMessage::Suspects(reports) => {
             crash_reports::merge_reports(gateway, from, sent_at.unwrap_or(now), &reports);
         }
+        PeerMessage::Hubs { sender, hubs } => lock(&gateway.members).record_hubs(sender, hubs),
         PeerMessage::LimitQuery(query) => request_limits::answer_query(gateway, from, query),
         PeerMessage::RequestLimits(reports) => {
             request_limits::merge(gateway, from, sent_at.unwrap_or(now), &reports);
@@ -410,8 +414,10 @@
         members.record_named(reported_at, sender, extension.reachable, &others);
         return;
     }
+    let hub = (report.direction == GossipDirection::BetweenHubs).then_some(sender);
     for it in &report.daemons {
         members.record_alive(it.daemon, reported_at.saturating_sub(it.age), it.leaving);
+        members.record_covered(it.daemon, hub);
     }
 }
 
--- a/crates/gateway/src/gossip_peers.rs
+++ b/crates/gateway/src/gossip_peers.rs
@@ -9,6 +9,8 @@
     pub parent: Vec<IpAddr>,
     /// The other hubs, if this daemon is one. Seeds too, while it reaches no other daemon.
     pub hubs: Vec<IpAddr>,
+    /// The hashes of all hubs' ids, if this daemon is one.
+    pub hub_hashes: Box<[u64]>,
     /// Some of the daemons that would be hubs if all known ones were reachable, but are not.
     pub lost_hubs: Vec<IpAddr>,
     /// Daemons that report to this one as their hub.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,8 @@
 mod gateway;
 mod gossip;
 pub mod gossip_peers;
+mod hub_reports;
+mod known_daemon;
 mod kv_store;
 pub mod listing_change;
 mod load_table;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -8,17 +8,18 @@
 
 use ids::{CustomerId, InstanceId};
 use indexmap::IndexMap;
+use policy::hub_views::HubViews;
 use policy::peer_tree::{self, TreeMember};
 use policy::rendezvous;
 use xxhash_rust::xxh3;
 
 use crate::directory::MemberEntry;
 use crate::gossip_peers::GossipPeers;
+use crate::known_daemon::{KnownDaemon, REACHABLE_TIMEOUT};
 use crate::peer_message::{GossipExtension, StateDigests};
 
-/// A daemon not seen for this long counts as unreachable, where all daemons are hubs.
-const REACHABLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The same where hubs pass on the status of others: some of their reports get lost.
+/// A daemon not seen for this long counts as unreachable, where hubs pass on the status of others:
+/// some of their reports get lost.
 const REACHABLE_TIMEOUT_VIA_HUBS: Duration = Duration::from_millis(2_500);
 /// The time between two reports of a daemon to its gossip peers.
 pub(crate) const GOSSIP_PERIOD: Duration = Duration::from_millis(250);
@@ -30,8 +31,6 @@
 /// The same for a daemon that does not reach most: it may be partitioned itself, while the others
 /// still spend their shares of common budgets.
 const FORGET_TIMEOUT_PARTITIONED: Duration = Duration::from_secs(600);
-/// A newly named daemon may be a hub for this long before it is first seen.
-const NEW_MEMBER_GRACE: Duration = Duration::from_millis(1_500);
 /// A daemon switches to another hub if its own sends nothing for this long.
 const PARENT_TIMEOUT: Duration = Duration::from_millis(750);
 /// How long it then avoids that hub.
@@ -40,32 +39,6 @@
 /// The number of unreachable daemons that a hub sends its reports to in each round.
 const LOST_HUBS_PER_ROUND: usize = 3;
 
-/// What this daemon knows of another one.
-#[derive(Debug)]
-struct KnownDaemon {
-    entry: MemberEntry,
-    /// The hash of its id.
-    member: u64,
-    /// When it was last seen running, by its own report or through others.
-    alive_at: Option<Duration>,
-    /// When it last sent a report to this daemon directly.
-    last_message_at: Option<Duration>,
-    /// When it last reported to this daemon as its hub; `None` if its latest report was of another
-    /// kind.
-    child_message_at: Option<Duration>,
-    /// When the store or a peer first named it.
-    added_at: Duration,
-    /// When it last left a query of this daemon unanswered.
-    unresponsive_at: Option<Duration>,
-    /// Number of daemons that it knows, as it reported.
-    known_daemons: usize,
-    /// Digests of its state, as it reported last.
-    digests: Option<StateDigests>,
-    /// The digest of the daemons that this one named to it last, as it reported.
-    reported_reachable: Option<u64>,
-    leaving: bool,
-}
-
 /// The hub that this daemon reports to, and since when.
 #[derive(Debug, Clone, Copy)]
 struct ParentHub {
@@ -99,6 +72,7 @@
     next_lost_hub: usize,
     /// Hubs that sent nothing, by the hash of their id, and until when each is avoided.
     avoided_parents: IndexMap<u64, Duration>,
+    hub_views: HubViews,
 }
 
 impl MemberTable {
@@ -113,6 +87,7 @@
             named: NamedDaemons::default(),
             next_lost_hub: 0,
             avoided_parents: IndexMap::new(),
+            hub_views: HubViews::default(),
         }
     }
 
@@ -132,20 +107,7 @@
             Some(it) if it.entry.incarnation >= entry.incarnation => {}
             Some(it) => it.entry = entry.clone(),
             None => {
-                let known = KnownDaemon {
-                    entry: entry.clone(),
-                    member,
-                    alive_at: None,
-                    last_message_at: None,
-                    child_message_at: None,
-                    added_at: now,
-                    unresponsive_at: None,
-                    known_daemons: 0,
-                    digests: None,
-                    reported_reachable: None,
-                    leaving: false,
-                };
-                self.known.insert(member, known);
+                self.known.insert(member, KnownDaemon::new(entry, member, now));
             }
         }
     }
@@ -206,6 +168,20 @@
         }
     }
 
+    /// Records what another hub takes for the hubs of the fleet.
+    pub fn record_hubs(&mut self, hub: u64, hubs: Box<[u64]>) {
+        if self.known.contains_key(&hub) {
+            self.hub_views.record_hubs(hub, hubs);
+        }
+    }
+
+    /// Records which other hub's report covered a daemon; `None` if it reported to this one.
+    pub fn record_covered(&mut self, member: u64, hub: Option<u64>) {
+        if self.known.contains_key(&member) {
+            self.hub_views.record_covered(member, hub);
+        }
+    }
+
     /// A digest of the reachable daemons, this one left out.
     pub fn reachable_digest(&self, now: Duration) -> u64 {
         self.reachable(now).fold(0, |digest, (member, _, leaving)| {
@@ -268,6 +244,7 @@
         };
         self.known.retain(|_, it| now < it.alive_at.unwrap_or(it.added_at) + limit);
         self.avoided_parents.retain(|_, until| now < *until);
+        self.hub_views.retain(|it| self.known.contains_key(&it));
     }
 
     /// The entries of all daemons that were ever seen, this daemon's own first.
@@ -309,6 +286,7 @@
             self.parent = None;
             let others = hubs.iter().filter_map(|it| self.known.get(&members[*it].member));
             peers.hubs = others.map(|it| it.entry.address).collect();
+            peers.hub_hashes = hubs.iter().map(|it| members[*it].member).collect();
         } else {
             let order = peer_tree::rank_parents(&members, &hubs, self.own_member);
             let order: Vec<u64> = order.into_iter().map(|it| members[it].member).collect();
@@ -402,6 +380,14 @@
         reached as f64 / self.fleet_size() as f64
     }
 
+    /// The share of all daemons that reach this one and take it for the keeper of a key, itself
+    /// included, from 0 to 1.
+    pub fn keeper_share(&self, now: Duration, key: u64) -> f64 {
+        let reached = self.reachable(now).map(|it| it.0);
+        let followers = self.hub_views.count_followers(self.own_member, key, reached) + 1;
+        followers as f64 / self.fleet_size() as f64
+    }
+
     /// This daemon's rank among the daemons that may be hubs; 0 is the first.
     pub fn rank(&self, now: Duration) -> usize {
         let members = self.candidates(now);
@@ -470,21 +456,3 @@
         }
     }
 }
-
-impl KnownDaemon {
-    fn is_reachable(&self, now: Duration, reachable_timeout: Duration) -> bool {
-        let unresponsive_at = self.unresponsive_at;
-        let alive_at = self.alive_at.filter(|at| unresponsive_at.is_none_or(|it| it < *at));
-        alive_at.is_some_and(|it| now < it + reachable_timeout)
-    }
-
-    fn is_new(&self, now: Duration) -> bool {
-        self.alive_at.is_none()
-            && self.unresponsive_at.is_none()
-            && now < self.added_at + NEW_MEMBER_GRACE
-    }
-
-    fn is_child(&self, now: Duration) -> bool {
-        self.child_message_at.is_some_and(|it| now < it + REACHABLE_TIMEOUT)
-    }
-}
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -286,6 +286,13 @@
     LimitQuery(LimitQuery),
     /// Limits that replicas named or lifted.
     RequestLimits(Vec<RequestLimitReport>),
+    /// What a hub takes for the hubs of the fleet; sent between hubs.
+    Hubs {
+        /// The hash of the sender's id (`rendezvous::hash_member`).
+        sender: u64,
+        /// The hashes of the hubs' ids.
+        hubs: Box<[u64]>,
+    },
 }
 
 impl PeerMessage {
@@ -310,6 +317,7 @@
             PeerMessage::Suspects(_) => "suspects",
             PeerMessage::LimitQuery(_) => "limit_query",
             PeerMessage::RequestLimits(_) => "request_limits",
+            PeerMessage::Hubs { .. } => "hubs",
         }
     }
 }
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -7,6 +7,7 @@
 
 use ids::{CustomerId, ErrorKind, RequestId};
 use policy::customer_quota::QuotaSource;
+use policy::rendezvous;
 
 use crate::config::CustomerRule;
 use crate::dialect::Dialect;
@@ -116,7 +117,10 @@
     let now = gateway.now();
     let members = lock(&gateway.members);
     match members.home(now, customer) {
-        None if !substitute => QuotaSource::Home(members.reachable_share(now)),
+        None if !substitute => {
+            let key = rendezvous::hash_member(customer.as_str());
+            QuotaSource::Home(members.keeper_share(now, key))
+        }
         _ => QuotaSource::Substitute,
     }
 }
--- a/crates/gateway/src/request_limits.rs
+++ b/crates/gateway/src/request_limits.rs
@@ -27,7 +27,7 @@
     let keeper = lock(&gateway.members).keeper(gateway.now(), process);
     let (result, from) = match keeper {
         None => {
-            let share = lock(&gateway.members).reachable_share(gateway.now());
+            let share = lock(&gateway.members).keeper_share(gateway.now(), process);
             (lock(&gateway.request_limits).take(gateway.now(), process, rate, share), "here")
         }
         Some(keeper) => {
@@ -62,7 +62,7 @@
     let share = {
         let members = lock(&gateway.members);
         match members.keeper(now, query.process) {
-            None => members.reachable_share(now),
+            None => members.keeper_share(now, query.process),
             // The peer sees other daemons: two keepers must not grant the whole rate twice.
             Some(_) => 1.0 / members.fleet_size() as f64,
         }
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -258,6 +258,22 @@
     assert_eq!(table.fleet_size(), 12);
 }
 
+#[test]
+fn the_share_of_a_keeper_leaves_out_daemons_whose_hub_takes_another_one_for_it() {
+    let now = ms(10);
+    let mut table = fleet(0, 8, now);
+    let key = (0..).find(|it| table.keeper(now, *it).is_none()).expect("a key of its own");
+    assert_eq!(table.keeper_share(now, key), 1.0);
+    for number in 1..4 {
+        table.record_covered(hash(&member(number)), Some(hash(&member(1))));
+    }
+    assert_eq!(table.keeper_share(now, key), 1.0);
+    table.record_hubs(hash(&member(1)), [hash(&member(1))].into());
+    assert_eq!(table.keeper_share(now, key), 5.0 / 8.0);
+    // The others are asked in its place, and this daemon reaches them still.
+    assert_eq!(table.reachable_share(now), 1.0);
+}
+
 #[rstest]
 #[case::no_other_daemon_is_a_seed(&[0], false, true)]
 #[case::seeds_are_unreachable(&[0, 1], false, false)]
--- a/crates/policy/src/customer_quota.rs
+++ b/crates/policy/src/customer_quota.rs
@@ -1,10 +1,10 @@
 //! Customers' rates over all daemons: each customer's bucket lies on one daemon, its home.
 //!
-//! The home's bucket refills in proportion to the daemons that reach it. A daemon that gets no
-//! answer from any home takes tokens from a local bucket, which refills at the fraction of the rate
-//! for a single daemon. So the sum stays within the rate in a partition whose parts do not hear each
-//! other. What is granted in addition when homes change counts against the allowance that the
-//! deployment sets beyond rate and burst.
+//! The home's bucket refills in proportion to the daemons that reach it and take it for the home
+//! (`hub_views`). A daemon that gets no answer from any home takes tokens from a local bucket, which
+//! refills at the fraction of the rate for a single daemon. So the sum stays within the rate however
+//! the network is partitioned. What is granted in addition when homes change counts against the
+//! allowance that the deployment sets beyond rate and burst.
 //!
 //! Load pattern: customers above their rate while homes stand still, are cut off or restart; a home
 //! that returns has no more than a new one, since another granted the rate meanwhile.
@@ -60,8 +60,6 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum QuotaSource {
     /// That of the customer's home, sized for this fraction of all daemons.
-    // FIXME: the fraction that the home hears includes daemons that take another one for the home,
-    // so that the fractions of several homes may add up to more than one.
     Home(f64),
     /// That of a daemon asked in place of the home, because the home did not answer some daemon.
     Substitute,
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -323,6 +323,14 @@
         package: "policy",
         test: "customer_quota::a_home_that_returns_grants_no_more_than_a_new_one",
     },
+    Mutant {
+        name: "2 a home counts only daemons that take it for the home",
+        file: "crates/policy/src/hub_views.rs",
+        original: "is_none_or(|hub| keeper_of(*hub) == own)",
+        replacement: "is_none_or(|hub| keeper_of(*hub) != 0)",
+        package: "policy",
+        test: "hub_views::no_daemon_counts_for_two_keepers",
+    },
     Mutant {
         name: "4 an unframed answer is broken off if its replica is gone",
         file: "crates/gateway/src/connections.rs",
