--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -45,6 +45,7 @@
     prefixes_from_hubs: Mutex<Vec<PrefixPlacement>>,
     /// The daemons that this one sent a report as their hub in the last round.
     last_children: Mutex<IndexSet<u64>>,
+    /// What the other hubs were told of the hubs.
     pub(crate) sent_hubs: Mutex<SentHubs>,
     /// What lagging daemons were sent.
     resend_limit: Mutex<ResendLimit>,
