Give engines no more prompts than they can begin in time

Cause: under a burst with a quarter of the engines unreachable and a third loading weights, every prompt was sent on. Each engine held 20 to 48 requests for 12 slots and two to four times its memory, shared prefixes were evicted and read again, and the engines that had just loaded got the prompts of all 82 daemons at once (214 in a second).

Change: policy::engine_room says which engines have room and which fraction of a daemon's attempts fits into it, given the attempts of the others that are not reported yet. Prompts without room wait for half of their objective or are refused at once.

--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -5,6 +5,7 @@
 
 use ids::ErrorKind;
 use policy::crash_suspects::{AnswerProgress, SuspectVerdict};
+use policy::engine_room;
 
 use crate::call::{Call, MAX_UNSENT_ATTEMPTS};
 use crate::crash_reports::{self, CrashKeys};
@@ -12,7 +13,7 @@
 use crate::directory::Directory;
 use crate::fleet::FleetTable;
 use crate::gateway::{Gateway, lock};
-use crate::placement::{PlacedTarget, PlacementQuery, PromptQuery, ReleaseFilter};
+use crate::placement::{PlacedTarget, PlacementMiss, PlacementQuery, PromptQuery, ReleaseFilter};
 use crate::prompt_spec::PromptSpec;
 use crate::refusal::CallRefusal;
 use crate::request_limits;
@@ -25,6 +26,9 @@
 /// When all replicas of a pool want no requests for a while, callers return within this multiple of
 /// that time, so that they do not all return at once.
 const HELD_OFF_SPREAD: f64 = 1.25;
+/// Callers that found no room return within this multiple of the retry delay, so that they do not
+/// all return at once.
+const ROOM_RETRY_SPREAD: f64 = 2.0;
 /// Cost of running on older weights in the choice of an engine, as a share of the objective.
 const OLD_WEIGHTS_COST_SHARE: f64 = 0.2;
 
@@ -64,11 +68,15 @@
     }
 
     async fn wait_for_placement(&mut self) -> Result<Placement<D, S>, CallRefusal> {
-        let give_up_at = self.gateway.now() + self.route.objective.mul_f64(PLACEMENT_WAIT_SHARE);
+        let give_up_at = self.gateway.now() + self.placement_wait();
         loop {
             self.update_cache_scope();
             let freed = self.gateway.capacity_freed.notified();
-            if let Some(placement) = self.try_placement() {
+            let placement = self.try_placement();
+            if let Err(PlacementMiss::NoRoom(fraction)) = placement {
+                self.check_room_wait(fraction, give_up_at)?;
+            }
+            if let Ok(placement) = placement {
                 match self.take_limit_token(&placement.target).await {
                     Ok(()) => {
                         self.record_placement(&placement.target);
@@ -106,6 +114,30 @@
         }
     }
 
+    /// Refuses a request at once that is not expected to find room before `give_up_at`. It may return
+    /// when it would have found room here.
+    fn check_room_wait(&self, fraction: f64, give_up_at: Duration) -> Result<(), CallRefusal> {
+        let left = give_up_at.saturating_sub(self.gateway.now());
+        let expected = engine_room::expected_wait(fraction, PLACEMENT_RETRY_INTERVAL);
+        if expected.is_some_and(|it| it <= self.placement_wait()) {
+            return Ok(());
+        }
+        self.gateway.metrics.record_room_refusal();
+        let fraction = (fraction * 1_000.0).round() / 1_000.0;
+        let left_ms = left.as_millis() as u64;
+        tracing::info!(
+            request = %self.head.attempt_id, pool = %self.pool, fraction, left_ms,
+            "call: the engines have no room in time"
+        );
+        let delay = self.retry_delay().mul_f64(rand::random_range(1.0..ROOM_RETRY_SPREAD));
+        let refusal = CallRefusal::not_run(ErrorKind::QueueFull).retry_after(delay);
+        Err(self.qualify_refusal(refusal))
+    }
+
+    fn placement_wait(&self) -> Duration {
+        self.route.objective.mul_f64(PLACEMENT_WAIT_SHARE)
+    }
+
     /// Applies a change of the configuration since the request arrived to whose cached prompts it may
     /// use.
     fn update_cache_scope(&mut self) {
@@ -139,7 +171,7 @@
         })
     }
 
-    fn try_placement(&self) -> Option<Placement<D, S>> {
+    fn try_placement(&self) -> Result<Placement<D, S>, PlacementMiss> {
         let gateway = &self.gateway;
         let now = gateway.now();
         let speed = *lock(&gateway.speed);
@@ -162,6 +194,9 @@
             ReleaseChoice::new(&fleet, &self.pool, rollout, stage, self.release_draw)
         });
         let engine = self.config.pools.get(&self.pool).and_then(|it| it.engine.as_ref());
+        let limits_load = gateway.settings().bounds.limits_engine_load;
+        let late_at = self.started_at + self.route.objective;
+        let time_left_s = limits_load.then(|| late_at.saturating_sub(now).as_secs_f64());
         let place = |fleet: &mut FleetTable, releases: ReleaseFilter<'_>| {
             let query = PlacementQuery {
                 pool: &self.pool,
@@ -172,24 +207,36 @@
             match (&self.prompt, engine) {
                 (Some(prompt), Some(engine)) => {
                     let old_weights_s = self.route.objective.as_secs_f64() * OLD_WEIGHTS_COST_SHARE;
-                    let prompt_query =
-                        PromptQuery { prompt, engine, speed, old_weights_s, peers, gossip_delay };
+                    let prompt_query = PromptQuery {
+                        prompt,
+                        engine,
+                        speed,
+                        old_weights_s,
+                        time_left_s,
+                        peers,
+                        gossip_delay,
+                    };
                     fleet.place_prompt(now, query, prompt_query)
                 }
-                _ => fleet.place_plain(now, query),
+                _ => fleet.place_plain(now, query).ok_or(PlacementMiss::NoReplica),
             }
         };
         let (target, evidence) = match &choice {
             None => (place(&mut fleet, ReleaseFilter::Any)?, None),
             Some(choice) => {
                 let filters = choice.filters(&fleet);
-                let target = filters.into_iter().find_map(|it| place(&mut fleet, it))?;
+                let mut filters = filters.into_iter();
+                let first = filters
+                    .next()
+                    .map_or(Err(PlacementMiss::NoReplica), |it| place(&mut fleet, it));
+                let target =
+                    filters.fold(first, |found, it| found.or_else(|_| place(&mut fleet, it)))?;
                 let release = fleet.get(&target.id).map(|it| &it.entry.release);
                 (target, release.and_then(|it| choice.evidence(it)))
             }
         };
         drop(fleet);
-        Some(Placement {
+        Ok(Placement {
             gateway: gateway.clone(),
             target,
             evidence,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 use ids::{FailureDomain, PoolId, RequestRate, TargetId};
 use indexmap::{IndexMap, IndexSet};
 use policy::demand::PromptDemand;
+use policy::engine_room::AttemptRate;
 use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
 use policy::rendezvous;
@@ -46,6 +47,8 @@
     pub(crate) kv_store: Option<KvStoreView>,
     /// The rate of prompts that this daemon places, to estimate what peers placed unseen.
     pub(crate) demand: PromptDemand,
+    /// The rate of this daemon's attempts to place prompts, to estimate how many compete for room.
+    pub(crate) attempts: AttemptRate,
     /// Prefixes placed since the last report to peers.
     pub(crate) prefix_placements: Vec<PrefixPlacement>,
 }
@@ -92,6 +95,7 @@
             prefixes: PrefixTable::default(),
             kv_store: None,
             demand: PromptDemand::default(),
+            attempts: AttemptRate::default(),
             prefix_placements: Vec::new(),
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     /// Requests that were sent to a replica again, by reason.
     retries: IntCounterVec,
     attempts_withheld: IntCounterVec,
+    room_refusals: IntCounterVec,
     /// Calls to the store that have ended, also failed ones.
     store_calls: IntCounterVec,
     store_errors: IntCounterVec,
@@ -165,6 +166,11 @@
                 "kind",
             ),
             retries: builder.counter("kingcupshift_retries_total", "Requests sent again", "reason"),
+            room_refusals: builder.counter(
+                "kingcupshift_room_refusals_total",
+                "Requests refused because the engines had no room in time",
+                "reason",
+            ),
             attempts_withheld: builder.counter(
                 "kingcupshift_attempts_withheld_total",
                 "Requests not sent to the replica chosen for them, by reason",
@@ -280,6 +286,11 @@
         }
     }
 
+    /// Records a request that was refused because no room on the engines was expected in time.
+    pub(crate) fn record_room_refusal(&self) {
+        self.room_refusals.with_label_values(&["no_room"]).inc();
+    }
+
     /// Records a request that was not sent to the replica chosen for it.
     pub(crate) fn record_withheld(&self, reason: WithholdReason) {
         self.attempts_withheld.with_label_values(&[reason.code()]).inc();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -5,7 +5,8 @@
 
 use ids::{PoolId, RequestRate, TargetId};
 use policy::admission::{ReplicaUse, WithholdReason};
-use policy::engine_choice::{EngineView, PrefillSpeed};
+use policy::engine_choice::{self, EngineView, PrefillSpeed, PromptSize, UnseenLoads};
+use policy::engine_room::{EngineRooms, RoomRequest};
 use policy::fetch_source::{self, PartSource, SourceKind};
 use policy::health::HealthState;
 use policy::plain_choice::PlainView;
@@ -23,6 +24,15 @@
 /// Added to the expected time of a replica that is not healthy, in seconds.
 const FAILURE_PENALTY_S: f64 = 0.5;
 
+/// Why a request got no replica.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum PlacementMiss {
+    /// No replica may get it.
+    NoReplica,
+    /// The engines have room for this fraction of the attempts only.
+    NoRoom(f64),
+}
+
 /// The replica chosen for a request.
 #[derive(Debug, Clone)]
 pub struct PlacedTarget {
@@ -117,6 +127,9 @@
     pub speed: PrefillSpeed,
     /// Penalty for running on older weights, in seconds.
     pub old_weights_s: f64,
+    /// The time left until the first token is late, in seconds, if engines get no more prompts than
+    /// they have room for.
+    pub time_left_s: Option<f64>,
     /// Other daemons that are reachable and also place prompts.
     pub peers: usize,
     /// How long it takes until their placements are reported here.
@@ -200,19 +213,23 @@
         Some(PlacedTarget { load_before, ..placed })
     }
 
-    /// Places a prompt on an engine and adds it to the replica's load; `None` if no replica is
-    /// eligible.
+    /// Places a prompt on an engine and adds it to the replica's load.
     pub fn place_prompt(
         &mut self,
         now: Duration,
         query: PlacementQuery<'_>,
         prompt_query: PromptQuery<'_>,
-    ) -> Option<PlacedTarget> {
-        let PromptQuery { prompt, engine, speed, old_weights_s, peers, gossip_delay } =
+    ) -> Result<PlacedTarget, PlacementMiss> {
+        let PromptQuery { prompt, engine, speed, old_weights_s, peers, gossip_delay, .. } =
             prompt_query;
         self.peer_loads.expire(now);
+        let size = prompt.size();
+        let is_long = size.is_long(speed);
+        let attempts = self.attempts.estimate_unseen(now, is_long, peers, gossip_delay);
+        self.attempts.record(now, is_long);
         let eligible: Vec<&Replica> = self.eligible(now, query).collect();
-        let newest = eligible.iter().map(|it| it.weights).max()?;
+        let newest = eligible.iter().map(|it| it.weights).max();
+        let newest = newest.ok_or(PlacementMiss::NoReplica)?;
         let order = self.pool_orders.get(query.pool).map_or(&[][..], |it| it);
         let views: Vec<EngineView> = eligible
             .iter()
@@ -243,10 +260,18 @@
                 }
             })
             .collect();
-        let size = prompt.size();
         let unseen = self.demand.estimate_unseen(now, peers, gossip_delay);
-        let (index, first_token_s) = policy::engine_choice::choose(&views, size, speed, unseen)?;
-        let chosen = eligible[index];
+        let (chosen, first_token_s) = match prompt_query.time_left_s {
+            None => engine_choice::choose(&views, size, speed, unseen),
+            Some(time_left_s) => {
+                let output_tokens = prompt.output_tokens;
+                let request = RoomRequest { prompt: size, output_tokens, time_left_s };
+                let rooms = request.rooms(&views, speed, attempts);
+                choose_with_room(&views, &rooms, size, speed, unseen)?
+            }
+        }
+        .ok_or(PlacementMiss::NoReplica)?;
+        let chosen = eligible[chosen];
         let (member, weights) = (chosen.member, chosen.weights);
         let salted = prompt.salted_prefixes(weights);
         let cached =
@@ -260,9 +285,9 @@
             ..LoadCount::default()
         };
         let load_before = self.load(now, chosen);
-        let placed = self.reserve(member, load)?;
+        let placed = self.reserve(member, load).ok_or(PlacementMiss::NoReplica)?;
         let expected = Duration::from_secs_f64(first_token_s);
-        Some(PlacedTarget {
+        Ok(PlacedTarget {
             cached_tokens: cached,
             fetch_from,
             save_to,
@@ -427,6 +452,22 @@
     }
 }
 
+/// The best engine of those with room, if this daemon may use some of it now.
+fn choose_with_room(
+    views: &[EngineView],
+    rooms: &EngineRooms,
+    size: PromptSize,
+    speed: PrefillSpeed,
+    unseen: UnseenLoads,
+) -> Result<Option<(usize, f64)>, PlacementMiss> {
+    let open: Vec<usize> = rooms.open().collect();
+    let open_views: Vec<EngineView> = open.iter().map(|it| views[*it]).collect();
+    let choice = engine_choice::choose(&open_views, size, speed, unseen);
+    let admitted = choice.filter(|it| rooms.admits(it.0, rand::random()));
+    let (index, first_token_s) = admitted.ok_or(PlacementMiss::NoRoom(rooms.fraction()))?;
+    Ok(Some((open[index], first_token_s)))
+}
+
 /// A replica's position in its pool's order, from 0 to below 1.
 fn pool_position(order: &[u64], member: u64) -> f64 {
     let before = order.partition_point(|it| *it < member);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -77,4 +77,7 @@
     pub version: Duration,
     /// Share of a pool's requests that a bad release may get while it is rolled out.
     pub rollout_exposure: f64,
+    /// Whether engines get no more prompts than they can begin in time; the others wait or are
+    /// refused.
+    pub limits_engine_load: bool,
 }
--- a/crates/gateway/tests/leaving_homes.rs
+++ b/crates/gateway/tests/leaving_homes.rs
@@ -69,6 +69,7 @@
         prompt: &prompt,
         engine: &engine,
         speed,
+        time_left_s: None,
         old_weights_s: 0.0,
         peers: 0,
         gossip_delay: Duration::ZERO,
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -193,7 +193,7 @@
     }
 
     /// Whether the engine is in the group for long prompts rather than the one for short prompts.
-    fn serves_long_prompts(&self) -> bool {
+    pub(crate) fn serves_long_prompts(&self) -> bool {
         self.position >= SHORT_GROUP_SHARE
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod customer_quota;
 pub mod demand;
 pub mod engine_choice;
+pub mod engine_room;
 pub mod fair_queue;
 pub mod fetch_source;
 pub mod health;
