Decide on evacuated failure domains and allowed regions

Nothing read that a failure domain is evacuated, nor the regions in which the requests of a route or a customer must stay.

A replica in an evacuated domain is withheld from requests, also from those that were placed and not sent yet; it still takes commands and serves prompt parts.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -28,6 +28,8 @@
     Leaving,
     /// It wants nothing from this daemon for a while.
     HeldOff,
+    /// Its failure domain is evacuated.
+    Evacuated,
     /// It rejected a request as full a moment ago.
     Full,
     /// It failed recently.
@@ -47,6 +49,8 @@
     pub may_be_gone: bool,
     /// How long it wants nothing from this daemon.
     pub hold_off: HoldOff,
+    /// Whether its failure domain is evacuated.
+    pub evacuated: bool,
     /// Other requests of this daemon that run on it.
     pub running: u32,
     /// Until when it counts as full.
@@ -61,7 +65,8 @@
 
 impl ReplicaState {
     /// The first reason that keeps the replica from being used at `now`; `None` if it may be used.
-    /// What the replica says of itself comes before what the daemon concluded.
+    /// What the replica says of itself comes before what operators set, and that before what the
+    /// daemon concluded.
     pub fn withhold_reason(&self, now: Duration, usage: ReplicaUse) -> Option<WithholdReason> {
         let is_request = usage == ReplicaUse::Request;
         // Requests return step by step after a hold-off; all else is rare.
@@ -80,6 +85,8 @@
         let reasons = [
             (is_leaving, WithholdReason::Leaving),
             (!self.hold_off.allows(now, running), WithholdReason::HeldOff),
+            // Its weights are kept current, and its parts may be found nowhere else.
+            (self.evacuated && is_request, WithholdReason::Evacuated),
             (now < self.full_until && usage != ReplicaUse::Command, WithholdReason::Full),
             (is_unhealthy, WithholdReason::Paused),
             (self.is_loading && usage != ReplicaUse::Command, WithholdReason::LoadingWeights),
@@ -95,6 +102,7 @@
         match self {
             WithholdReason::Leaving => "leaving",
             WithholdReason::HeldOff => "held_off",
+            WithholdReason::Evacuated => "evacuated",
             WithholdReason::Full => "full",
             WithholdReason::Paused => "paused",
             WithholdReason::LoadingWeights => "loading",
@@ -102,9 +110,11 @@
         }
     }
 
-    /// Whether the replica said so itself, which binds also what was already placed on it.
+    /// Whether it also applies to requests that were placed and not sent yet: the replica or an
+    /// operator stated it, while the other reasons are this daemon's own conclusions.
     pub fn is_stated(self) -> bool {
-        matches!(self, WithholdReason::Leaving | WithholdReason::HeldOff)
+        use WithholdReason::{Evacuated, HeldOff, Leaving};
+        matches!(self, Leaving | HeldOff | Evacuated)
     }
 }
 
@@ -113,6 +123,7 @@
         out.write_str(match self {
             WithholdReason::Leaving => "it is leaving",
             WithholdReason::HeldOff => "it wants nothing for a while",
+            WithholdReason::Evacuated => "its failure domain is evacuated",
             WithholdReason::Full => "it is full",
             WithholdReason::Paused => "it failed recently",
             WithholdReason::LoadingWeights => "it is loading weights",
--- a/crates/policy/src/fetch_source.rs
+++ b/crates/policy/src/fetch_source.rs
@@ -28,7 +28,7 @@
     Store,
     /// An engine.
     Engine,
-    /// An engine that is about to stop.
+    /// An engine that is about to stop or is to be relieved.
     LeavingEngine,
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fetch_source;
 pub mod health;
 pub mod hold_off;
+pub mod home_areas;
 pub mod hub_views;
 pub mod isolation;
 pub mod move_plan;
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -32,6 +32,7 @@
 )]
 #[case::may_be_gone(ReplicaState { leaving: true, may_be_gone: true, ..open() }, &USES)]
 #[case::held_off(ReplicaState { hold_off: held_off(), ..open() }, &USES)]
+#[case::evacuated(ReplicaState { evacuated: true, ..open() }, &[ReplicaUse::Request])]
 #[case::full(
     ReplicaState { full_until: LATER, ..open() }, &[ReplicaUse::Request, ReplicaUse::PartSource]
 )]
@@ -65,6 +66,10 @@
     assert_eq!(reason(state), Some(WithholdReason::HeldOff));
     let leaving = ReplicaState { leaving: true, ..state };
     assert_eq!(reason(leaving), Some(WithholdReason::Leaving));
+    // A request that is placed already is withheld only if this reason is not hidden by another.
+    let evacuated = ReplicaState { hold_off: HoldOff::default(), evacuated: true, ..state };
+    assert_eq!(reason(evacuated), Some(WithholdReason::Evacuated));
+    assert!(WithholdReason::Evacuated.is_stated() && !WithholdReason::Full.is_stated());
 }
 
 /// After a hold-off requests return one by one; commands do not wait for that.
