Evacuate failure domains and keep requests in allowed regions

Operators could neither empty a zone nor bind requests to regions: no row, no setting and no part of the state that daemons share named either.

The control state holds the evacuated domains as of its revision in the store, and the configuration the allowed regions. Both stand behind a control message, begun by a byte that no integer begins with: a daemon of the version before keeps the message and finds no stamp. Without evacuations and regions a state is encoded, and hashed, as before; once there was an evacuation, "none" is stated, so that peers learn of its end. A reading replaces the evacuated domains only at a newer revision. One that leaves them out does not confirm those known, and one without the known configuration comes from a store that has lost rows and ends no evacuation.

Requests, retries and resumed streams are placed, and sent, only where neither an evacuation nor the regions forbid it; without an active replica left they are refused at once. Prompt parts are not fetched from or saved to a replica or store outside the regions; evacuated engines stay sources, after the store.

--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use ids::FailureDomain;
+use policy::home_areas::HomeAreas;
 
 use crate::call::Call;
 use crate::dialect::Dialect;
@@ -28,14 +30,26 @@
     }
 
     /// Logs how many replicas of the pool are listed, and what excludes the others.
-    pub(crate) fn log_no_replica(&self, now: Duration) {
+    pub(crate) fn log_no_replica(&self, now: Duration, areas: &HomeAreas) {
         let counts = lock(&self.gateway.fleet).count_replicas(now, Some(&self.pool));
         tracing::info!(
             request = %self.head.attempt_id, pool = %self.pool, listed = counts.listed,
             open = counts.available, leaving = counts.leaving, loading = counts.loading,
-            paused = counts.paused, held_off = counts.held_off,
+            paused = counts.paused, held_off = counts.held_off, evacuated = counts.evacuated,
             sent_before = self.unsent_attempts, "call: no replica available"
         );
+        let HomeAreas::Only(domains) = areas else { return };
+        let text = match domains.is_empty() {
+            true => "call: no failure domain is in a region that its route and its customer allow",
+            false => {
+                "call: no replica available in the regions that its route and its customer allow"
+            }
+        };
+        tracing::info!(
+            request = %self.head.attempt_id, route = %self.route.id,
+            customer = self.customer.as_ref().map(tracing::field::display),
+            domains = ?domains.iter().map(FailureDomain::as_str).collect::<Vec<_>>(), "{text}"
+        );
     }
 
     /// Logs and counts a replica's answer, with the time since the request arrived.
--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -1,10 +1,12 @@
 //! Chooses the replica for one attempt of a request, and waits for one if none can take it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ids::ErrorKind;
 use policy::crash_suspects::{AnswerProgress, SuspectVerdict};
+use policy::home_areas::HomeAreas;
 
 use crate::call::{Call, MAX_UNSENT_ATTEMPTS};
 use crate::crash_reports::{self, CrashKeys};
@@ -67,8 +69,9 @@
         let give_up_at = self.gateway.now() + self.route.objective.mul_f64(PLACEMENT_WAIT_SHARE);
         loop {
             self.update_cache_scope();
+            let (areas, home_store) = self.home_areas();
             let freed = self.gateway.capacity_freed.notified();
-            if let Some(placement) = self.try_placement() {
+            if let Some(placement) = self.try_placement(&areas, home_store) {
                 match self.take_limit_token(&placement.target).await {
                     Ok(()) => {
                         self.record_placement(&placement.target);
@@ -86,18 +89,19 @@
             let now = self.gateway.now();
             let (has_active, held_off_until) = {
                 let fleet = lock(&self.gateway.fleet);
-                (fleet.has_active_replica(&self.pool), fleet.held_off_until(now, &self.pool))
+                let has_active = fleet.has_active_replica(&self.pool, &areas);
+                (has_active, fleet.held_off_until(now, &self.pool, &areas))
             };
             let give_up_at = give_up_at.min(self.deadline);
             if let Some(until) = held_off_until.filter(|it| *it >= give_up_at) {
-                self.log_no_replica(now);
+                self.log_no_replica(now, &areas);
                 let delay = (until - now).mul_f64(rand::random_range(1.0..HELD_OFF_SPREAD));
                 let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
                 return Err(self.qualify_refusal(refusal.retry_after(delay)));
             }
             let left = give_up_at.saturating_sub(now);
             if !has_active || left.is_zero() {
-                self.log_no_replica(now);
+                self.log_no_replica(now, &areas);
                 let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
                 return Err(self.qualify_refusal(refusal.retry_after(self.retry_delay())));
             }
@@ -139,7 +143,28 @@
         })
     }
 
-    fn try_placement(&self) -> Option<Placement<D, S>> {
+    /// The failure domains that the request may use, and the KV store if it is in them. The newest
+    /// configuration decides unless the route or the customer has been removed from it.
+    fn home_areas(&self) -> (HomeAreas, Option<SocketAddr>) {
+        let newest = self.gateway.config().filter(|it| {
+            it.routes.iter().any(|it| it.id == self.route.id)
+                && self.customer.as_ref().is_none_or(|id| it.customers.contains_key(id))
+        });
+        let config = newest.unwrap_or_else(|| self.config.clone());
+        if config.regions.is_empty() {
+            return (HomeAreas::Everywhere, None);
+        }
+        let domains = &self.gateway.settings().domain_regions;
+        let areas = config.home_areas(domains, &self.route.id, self.customer.as_ref());
+        let store = config.home_store(&areas);
+        (areas, store)
+    }
+
+    fn try_placement(
+        &self,
+        areas: &HomeAreas,
+        home_store: Option<SocketAddr>,
+    ) -> Option<Placement<D, S>> {
         let gateway = &self.gateway;
         let now = gateway.now();
         let speed = *lock(&gateway.speed);
@@ -168,6 +193,8 @@
                 releases,
                 excluded_targets: &self.excluded,
                 min_weights,
+                areas,
+                home_store,
             };
             match (&self.prompt, engine) {
                 (Some(prompt), Some(engine)) => {
--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{PoolId, Revision};
+use ids::{FailureDomain, PoolId, Revision};
 use indexmap::IndexMap;
 use xxhash_rust::xxh3;
 
@@ -41,6 +41,9 @@
     control_revision: Revision,
     control_confirmed_at: Option<Duration>,
     control_hash: u64,
+    /// The evacuated failure domains as of `control_revision`; `None` if there never were any, as
+    /// far as known.
+    evacuated: Option<Vec<FailureDomain>>,
     /// Whether a version of weights was found that may be much older than this daemon knows.
     asks_for_ages: bool,
 }
@@ -64,6 +67,8 @@
     pub weights: bool,
     /// A rollout was started or changed.
     pub rollouts: bool,
+    /// The evacuation of a failure domain began or ended.
+    pub evacuated: bool,
     /// The list of replicas differs from the one before.
     pub listing: bool,
 }
@@ -71,7 +76,7 @@
 impl ViewChange {
     /// Whether any part changed.
     pub fn any(self) -> bool {
-        self.config || self.weights || self.rollouts || self.listing
+        self.config || self.weights || self.rollouts || self.evacuated || self.listing
     }
 }
 
@@ -106,6 +111,11 @@
         known.map(|(it, at)| (it.clone(), now.saturating_sub(*at))).collect()
     }
 
+    /// The evacuated failure domains, in ascending order.
+    pub fn evacuated(&self) -> &[FailureDomain] {
+        self.evacuated.as_deref().unwrap_or_default()
+    }
+
     /// The newest list of replicas; `None` until the first was read.
     pub fn listing(&self) -> Option<&TargetListing> {
         self.listing.as_ref()
@@ -141,6 +151,7 @@
                 .iter()
                 .map(|(model, known)| (model.clone(), superseded(known)))
                 .collect(),
+            evacuated: self.evacuated.clone(),
         }
     }
 
@@ -161,10 +172,19 @@
         let mut change = ViewChange::default();
         let was_interrupted =
             self.control_confirmed_at.is_some_and(|it| it + unseen.max_gap < read_at);
-        self.confirm_control(snapshot.revision, read_at);
         let state = snapshot.value;
+        change.evacuated = self.apply_evacuated(snapshot.revision, &state);
+        // A state that leaves out evacuations comes from a daemon that knows of none. It does not
+        // confirm those known here, so that this daemon soon reads the store itself.
+        if state.evacuated.is_some() || self.evacuated().is_empty() {
+            self.confirm_control(snapshot.revision, read_at);
+        }
         if let Some(config) = state.config {
-            let newer = self.config.as_ref().is_none_or(|it| it.revision < config.revision);
+            // A daemon of the version before passes a configuration on without its regions.
+            let newer = self.config.as_ref().is_none_or(|it| {
+                let adds_regions = it.regions.is_empty() && !config.regions.is_empty();
+                it.revision < config.revision || it.revision == config.revision && adds_regions
+            });
             if newer {
                 change.config = true;
                 self.config = Some(Arc::new(config));
@@ -216,6 +236,26 @@
         change
     }
 
+    /// Replaces the evacuated domains by those of a state with a newer revision; returns whether they
+    /// differ. A state without the known configuration comes from a store that has lost rows: its
+    /// evacuations begin, and those that it does not name go on.
+    fn apply_evacuated(&mut self, revision: Revision, state: &ControlState) -> bool {
+        let Some(stated) = &state.evacuated else { return false };
+        let is_newer = self.control_confirmed_at.is_none() || revision > self.control_revision;
+        if !is_newer || (stated.is_empty() && self.evacuated.is_none()) {
+            return false;
+        }
+        let known_config = self.config.as_ref().map(|it| it.revision);
+        let has_lost_rows = state.config.as_ref().map(|it| it.revision) < known_config;
+        let kept = if has_lost_rows { self.evacuated() } else { &[] };
+        let mut next: Vec<FailureDomain> = stated.iter().chain(kept).cloned().collect();
+        next.sort_unstable();
+        next.dedup();
+        let differs = *next != *self.evacuated();
+        self.evacuated = Some(next);
+        differs
+    }
+
     /// A hash of the control state, by which daemons compare theirs.
     pub fn control_hash(&self) -> u64 {
         self.control_hash
@@ -229,7 +269,12 @@
         let config = self.config.as_ref().map(|it| it.revision);
         let weights: Vec<_> = self.newest_weights().map(|it| (it.0, it.1.0)).collect();
         let rollouts: Vec<_> = self.rollouts.values().map(|it| it.0.revision).collect();
-        hash_value(&(config, weights, rollouts))
+        let has_regions = self.config.as_ref().is_some_and(|it| !it.regions.is_empty());
+        // The hash of daemons of the version before, if there is nothing that they do not know.
+        if self.evacuated().is_empty() && !has_regions {
+            return hash_value(&(config, weights, rollouts));
+        }
+        hash_value(&(config, weights, rollouts, self.evacuated(), has_regions))
     }
 
     /// Records that the control state of this revision was current at `read_at`.
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use policy::cache_scope::{CacheScope, SharingGroup};
 use policy::customer_quota::CustomerRate;
+use policy::home_areas::{DomainRegions, HomeAreas, Region};
 use serde::{Deserialize, Serialize};
 
 /// One revision of the configuration.
@@ -25,6 +26,33 @@
     pub keys: IndexMap<KeyDigest, CustomerId>,
     /// Limits on what callers send.
     pub limits: CallerLimits,
+    /// The regions in which requests run. Sent behind the message, where daemons that do not know
+    /// them ignore them.
+    #[serde(skip)]
+    pub regions: RegionRules,
+}
+
+/// The regions in which requests run, and where the KV store is.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RegionRules {
+    /// The allowed regions of routes that state any.
+    pub routes: IndexMap<RouteId, Vec<Region>>,
+    /// The allowed regions of customers that state any.
+    pub customers: IndexMap<CustomerId, Vec<Region>>,
+    /// The failure domains of the pools that are KV stores, as far as stated.
+    pub kv_domains: IndexMap<PoolId, FailureDomain>,
+}
+
+impl RegionRules {
+    /// Whether all requests may run everywhere.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty() && self.customers.is_empty()
+    }
+
+    /// All regions that routes and customers name.
+    pub fn named(&self) -> impl Iterator<Item = &Region> {
+        self.routes.values().chain(self.customers.values()).flatten()
+    }
 }
 
 /// How requests with a host and path prefix are handled.
@@ -205,6 +233,10 @@
     /// behind the message, where daemons that do not know them ignore them.
     #[serde(skip)]
     pub superseded_weights: SupersededWeights,
+    /// The evacuated failure domains in ascending order, as of the revision of the state. `None` if
+    /// it is not known whether there are any. Sent behind the message like the versions.
+    #[serde(skip)]
+    pub evacuated: Option<Vec<FailureDomain>>,
 }
 
 /// Published versions of each model's weights that have been followed by newer ones.
@@ -245,6 +277,26 @@
         self.pools.values().find_map(|it| it.kv_store)
     }
 
+    /// The failure domains that a request may use.
+    pub fn home_areas(
+        &self,
+        domains: &DomainRegions,
+        route: &RouteId,
+        customer: Option<&CustomerId>,
+    ) -> HomeAreas {
+        let RegionRules { routes, customers, .. } = &self.regions;
+        let of_route = routes.get(route).map_or(&[][..], |it| it);
+        let of_customer = customer.and_then(|it| customers.get(it)).map_or(&[][..], |it| it);
+        HomeAreas::new(domains, of_route, of_customer)
+    }
+
+    /// The address of the KV store, if it is known to be in these areas.
+    pub fn home_store(&self, areas: &HomeAreas) -> Option<SocketAddr> {
+        let (pool, address) = self.pools.iter().find_map(|it| Some((it.0, it.1.kv_store?)))?;
+        let domain = self.regions.kv_domains.get(pool)?;
+        areas.allows(domain).then_some(address)
+    }
+
     /// The pools whose replicas are model engines.
     pub fn engine_pools(&self) -> impl Iterator<Item = (&PoolId, &EngineRule)> {
         self.pools.iter().filter_map(|(id, it)| Some((id, it.engine.as_ref()?)))
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3;
 
 use crate::config::TargetEntry;
+use crate::evacuation::EvacuatedDomains;
 use crate::kv_store::KvStoreView;
 use crate::load_table::LoadTable;
 use crate::notice_table::{AnswerNotice, NoticeTable, ReplicaNotices};
@@ -48,6 +49,7 @@
     pub(crate) demand: PromptDemand,
     /// Prefixes placed since the last report to peers.
     pub(crate) prefix_placements: Vec<PrefixPlacement>,
+    pub(crate) evacuated: EvacuatedDomains,
 }
 
 /// Number of replicas by what keeps requests away from them; one replica may be counted in several
@@ -66,6 +68,8 @@
     pub paused: u32,
     /// Replicas that want no requests for a while.
     pub held_off: u32,
+    /// Replicas in evacuated failure domains.
+    pub evacuated: u32,
     /// Replicas that limit their requests, and whose limit is reached.
     pub limited: u32,
 }
@@ -93,6 +97,7 @@
             kv_store: None,
             demand: PromptDemand::default(),
             prefix_placements: Vec::new(),
+            evacuated: EvacuatedDomains::default(),
         }
     }
 
@@ -128,6 +133,7 @@
             self.pool_orders.entry(entry.pool.clone()).or_default().push(member);
         }
         self.pool_orders.values_mut().for_each(|it| it.sort_unstable());
+        self.mark_evacuated();
     }
 
     /// A replica that was not listed before, or not in this incarnation.
@@ -174,6 +180,7 @@
             counts.loading += u32::from(it.is_loading(now));
             counts.paused += u32::from(it.health.state(now) == HealthState::Paused);
             counts.held_off += u32::from(it.hold_off.ends_at(now).is_some());
+            counts.evacuated += u32::from(it.evacuated);
             counts.limited += u32::from(it.request_limit.opens_at(now).is_some());
             counts.available += u32::from(it.accepts_requests(now));
         }
@@ -449,14 +456,6 @@
         }
     }
 
-    /// When the first replica of a pool wants requests again; `None` if one does now, or if all are
-    /// leaving.
-    pub fn held_off_until(&self, now: Duration, pool: &PoolId) -> Option<Duration> {
-        let active = self.replicas.values().filter(|it| it.entry.pool == *pool && !it.leaving);
-        let ends: Option<Vec<Duration>> = active.map(|it| it.wants_requests_at(now)).collect();
-        ends?.into_iter().min()
-    }
-
     /// Records the version of the weights that a replica named in an answer.
     pub fn record_weights(&mut self, placed: &PlacedTarget, version: u64) {
         if let Some(it) = self.same_incarnation(placed) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -307,6 +307,7 @@
             listing_age: view.listing().map(|it| age(it.read_at)),
             members,
             replicas,
+            evacuated_domains: view.evacuated().len(),
             prefill_speed,
         }
     }
@@ -338,7 +339,11 @@
         let (confirmed_before, change) = {
             let mut view = lock(&self.view);
             let confirmed_before = view.control_confirmed_at();
-            (confirmed_before, view.apply_control(stated_at, read_at, unseen, snapshot))
+            let change = view.apply_control(stated_at, read_at, unseen, snapshot);
+            if change.evacuated {
+                self.use_evacuations(&view, read_at, source);
+            }
+            (confirmed_before, change)
         };
         if change.any() {
             let config = self.config().map_or(0, |it| it.revision.0);
@@ -353,6 +358,12 @@
             );
             self.view_changed.notify_waiters();
         }
+        if change.evacuated {
+            self.capacity_freed.notify_waiters();
+        }
+        if change.config {
+            self.warn_unknown_regions();
+        }
         change
     }
 
@@ -414,6 +425,7 @@
             "targets: newer listing applied"
         );
         drop(view);
+        self.warn_unknown_domains();
         crash_reports::record_replaced(self);
         self.view_changed.notify_waiters();
         self.capacity_freed.notify_waiters();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! the traits [`dialect::Dialect`] and [`directory::Directory`]. The `policy` crate makes the
 //! decisions; this crate owns the sockets, the tasks and the tables that requests share.
 
+mod active_replicas;
 mod answer_end;
 mod attempt_error;
 mod body;
@@ -23,6 +24,7 @@
 mod crash_reports;
 pub mod dialect;
 pub mod directory;
+pub mod evacuation;
 pub mod events;
 pub mod fleet;
 mod front;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -66,6 +66,8 @@
     pub members: usize,
     /// Listed replicas, and why some of them get no requests.
     pub replicas: ReplicaCounts,
+    /// Evacuated failure domains.
+    pub evacuated_domains: usize,
     /// Learned prefill speed, in tokens per second.
     pub prefill_speed: f64,
 }
@@ -81,6 +83,7 @@
     replicas: GaugeVec,
     /// Listed replicas that get no requests, by reason; one may count for several.
     withheld: GaugeVec,
+    evacuated_domains: Gauge,
     prefill_speed: Gauge,
     dropped_lines: Gauge,
 }
@@ -152,6 +155,8 @@
                 "Replicas that get no requests, by reason",
                 "reason",
             ),
+            evacuated_domains: builder
+                .gauge("kingcupshift_evacuated_domains", "Evacuated failure domains"),
             prefill_speed: builder
                 .gauge("kingcupshift_prefill_tokens_per_second", "Learned speed of prefill"),
             dropped_lines: builder
@@ -311,12 +316,14 @@
         for (reason, count) in [
             (WithholdReason::Leaving, replicas.leaving),
             (WithholdReason::HeldOff, replicas.held_off),
+            (WithholdReason::Evacuated, replicas.evacuated),
             (WithholdReason::AtLimit, replicas.limited),
             (WithholdReason::Paused, replicas.paused),
             (WithholdReason::LoadingWeights, replicas.loading),
         ] {
             gauges.withheld.with_label_values(&[reason.code()]).set(f64::from(count));
         }
+        gauges.evacuated_domains.set(sample.evacuated_domains as f64);
         gauges.prefill_speed.set(sample.prefill_speed);
         gauges.dropped_lines.set(dropped_lines as f64);
         let mut text = Vec::new();
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{CustomerId, PoolId, Revision, TargetId};
+use ids::{CustomerId, FailureDomain, PoolId, Revision, TargetId};
 use policy::crash_suspects::SuspectReport;
 use policy::quarantine::Strike;
 use policy::rollout_stage::RolloutStage;
@@ -12,7 +12,7 @@
 use policy::silence::AnswerCount;
 use serde::{Deserialize, Serialize};
 
-use crate::config::{ControlState, TargetEntry};
+use crate::config::{ControlState, RegionRules, TargetEntry};
 use crate::directory::MemberEntry;
 use crate::message_parts::{MAX_MESSAGE_BYTES, MessagePart};
 use crate::message_stamp::MessageStamp;
@@ -166,6 +166,41 @@
     pub reachable: u64,
 }
 
+/// Begins the extension of a control state. No encoded integer begins with this byte, so that daemons
+/// of the version before, which expect a stamp in its place, reject it and keep the state.
+const CONTROL_EXTENSION_MARK: u8 = 0xff;
+
+/// Parts of a control state that daemons of the version before do not know. It stands behind the
+/// state if there are any.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct ControlExtension {
+    evacuated: Option<Vec<FailureDomain>>,
+    regions: RegionRules,
+}
+
+impl ControlExtension {
+    /// The encoded extension of a state; empty if the state needs none.
+    fn encode(state: &ControlState) -> Option<Vec<u8>> {
+        let regions = state.config.as_ref().map(|it| &it.regions).filter(|it| !it.is_empty());
+        if state.evacuated.is_none() && regions.is_none() {
+            return Some(Vec::new());
+        }
+        let regions = regions.cloned().unwrap_or_default();
+        let extension = ControlExtension { evacuated: state.evacuated.clone(), regions };
+        let mut bytes = vec![CONTROL_EXTENSION_MARK];
+        bytes.extend(bincode::serde::encode_to_vec(extension, bincode::config::standard()).ok()?);
+        Some(bytes)
+    }
+
+    /// Adds these parts to the state that stands before them.
+    fn apply(self, state: &mut ControlState) {
+        state.evacuated = self.evacuated;
+        if let Some(config) = &mut state.config {
+            config.regions = self.regions;
+        }
+    }
+}
+
 /// Digests of a daemon's state, equal where the state is equal.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateDigests {
@@ -341,7 +376,10 @@
             None => Vec::new(),
         },
         PeerMessage::Control(_, _, state) => {
-            bincode::serde::encode_to_vec(&state.superseded_weights, config).ok()?
+            let mut extension =
+                bincode::serde::encode_to_vec(&state.superseded_weights, config).ok()?;
+            extension.extend(ControlExtension::encode(state)?);
+            extension
         }
         _ => Vec::new(),
     };
@@ -379,6 +417,12 @@
                 state.superseded_weights = superseded;
                 rest = &rest[length..];
             }
+            if let Some((&CONTROL_EXTENSION_MARK, extended)) = rest.split_first() {
+                let (extension, length): (ControlExtension, usize) =
+                    bincode::serde::decode_from_slice(extended, config).ok()?;
+                extension.apply(state);
+                rest = &extended[length..];
+            }
         }
         _ => {}
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{PoolId, RequestRate, TargetId};
+use ids::{FailureDomain, PoolId, RequestRate, TargetId};
 use policy::admission::{ReplicaUse, WithholdReason};
 use policy::engine_choice::{EngineView, PrefillSpeed};
 use policy::fetch_source::{self, PartSource, SourceKind};
 use policy::health::HealthState;
+use policy::home_areas::HomeAreas;
 use policy::plain_choice::PlainView;
 use policy::prefix_table::{PrefixHolder, PromptPrefix};
 use policy::rollout_stage::{self, TrafficShare};
@@ -34,6 +35,8 @@
     pub member: u64,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The failure domain that it runs in.
+    pub domain: FailureDomain,
     /// The version of its weights.
     pub weights: u64,
     /// Tokens of the prompt estimated to be in its cache.
@@ -104,6 +107,16 @@
     pub excluded_targets: &'a [TargetId],
     /// The lowest version of weights that the request may start on.
     pub min_weights: u64,
+    /// The failure domains that the request may use.
+    pub areas: &'a HomeAreas,
+    /// The KV store, if it is known to be in these areas; all stores may be used everywhere.
+    pub home_store: Option<SocketAddr>,
+}
+
+impl PlacementQuery<'_> {
+    fn allows_store(&self, address: SocketAddr) -> bool {
+        *self.areas == HomeAreas::Everywhere || self.home_store == Some(address)
+    }
 }
 
 /// What the choice between engines depends on for a prompt.
@@ -133,16 +146,17 @@
         self.replicas.values().filter(move |it| {
             it.entry.pool == *query.pool
                 && query.releases.allows(it)
+                && query.areas.allows(&it.entry.domain)
                 && it.accepts_requests(now)
                 && it.weights >= query.min_weights
                 && !query.excluded_targets.contains(&it.entry.id)
         })
     }
 
-    /// Whether a pool has a replica of another release that is not leaving.
+    /// Whether a pool has an active replica of another release.
     pub fn has_other_release(&self, pool: &PoolId, release: &str) -> bool {
-        let mut pool = self.replicas.values().filter(|it| it.entry.pool == *pool && !it.leaving);
-        pool.any(|it| *it.entry.release != *release)
+        let mut active = self.active_replicas(pool, &HomeAreas::Everywhere);
+        active.any(|it| *it.entry.release != *release)
     }
 
     /// Number of replicas that accept requests, of the release that a rollout moves to and of
@@ -163,19 +177,14 @@
     /// The hashes of the ids of replicas of this release that get its requests at this share. All
     /// daemons select the same ones.
     pub fn trial_members(&self, pool: &PoolId, release: &str, share: TrafficShare) -> Vec<u64> {
-        let pool = self.replicas.values().filter(|it| it.entry.pool == *pool && !it.leaving);
+        let active = self.active_replicas(pool, &HomeAreas::Everywhere);
         let mut members: Vec<u64> =
-            pool.filter(|it| *it.entry.release == *release).map(|it| it.member).collect();
+            active.filter(|it| *it.entry.release == *release).map(|it| it.member).collect();
         members.sort_unstable();
         members.truncate(rollout_stage::trial_replicas(share, members.len()));
         members
     }
 
-    /// Whether a pool has a replica that is not leaving, so that it accepts requests now or later.
-    pub fn has_active_replica(&self, pool: &PoolId) -> bool {
-        self.replicas.values().any(|it| it.entry.pool == *pool && !it.leaving)
-    }
-
     /// Places a call to a plain service and adds it to the replica's load; `None` if no replica is
     /// eligible.
     pub fn place_plain(
@@ -251,8 +260,8 @@
         let salted = prompt.salted_prefixes(weights);
         let cached =
             self.prefixes.cached_tokens(now, &salted, chosen.member, chosen.entry.incarnation);
-        let fetch_from = self.fetch_source(now, chosen, &salted[..prompt.shared_prefixes]);
-        let save_to = self.missing_copy(now, &salted[..prompt.shared_prefixes]);
+        let fetch_from = self.fetch_source(now, query, chosen, &salted[..prompt.shared_prefixes]);
+        let save_to = self.missing_copy(now, query, &salted[..prompt.shared_prefixes]);
         let load = LoadCount {
             running: 1,
             pending_tokens: prompt.prompt_tokens.saturating_sub(cached),
@@ -286,9 +295,14 @@
         self.record_placed_prefixes(now, placed, &salted[..prompt.shared_prefixes]);
     }
 
-    /// The KV store, if it is running and does not hold all shared prefixes.
-    fn missing_copy(&self, now: Duration, shared: &[PromptPrefix]) -> Option<KvStoreCopy> {
-        let store = self.kv_store?;
+    /// The KV store, if the request may use it, it is running and does not hold all shared prefixes.
+    fn missing_copy(
+        &self,
+        now: Duration,
+        query: PlacementQuery<'_>,
+        shared: &[PromptPrefix],
+    ) -> Option<KvStoreCopy> {
+        let store = self.kv_store.filter(|it| query.allows_store(it.address))?;
         let epoch = store.live_epoch(now)?;
         let tokens = shared.last()?.tokens;
         let held = self.prefixes.cached_tokens(now, shared, store.member(), epoch);
@@ -348,19 +362,20 @@
         }
     }
 
-    /// The source that holds the longest shared prefix. A source is named also if the chosen
+    /// The source in the request's areas that holds the longest shared prefix. A source is named also if the chosen
     /// replica is estimated to cache the prefix itself: it may have evicted it, and fetches nothing
     /// if it has not.
     fn fetch_source(
         &self,
         now: Duration,
+        query: PlacementQuery<'_>,
         chosen: &Replica,
         shared: &[PromptPrefix],
     ) -> Option<SocketAddr> {
         shared.iter().rev().find_map(|prefix| {
             let holders = self.prefixes.holders(now, prefix.digest);
             let sources: Vec<PartSource<SocketAddr>> =
-                holders.filter_map(|it| self.part_source(now, chosen, it)).collect();
+                holders.filter_map(|it| self.part_source(now, query, chosen, it)).collect();
             fetch_source::choose(now, &sources)
         })
     }
@@ -370,6 +385,7 @@
     fn part_source(
         &self,
         now: Duration,
+        query: PlacementQuery<'_>,
         chosen: &Replica,
         holder: PrefixHolder,
     ) -> Option<PartSource<SocketAddr>> {
@@ -378,7 +394,8 @@
             .kv_store
             .filter(|it| (it.member(), it.live_epoch(now)) == (member, Some(incarnation)));
         if let Some(store) = store {
-            return Some(PartSource { source: store.address, used_at, kind: SourceKind::Store });
+            let source = PartSource { source: store.address, used_at, kind: SourceKind::Store };
+            return query.allows_store(store.address).then_some(source);
         }
         let replica = self.replicas.get(&member)?;
         if replica.entry.incarnation != incarnation {
@@ -386,13 +403,17 @@
         }
         let usable = member != chosen.member
             && replica.weights == chosen.weights
+            && query.areas.allows(&replica.entry.domain)
             && replica.state(now).withhold_reason(now, ReplicaUse::PartSource).is_none();
-        let kind = if replica.leaving { SourceKind::LeavingEngine } else { SourceKind::Engine };
+        let kind = match replica.leaving || replica.evacuated {
+            true => SourceKind::LeavingEngine,
+            false => SourceKind::Engine,
+        };
         usable.then_some(PartSource { source: replica.entry.address, used_at, kind })
     }
 
     /// Whether a placed request may still be sent: fails if the replica, in the incarnation that
-    /// was chosen, said meanwhile that it takes no more.
+    /// was chosen, said meanwhile that it takes no more, or its failure domain was evacuated.
     pub fn admit_placed(&self, now: Duration, placed: &PlacedTarget) -> Result<(), WithholdReason> {
         let replica = self.replicas.get(&placed.member);
         let replica = replica.filter(|it| it.entry.incarnation == placed.incarnation);
@@ -400,6 +421,7 @@
             Some(it) => it.state(now),
             None => self.notices.get(placed.member, placed.incarnation).state(),
         };
+        state.evacuated = self.is_evacuated(&placed.domain);
         // The placed request itself is counted.
         state.running = state.running.saturating_sub(placed.load.running);
         let reason = state.withhold_reason(now, ReplicaUse::Request);
@@ -415,6 +437,7 @@
             incarnation: replica.entry.incarnation,
             member: replica.member,
             address: replica.entry.address,
+            domain: replica.entry.domain.clone(),
             weights: replica.weights,
             cached_tokens: 0,
             fetch_from: None,
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -70,6 +70,8 @@
     pub last_command_at: Option<Duration>,
     /// When this daemon first counted it as leaving.
     leaving_since: Option<Duration>,
+    /// Whether its failure domain is evacuated.
+    pub(crate) evacuated: bool,
     pub(crate) timeouts: ReplicaTimeouts,
 }
 
@@ -137,6 +139,7 @@
             accepted_commands: 0,
             last_command_at: None,
             leaving_since: None,
+            evacuated: false,
             timeouts,
             entry,
         }
@@ -181,6 +184,7 @@
             leaving: self.leaving,
             may_be_gone: self.leaving_since.is_some_and(|it| now >= it + self.timeouts.drain),
             hold_off: self.hold_off,
+            evacuated: self.evacuated,
             running: self.local_load.running,
             full_until: self.full_until,
             health: self.health.state(now),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ids::{FailureDomain, InstanceId};
+use policy::home_areas::DomainRegions;
 use policy::peer_tree::InstanceCapacity;
 
 /// A source of settings, such as a file, that can be read again while the daemon runs.
@@ -37,15 +38,22 @@
     pub max_sockets: usize,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: usize,
+    /// The region of each failure domain.
+    pub domain_regions: DomainRegions,
     /// Time limits and allowances of this deployment.
     pub bounds: GatewayBounds,
 }
 
 impl GatewaySettings {
-    /// These settings with those values of `fresh` that may change while a daemon runs: seeds and
-    /// bounds. Identity, addresses and capacity stay until the next start.
+    /// These settings with those values of `fresh` that may change while a daemon runs: seeds,
+    /// regions and bounds. Identity, addresses and capacity stay until the next start.
     pub fn reloaded(&self, fresh: &GatewaySettings) -> GatewaySettings {
-        GatewaySettings { seeds: fresh.seeds.clone(), bounds: fresh.bounds.clone(), ..self.clone() }
+        GatewaySettings {
+            seeds: fresh.seeds.clone(),
+            domain_regions: fresh.domain_regions.clone(),
+            bounds: fresh.bounds.clone(),
+            ..self.clone()
+        }
     }
 }
 
@@ -61,6 +69,9 @@
     pub contact: Duration,
     /// Time within which a new configuration is in force on all daemons.
     pub config_apply: Duration,
+    /// Time within which an evacuation is in force on all daemons; `None` if that of a new
+    /// configuration is soon enough.
+    pub evacuate: Option<Duration>,
     /// Retries allowed as a share of requests.
     pub retry_ratio: f64,
     /// Retries allowed beyond that share, over all daemons.
@@ -78,3 +89,10 @@
     /// Share of a pool's requests that a bad release may get while it is rolled out.
     pub rollout_exposure: f64,
 }
+
+impl GatewayBounds {
+    /// Time within which what operators set must be in force on all daemons.
+    pub(crate) fn control_bound(&self) -> Duration {
+        self.evacuate.map_or(self.config_apply, |it| it.min(self.config_apply))
+    }
+}
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -73,7 +73,7 @@
     let (known_at, bound) = {
         let view = lock(&gateway.view);
         match subject {
-            StoreSubject::Control => (view.control_confirmed_at(), bounds.config_apply),
+            StoreSubject::Control => (view.control_confirmed_at(), bounds.control_bound()),
             StoreSubject::Targets => (view.listing().map(|it| it.read_at), bounds.drain),
         }
     };
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -27,6 +27,7 @@
         customers: Default::default(),
         keys: Default::default(),
         limits: CallerLimits { header_bytes: 1, body_bytes: 1, idle_time: ms(1) },
+        regions: Default::default(),
     }
 }
 
@@ -40,6 +41,7 @@
         weights: [("m".into(), published(weights, None))].into_iter().collect(),
         rollouts: Default::default(),
         superseded_weights: Default::default(),
+        evacuated: None,
     }
 }
 
--- a/crates/gateway/tests/leaving_homes.rs
+++ b/crates/gateway/tests/leaving_homes.rs
@@ -13,6 +13,7 @@
 use gateway::prompt_spec::PromptSpec;
 use policy::cache_scope::CacheScope;
 use policy::engine_choice::PrefillSpeed;
+use policy::home_areas::HomeAreas;
 use policy::prefix_table::PromptPrefix;
 use policy::rendezvous;
 use rstest::rstest;
@@ -63,7 +64,14 @@
     let engine = EngineRule { batch: 8, kv_tokens: 100_000, models: vec!["m".into()] };
     let pool = "desk".parse().expect("an id");
     let releases = ReleaseFilter::Any;
-    let query = PlacementQuery { pool: &pool, releases, excluded_targets: &[], min_weights: 0 };
+    let query = PlacementQuery {
+        pool: &pool,
+        releases,
+        excluded_targets: &[],
+        min_weights: 0,
+        areas: &HomeAreas::Everywhere,
+        home_store: None,
+    };
     let speed = PrefillSpeed::default();
     let prompt_query = PromptQuery {
         prompt: &prompt,
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -21,8 +21,10 @@
         loading: 0,
         paused: 0,
         held_off: 1,
+        evacuated: 3,
         limited: 2,
     },
+    evacuated_domains: 1,
     prefill_speed: 30_000.0,
 };
 
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -33,6 +33,7 @@
         superseded_weights: [("m".into(), vec![published(2, 9), published(3, 5)])]
             .into_iter()
             .collect(),
+        evacuated: Some(vec!["a".parse().expect("an id")]),
         ..ControlState::default()
     };
     PeerMessage::Control(Revision(4), Duration::from_secs(1), Box::new(state))
--- a/crates/gateway/tests/withheld_requests.rs
+++ b/crates/gateway/tests/withheld_requests.rs
@@ -16,6 +16,7 @@
 use http::Request;
 use http_body_util::Full;
 use policy::admission::WithholdReason;
+use policy::home_areas::HomeAreas;
 use ports::Clock;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -39,7 +40,14 @@
 fn place(fleet: &mut FleetTable, now: Duration) -> Option<PlacedTarget> {
     let pool = "desk".parse().expect("an id");
     let releases = ReleaseFilter::Any;
-    let query = PlacementQuery { pool: &pool, releases, excluded_targets: &[], min_weights: 0 };
+    let query = PlacementQuery {
+        pool: &pool,
+        releases,
+        excluded_targets: &[],
+        min_weights: 0,
+        areas: &HomeAreas::Everywhere,
+        home_store: None,
+    };
     fleet.place_plain(now, query)
 }
 
@@ -61,6 +69,38 @@
     assert_eq!(fleet.admit_placed(NOW, &placed), Err(reason));
 }
 
+/// Guards against requests that wait for a token or a connection while their zone is evacuated.
+#[rstest]
+fn an_evacuation_withholds_placed_requests_until_it_ends(#[values(true, false)] is_listed: bool) {
+    let mut fleet = fleet_of_one();
+    let placed = place(&mut fleet, NOW).expect("it is open");
+    if !is_listed {
+        fleet.apply_listing(&[]);
+    }
+    fleet.set_evacuated(&["b".parse().expect("an id")]);
+    assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
+    fleet.set_evacuated(&["a".parse().expect("an id")]);
+    assert_eq!(fleet.admit_placed(NOW, &placed), Err(WithholdReason::Evacuated));
+    fleet.apply_listing(&[entry("r-1", false), entry("r-2", false)]);
+    assert!(place(&mut fleet, NOW).is_none(), "also a replica that is listed later is evacuated");
+    fleet.set_evacuated(&[]);
+    assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
+    assert!(place(&mut fleet, NOW).is_some());
+}
+
+/// Guards against a warning of an unknown zone with each reading, or before replicas are known.
+#[test]
+fn an_evacuated_domain_without_replicas_is_found_once() {
+    let mut fleet = FleetTable::new("a".parse().expect("an id"), fixtures::TIMEOUTS);
+    let domains = ["a", "x"].map(|it| it.parse().expect("an id"));
+    assert_eq!(fleet.set_evacuated(&domains).begun, domains);
+    assert_eq!(fleet.take_empty_evacuated(), []);
+    fleet.apply_listing(&[entry("r-1", false)]);
+    assert_eq!(fleet.take_empty_evacuated(), domains[1..]);
+    assert_eq!(fleet.set_evacuated(&domains[1..]).ended, domains[..1]);
+    assert_eq!(fleet.take_empty_evacuated(), []);
+}
+
 #[test]
 fn the_notice_of_an_earlier_process_withholds_nothing() {
     let mut fleet = fleet_of_one();
