--- a/crates/gateway/src/answer_end.rs
+++ b/crates/gateway/src/answer_end.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use policy::admission::WithholdReason;
 use web::client::CallError;
 
 use crate::connections::ReusableConnection;
@@ -37,7 +38,11 @@
     target: &PlacedTarget,
 ) -> bool {
     let request = gateway.dialect.report_request();
-    let admit = || lock(&gateway.fleet).admit_placed(gateway.now(), target);
+    // The request under way runs to its end, also in an evacuated failure domain.
+    let admit = || match lock(&gateway.fleet).admit_placed(gateway.now(), target) {
+        Err(WithholdReason::Evacuated) => Ok(()),
+        other => other,
+    };
     let (address, id) = (target.address, target.id.as_str());
     let answer =
         target_client::send_request(gateway, address, id, request, REPORT_LIMITS, admit).await;
--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -146,14 +146,16 @@
     /// The failure domains that the request may use, and the KV store if it is in them. The newest
     /// configuration decides unless the route or the customer has been removed from it.
     fn home_areas(&self) -> (HomeAreas, Option<SocketAddr>) {
-        let newest = self.gateway.config().filter(|it| {
+        let newest = self.gateway.config();
+        if self.config.regions.is_empty() && newest.as_ref().is_none_or(|it| it.regions.is_empty())
+        {
+            return (HomeAreas::Everywhere, None);
+        }
+        let newest = newest.filter(|it| {
             it.routes.iter().any(|it| it.id == self.route.id)
                 && self.customer.as_ref().is_none_or(|id| it.customers.contains_key(id))
         });
         let config = newest.unwrap_or_else(|| self.config.clone());
-        if config.regions.is_empty() {
-            return (HomeAreas::Everywhere, None);
-        }
         let domains = &self.gateway.settings().domain_regions;
         let areas = config.home_areas(domains, &self.route.id, self.customer.as_ref());
         let store = config.home_store(&areas);
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -84,7 +84,6 @@
         for domain in ended {
             tracing::info!(%domain, %source, age_ms, "targets: evacuation of a failure domain ends");
         }
-        self.warn_unknown_domains();
     }
 
     /// Warns of evacuated domains that neither the settings nor the listing know.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -359,6 +359,7 @@
             self.view_changed.notify_waiters();
         }
         if change.evacuated {
+            self.warn_unknown_domains();
             self.capacity_freed.notify_waiters();
         }
         if change.config {
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -75,7 +75,7 @@
     needed: Vec<NeededCommand>,
     /// Number of engines on the newest weights.
     ready: usize,
-    /// The engines on old weights get no requests any more.
+    /// The engines on old weights get no requests now.
     overdue: bool,
 }
 
@@ -214,17 +214,18 @@
     for (pool, engine) in config.engine_pools() {
         for model in &engine.models {
             let Some((version, published_at)) = view.latest_weights(model) else { continue };
-            let mut needed = Vec::new();
+            let (mut needed, mut evacuated) = (Vec::new(), Vec::new());
             let mut ready = 0;
             for replica in fleet.replicas().filter(|it| it.entry.pool == *pool && !it.leaving) {
                 if replica.weights >= version {
-                    ready += 1;
+                    ready += usize::from(!replica.evacuated);
                     continue;
                 }
                 let loading = replica.is_loading(now);
                 let state = commands.get(&replica.entry.id);
                 let in_progress = matches!(state, Some(CommandState::InProgress(it)) if now < *it);
-                needed.push(NeededCommand {
+                let lagging = if replica.evacuated { &mut evacuated } else { &mut needed };
+                lagging.push(NeededCommand {
                     target: replica.entry.id.clone(),
                     model: model.clone(),
                     version,
@@ -240,10 +241,11 @@
                     },
                 });
             }
-            if !needed.is_empty() {
-                let overdue = now >= published_at + max_age;
-                pools.push(LaggingPool { needed, ready, overdue });
-            }
+            let overdue = now >= published_at + max_age;
+            let serving = LaggingPool { needed, ready, overdue };
+            // They get no requests either way, so that their loads take no capacity.
+            let evacuated = LaggingPool { needed: evacuated, ready: 0, overdue: true };
+            pools.extend([serving, evacuated].into_iter().filter(|it| !it.needed.is_empty()));
         }
     }
     pools
--- a/crates/gateway/tests/leaving_homes.rs
+++ b/crates/gateway/tests/leaving_homes.rs
@@ -40,16 +40,21 @@
 }
 
 fn listing(leaving: Option<&str>) -> Vec<gateway::config::TargetEntry> {
-    let ids = [("r-1", 1), ("r-2", 2)];
-    let entries = ids.map(|(id, port)| {
+    let ids = [("r-1", 1, "a"), ("r-2", 2, "b")];
+    let entries = ids.map(|(id, port, domain)| {
         let mut entry = entry(id, leaving == Some(id));
         entry.address = address(port);
+        entry.domain = domain.parse().expect("an id");
         entry
     });
     entries.into()
 }
 
 fn place(fleet: &mut FleetTable, now: Duration) -> PlacedTarget {
+    place_in(fleet, now, &HomeAreas::Everywhere)
+}
+
+fn place_in(fleet: &mut FleetTable, now: Duration, areas: &HomeAreas) -> PlacedTarget {
     let prefixes =
         [PromptPrefix { digest: 7, tokens: 6_000 }, PromptPrefix { digest: 8, tokens: 6_100 }];
     let prompt = PromptSpec {
@@ -69,7 +74,7 @@
         releases,
         excluded_targets: &[],
         min_weights: 0,
-        areas: &HomeAreas::Everywhere,
+        areas,
         home_store: None,
     };
     let speed = PrefillSpeed::default();
@@ -124,3 +129,26 @@
     assert_ne!(moved.id, home.id);
     assert_eq!(moved.fetch_from, None);
 }
+
+/// Guards against shared parts that are prefilled again, as only an evacuated zone holds them.
+#[test]
+fn an_evacuated_home_is_read_and_gets_no_prompt() {
+    let mut fleet = fleet_of_two();
+    let home = place(&mut fleet, NOW);
+    fleet.set_evacuated(std::slice::from_ref(&home.domain));
+    let moved = place(&mut fleet, NOW + SECOND);
+    assert_ne!(moved.id, home.id);
+    assert_eq!(moved.fetch_from, Some(home.address));
+}
+
+/// Guards against prompt parts that leave their region through a fetch.
+#[test]
+fn a_home_outside_the_allowed_domains_is_not_read() {
+    let mut fleet = fleet_of_two();
+    let home = place(&mut fleet, NOW);
+    let elsewhere = if home.domain.as_str() == "a" { "b" } else { "a" };
+    let areas = HomeAreas::Only([elsewhere.parse().expect("an id")].into());
+    let moved = place_in(&mut fleet, NOW + SECOND, &areas);
+    assert_eq!(moved.domain.as_str(), elsewhere);
+    assert_eq!(moved.fetch_from, None);
+}
