Pace requests to cold replicas over all daemons

Nothing read that a replica is cold: each daemon sent to a replica that had just come back, as it was idle. Pools may state coldS and coldPerS now. policy::cold_pace decides from rows, answers and failures whether a replica is cold; requests to it take tokens of the existing request limits, whose buckets for cold replicas are smaller. Without coldPerS all messages are as before.

--- a/crates/gateway/src/answer_end.rs
+++ b/crates/gateway/src/answer_end.rs
@@ -37,7 +37,7 @@
     target: &PlacedTarget,
 ) -> bool {
     let request = gateway.dialect.report_request();
-    let admit = || lock(&gateway.fleet).admit_placed(gateway.now(), target);
+    let admit = || lock(&gateway.fleet).admit_probe(gateway.now(), target);
     let (address, id) = (target.address, target.id.as_str());
     let answer =
         target_client::send_request(gateway, address, id, request, REPORT_LIMITS, admit).await;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -16,6 +16,7 @@
 use crate::buffered::{self, BufferedAnswer};
 use crate::call_placement::Placement;
 use crate::caller_request::{self, CallerRequest};
+use crate::cold_replicas;
 use crate::config::{RouteKind, RouteRule, SiteConfig};
 use crate::connections::{CallerResponse, OpenAnswer};
 use crate::crash_reports::{self, CrashKeys};
@@ -196,6 +197,7 @@
         answer: BufferedAnswer,
     ) -> Result<CallerResponse, CallRefusal> {
         lock(&self.gateway.fleet).record_success(self.gateway.now(), target);
+        cold_replicas::publish(&self.gateway);
         self.log_answer(target, answer.status);
         answer.into_response(&self.gateway.waiting_answers).map_err(|error| {
             tracing::warn!(request = %self.head.attempt_id, "call: answer dropped: {error}");
@@ -281,6 +283,10 @@
             let news =
                 lock(&self.gateway.fleet).record_request_limit(now, target, head.request_limit);
             request_limits::forward(&self.gateway, None, news.into_iter().collect());
+            if let Some(left_ms) = head.cold_left_ms {
+                let PlacedTarget { member, incarnation, .. } = *target;
+                lock(&self.gateway.fleet).record_cold_answer(now, member, incarnation, left_ms);
+            }
         }
         if head.attempt_id.as_deref().is_none_or(|it| it == own_id) {
             let notice = AnswerNotice::new(status, head);
--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -2,6 +2,7 @@
 
 use http::StatusCode;
 use ids::{ErrorKind, RunState};
+use policy::cold_pace::ColdEvidence;
 use policy::retry::RetryReason;
 use policy::rollout_trial::AttemptOutcome;
 use web::client::CallError;
@@ -9,10 +10,12 @@
 use crate::attempt_error::AttemptError;
 use crate::call::{Call, MAX_UNSENT_ATTEMPTS};
 use crate::call_placement::Placement;
+use crate::cold_replicas;
 use crate::crash_reports;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::lock;
+use crate::placement::PlacedTarget;
 use crate::refusal::CallRefusal;
 
 impl<D: Dialect, S: Directory> Call<D, S> {
@@ -29,6 +32,7 @@
                 | AttemptError::NotRun(..)
         );
         let (reason, kind) = self.record_failure(placement, error);
+        cold_replicas::publish(&self.gateway);
         if !placement.is_answered {
             self.record_outcome(placement, AttemptOutcome::Failed);
         }
@@ -107,6 +111,9 @@
             AttemptError::Connection(CallError::Broken(_) | CallError::TooLong(_)) => {
                 self.run = RunState::MaybeRun;
                 fleet.record_failure(now, &placement.target, false);
+                let PlacedTarget { member, incarnation, .. } = placement.target;
+                // It may have crashed, and be back before anybody is refused.
+                fleet.record_cold(now, member, incarnation, ColdEvidence::Stopped);
                 (RetryReason::BrokeEarly, ErrorKind::TargetFailed)
             }
             AttemptError::WrongAttempt | AttemptError::Encoded | AttemptError::Unsealed => {
--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -68,9 +68,10 @@
         loop {
             self.update_cache_scope();
             let freed = self.gateway.capacity_freed.notified();
-            if let Some(placement) = self.try_placement() {
+            if let Some(mut placement) = self.try_placement() {
                 match self.take_limit_token(&placement.target).await {
-                    Ok(()) => {
+                    Ok(token_at) => {
+                        placement.target.token_at = token_at;
                         self.record_placement(&placement.target);
                         return Ok(placement);
                     }
@@ -128,11 +129,13 @@
         self.log_placement(target, load_age);
     }
 
-    /// Takes a token of a replica that limits its requests; without one the replica is closed here
-    /// until there may be one.
-    async fn take_limit_token(&self, target: &PlacedTarget) -> Result<(), TokenMissing> {
-        let Some(rate) = target.request_limit else { return Ok(()) };
-        let taken = request_limits::take(&self.gateway, &self.head.attempt_id, target, rate).await;
+    /// Takes a token of a replica that limits its requests or is cold, and returns when; without one
+    /// the replica is closed here until there may be one.
+    async fn take_limit_token(
+        &self,
+        target: &PlacedTarget,
+    ) -> Result<Option<Duration>, TokenMissing> {
+        let taken = request_limits::take(&self.gateway, &self.head.attempt_id, target).await;
         taken.map_err(|wait| {
             lock(&self.gateway.fleet).close_until(target, self.gateway.now() + wait);
             TokenMissing
--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -164,7 +164,14 @@
         self.confirm_control(snapshot.revision, read_at);
         let state = snapshot.value;
         if let Some(config) = state.config {
-            let newer = self.config.as_ref().is_none_or(|it| it.revision < config.revision);
+            // A daemon of the version before passes the same revision on without these rules.
+            let adds_rules = |it: &SiteConfig| {
+                it.revision == config.revision
+                    && it.cold_rules().is_empty()
+                    && !config.cold_rules().is_empty()
+            };
+            let known = self.config.as_ref();
+            let newer = known.is_none_or(|it| it.revision < config.revision || adds_rules(it));
             if newer {
                 change.config = true;
                 self.config = Some(Arc::new(config));
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -7,6 +7,7 @@
 use ids::{CustomerId, FailureDomain, KeyDigest, PoolId, Revision, RouteId, TokenCount, TokenRate};
 use indexmap::IndexMap;
 use policy::cache_scope::{CacheScope, SharingGroup};
+use policy::cold_pace::ColdRule;
 use policy::customer_quota::CustomerRate;
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +83,10 @@
     pub engine: Option<EngineRule>,
     /// Set if the pool is a KV store.
     pub kv_store: Option<SocketAddr>,
+    /// Set if the pool's replicas are cold after their start. Sent behind the message and its stamp,
+    /// where daemons that do not know it ignore it.
+    #[serde(skip)]
+    pub cold: Option<ColdRule>,
 }
 
 /// The properties of a pool's engines.
@@ -181,6 +186,10 @@
     pub leaving: bool,
     /// The versions of the weights it has loaded, by model.
     pub weights: IndexMap<Box<str>, u64>,
+    /// How long it states that it stays cold, in milliseconds and unchecked; only as read from the
+    /// store. Daemons send it to each other in messages of its own.
+    #[serde(skip)]
+    pub cold_left_ms: Option<f64>,
 }
 
 /// A version of a model's weights that an operator has published.
@@ -211,6 +220,20 @@
 pub type SupersededWeights = IndexMap<Box<str>, Vec<WeightVersion>>;
 
 impl SiteConfig {
+    /// The pools whose replicas are cold after their start.
+    pub fn cold_rules(&self) -> Vec<(PoolId, ColdRule)> {
+        self.pools.iter().filter_map(|(id, it)| Some((id.clone(), it.cold?))).collect()
+    }
+
+    /// Sets the rules that `cold_rules` returned.
+    pub fn set_cold_rules(&mut self, rules: Vec<(PoolId, ColdRule)>) {
+        for (id, rule) in rules {
+            if let Some(it) = self.pools.get_mut(&id) {
+                it.cold = Some(rule);
+            }
+        }
+    }
+
     /// Selects the route of a host and path: of those whose prefix begins the path, the one with
     /// the longest prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -104,6 +104,8 @@
     pub retry_after: Option<Duration>,
     /// The requests that the replica takes from all daemons together; `None` if it names no limit.
     pub request_limit: Option<RequestRate>,
+    /// How long the replica states that it stays cold, in milliseconds and unchecked.
+    pub cold_left_ms: Option<f64>,
     /// The replica that answered.
     pub target: Option<Box<str>>,
     /// The version of the replica's weights.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
-use ids::{FailureDomain, PoolId, RequestRate, TargetId};
+use ids::{FailureDomain, PoolId, TargetId};
 use indexmap::{IndexMap, IndexSet};
+use policy::cold_pace::ColdEvidence;
 use policy::demand::PromptDemand;
 use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
@@ -12,11 +13,12 @@
 use policy::unanswered::ReplicaProcess;
 use xxhash_rust::xxh3;
 
+use crate::cold_replicas::ColdReplicas;
 use crate::config::TargetEntry;
 use crate::kv_store::KvStoreView;
 use crate::load_table::LoadTable;
 use crate::notice_table::{AnswerNotice, NoticeTable, ReplicaNotices};
-use crate::peer_message::{PrefixPlacement, RequestLimitReport, TargetLoad, WeightStatus};
+use crate::peer_message::{PrefixPlacement, TargetLoad, WeightStatus};
 use crate::placement::PlacedTarget;
 use crate::replica::{self, LoadCount, Replica, ReplicaTimeouts};
 
@@ -48,6 +50,7 @@
     pub(crate) demand: PromptDemand,
     /// Prefixes placed since the last report to peers.
     pub(crate) prefix_placements: Vec<PrefixPlacement>,
+    pub(crate) cold_replicas: ColdReplicas,
 }
 
 /// Number of replicas by what keeps requests away from them; one replica may be counted in several
@@ -68,6 +71,10 @@
     pub held_off: u32,
     /// Replicas that limit their requests, and whose limit is reached.
     pub limited: u32,
+    /// Replicas that are taken to be cold.
+    pub cold: u32,
+    /// Cold replicas for which there is no token now.
+    pub cold_withheld: u32,
 }
 
 /// What was last reported of one incarnation of a replica.
@@ -93,6 +100,7 @@
             kv_store: None,
             demand: PromptDemand::default(),
             prefix_placements: Vec::new(),
+            cold_replicas: ColdReplicas::default(),
         }
     }
 
@@ -104,7 +112,7 @@
 
     /// Replaces the list of replicas. What is known of a replica is kept while its incarnation is
     /// the same.
-    pub fn apply_listing(&mut self, entries: &[TargetEntry]) {
+    pub fn apply_listing(&mut self, now: Duration, entries: &[TargetEntry]) {
         let mut before = std::mem::take(&mut self.replicas);
         for it in before.values() {
             let notices = ReplicaNotices { leaving: it.leaving, hold_off: it.hold_off };
@@ -122,17 +130,19 @@
                     known.entry = entry.clone();
                     known
                 }
-                None => self.new_replica(entry),
+                None => self.new_replica(now, entry),
             };
             self.replicas.insert(member, replica);
             self.pool_orders.entry(entry.pool.clone()).or_default().push(member);
         }
         self.pool_orders.values_mut().for_each(|it| it.sort_unstable());
+        self.finish_cold_listing();
     }
 
     /// A replica that was not listed before, or not in this incarnation.
-    fn new_replica(&self, entry: &TargetEntry) -> Replica {
+    fn new_replica(&self, now: Duration, entry: &TargetEntry) -> Replica {
         let mut replica = Replica::new(entry.clone(), self.timeouts);
+        replica.cold = self.cold_replicas.new_pace(now);
         let notices = self.notices.get(replica.member, entry.incarnation);
         replica.leaving |= notices.leaving;
         replica.hold_off = notices.hold_off;
@@ -174,7 +184,11 @@
             counts.loading += u32::from(it.is_loading(now));
             counts.paused += u32::from(it.health.state(now) == HealthState::Paused);
             counts.held_off += u32::from(it.hold_off.ends_at(now).is_some());
-            counts.limited += u32::from(it.request_limit.opens_at(now).is_some());
+            let is_cold = it.cold_state(now).is_some();
+            let is_closed = it.request_limit.opens_at(now).is_some();
+            counts.limited += u32::from(is_closed && !is_cold);
+            counts.cold += u32::from(is_cold);
+            counts.cold_withheld += u32::from(is_closed && is_cold);
             counts.available += u32::from(it.accepts_requests(now));
         }
         counts
@@ -271,6 +285,7 @@
     /// Pauses healthy replicas that recently answered no daemon at all.
     pub fn pause_unresponsive(&mut self, now: Duration) {
         self.peer_loads.expire(now);
+        let mut stopped = Vec::new();
         for (member, replica) in &mut self.replicas {
             if replica.health.state(now) != HealthState::Healthy {
                 continue;
@@ -281,8 +296,12 @@
                 let (target, failed) = (&replica.entry.id, load.answers.failed);
                 tracing::info!(%target, failed, "targets: replica paused, no daemon gets answers");
                 replica.health.record_failure(now, true);
+                stopped.push((*member, replica.entry.incarnation));
             }
         }
+        for (member, incarnation) in stopped {
+            self.record_cold(now, member, incarnation, ColdEvidence::Stopped);
+        }
     }
 
     /// Marks replicas that peers know to be leaving, given as hashes of ids with incarnations.
@@ -375,6 +394,7 @@
         if let Some(it) = self.same_incarnation(placed) {
             it.recent_answers.record(now, true);
             it.mark_full(now);
+            self.record_cold(now, placed.member, placed.incarnation, ColdEvidence::Answered);
         }
     }
 
@@ -411,44 +431,6 @@
         }
     }
 
-    /// Records the limit of requests in an answer, `None` if it names none. Returns what to tell
-    /// peers if it is new.
-    pub(crate) fn record_request_limit(
-        &mut self,
-        now: Duration,
-        placed: &PlacedTarget,
-        rate: Option<RequestRate>,
-    ) -> Option<RequestLimitReport> {
-        let replica = self.same_incarnation(placed)?;
-        if !replica.request_limit.apply(now, rate) {
-            return None;
-        }
-        let per_s = rate.map(RequestRate::per_s);
-        tracing::info!(target = %placed.id, per_s, "targets: replica names another limit of requests");
-        let (member, incarnation) = (placed.member, placed.incarnation);
-        Some(RequestLimitReport { member, incarnation, per_s, age: Duration::ZERO })
-    }
-
-    /// Merges a limit that a peer knew at `reported_at`; returns whether it is new.
-    pub(crate) fn merge_request_limit(
-        &mut self,
-        reported_at: Duration,
-        report: &RequestLimitReport,
-    ) -> bool {
-        let Ok(rate) = report.per_s.map(RequestRate::new).transpose() else { return false };
-        let replica = self.replicas.get_mut(&report.member);
-        let same = replica.filter(|it| it.entry.incarnation == report.incarnation);
-        let stated_at = reported_at.saturating_sub(report.age);
-        same.is_some_and(|it| it.request_limit.apply(stated_at, rate))
-    }
-
-    /// Records that there is no token for a replica before a time.
-    pub(crate) fn close_until(&mut self, placed: &PlacedTarget, time: Duration) {
-        if let Some(it) = self.same_incarnation(placed) {
-            it.request_limit.close_until(time);
-        }
-    }
-
     /// When the first replica of a pool wants requests again; `None` if one does now, or if all are
     /// leaving.
     pub fn held_off_until(&self, now: Duration, pool: &PoolId) -> Option<Duration> {
@@ -469,6 +451,9 @@
         if let Some(it) = self.same_incarnation(placed) {
             it.recent_answers.record(now, false);
             it.health.record_failure(now, not_listening);
+            if not_listening || it.health.state(now) == HealthState::Paused {
+                self.record_cold(now, placed.member, placed.incarnation, ColdEvidence::Stopped);
+            }
         }
     }
 
@@ -477,10 +462,11 @@
         if let Some(it) = self.same_incarnation(placed) {
             it.recent_answers.record(now, true);
             it.health.record_success(None);
+            self.record_cold(now, placed.member, placed.incarnation, ColdEvidence::Answered);
         }
     }
 
-    fn same_incarnation(&mut self, placed: &PlacedTarget) -> Option<&mut Replica> {
+    pub(crate) fn same_incarnation(&mut self, placed: &PlacedTarget) -> Option<&mut Replica> {
         let replica = self.replicas.get_mut(&placed.member);
         replica.filter(|it| it.entry.incarnation == placed.incarnation)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 
 use crate::buffer_share::SharedBudget;
 use crate::cluster_view::{ClusterView, TargetListing, UnseenVersion, ViewChange};
+use crate::cold_replicas;
 use crate::config::{ControlState, SiteConfig, TargetEntry};
 use crate::connections::ConnectionTable;
 use crate::crash_reports;
@@ -338,7 +339,11 @@
         let (confirmed_before, change) = {
             let mut view = lock(&self.view);
             let confirmed_before = view.control_confirmed_at();
-            (confirmed_before, view.apply_control(stated_at, read_at, unseen, snapshot))
+            let change = view.apply_control(stated_at, read_at, unseen, snapshot);
+            if let Some(config) = view.config().filter(|_| change.config) {
+                lock(&self.fleet).set_cold_rules(now, config.cold_rules());
+            }
+            (confirmed_before, change)
         };
         if change.any() {
             let config = self.config().map_or(0, |it| it.revision.0);
@@ -359,6 +364,18 @@
     /// Applies a listing of replicas that was read at `read_at`, if it is newer. Returns what peers
     /// are to be told of it.
     pub(crate) fn apply_listing(
+        &self,
+        read_at: Duration,
+        mut snapshot: Snapshot<Vec<TargetEntry>>,
+        source: StateSource,
+    ) -> ListingUpdate {
+        let cold_rows = cold_replicas::take_rows(&mut snapshot.value);
+        let update = self.update_listing(read_at, snapshot, source);
+        lock(&self.fleet).record_cold_rows(self.now(), read_at, &cold_rows);
+        update
+    }
+
+    fn update_listing(
         &self,
         read_at: Duration,
         snapshot: Snapshot<Vec<TargetEntry>>,
@@ -405,7 +422,7 @@
     ) {
         let count = listing.entries.len();
         let leaving = listing.entries.iter().filter(|it| it.leaving).count();
-        lock(&self.fleet).apply_listing(&listing.entries);
+        lock(&self.fleet).apply_listing(self.now(), &listing.entries);
         tracing::info!(
             revision = listing.revision.0,
             count,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexSet;
 use policy::rendezvous;
 
+use crate::cold_replicas;
 use crate::crash_reports;
 use crate::dialect::Dialect;
 use crate::directory::{Directory, Snapshot};
@@ -312,6 +313,11 @@
             crash_reports::merge_reports(gateway, from, sent_at.unwrap_or(now), &reports);
         }
         PeerMessage::Hubs { sender, hubs } => lock(&gateway.members).record_hubs(sender, hubs),
+        PeerMessage::ColdReports(reports) => {
+            // Without the time of sending, the report may be of any age, and counts as of now: a
+            // cold time that is too long does less harm.
+            cold_replicas::merge(gateway, from, sent_at.unwrap_or(now), &reports);
+        }
         PeerMessage::LimitQuery(query) => request_limits::answer_query(gateway, from, query),
         PeerMessage::RequestLimits(reports) => {
             request_limits::merge(gateway, from, sent_at.unwrap_or(now), &reports);
@@ -377,6 +383,7 @@
         fleet.record_prefixes(now, &report.prefixes);
         fleet.pause_unresponsive(now);
     }
+    cold_replicas::publish(gateway);
     let relay = match report.direction {
         GossipDirection::ToParent => Some(&gateway.gossip_relay.prefixes_from_children),
         GossipDirection::BetweenHubs => Some(&gateway.gossip_relay.prefixes_from_hubs),
@@ -475,4 +482,5 @@
         PeerMessage::Listing(listing.revision, age, listing.entries.to_vec())
     };
     gateway.peer_socket.send(now, to, &message);
+    cold_replicas::send_all(gateway, to);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod call_placement;
 mod caller_request;
 pub mod cluster_view;
+mod cold_replicas;
 mod command_table;
 pub mod config;
 pub mod connections;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -305,13 +305,15 @@
         gauges.members.set(sample.members as f64);
         let replicas = sample.replicas;
         let closed = replicas.listed - replicas.available;
-        for (state, count) in [("open", replicas.available), ("closed", closed)] {
+        let states = [("open", replicas.available), ("closed", closed), ("cold", replicas.cold)];
+        for (state, count) in states {
             gauges.replicas.with_label_values(&[state]).set(f64::from(count));
         }
         for (reason, count) in [
             (WithholdReason::Leaving, replicas.leaving),
             (WithholdReason::HeldOff, replicas.held_off),
             (WithholdReason::AtLimit, replicas.limited),
+            (WithholdReason::Cold, replicas.cold_withheld),
             (WithholdReason::Paused, replicas.paused),
             (WithholdReason::LoadingWeights, replicas.loading),
         ] {
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ids::{CustomerId, PoolId, Revision, TargetId};
+use policy::cold_pace::ColdEvidence;
 use policy::crash_suspects::SuspectReport;
 use policy::quarantine::Strike;
 use policy::rollout_stage::RolloutStage;
@@ -12,7 +13,7 @@
 use policy::silence::AnswerCount;
 use serde::{Deserialize, Serialize};
 
-use crate::config::{ControlState, TargetEntry};
+use crate::config::{ControlState, SiteConfig, TargetEntry};
 use crate::directory::MemberEntry;
 use crate::message_parts::{MAX_MESSAGE_BYTES, MessagePart};
 use crate::message_stamp::MessageStamp;
@@ -244,6 +245,19 @@
     pub age: Duration,
 }
 
+/// What is known of a replica that is or may be cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdReport {
+    /// The hash of the replica's id (`rendezvous::hash_member`).
+    pub member: u64,
+    /// The replica's incarnation.
+    pub incarnation: u64,
+    /// What was learned.
+    pub evidence: ColdEvidence,
+    /// How long ago, when the message was sent.
+    pub age: Duration,
+}
+
 /// The content of one datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -293,6 +307,9 @@
         /// The hashes of the hubs' ids.
         hubs: Box<[u64]>,
     },
+    /// Replicas that are or may be cold; only of pools whose configuration limits the requests to cold
+    /// replicas. Daemons of the version before ignore it.
+    ColdReports(Vec<ColdReport>),
 }
 
 impl PeerMessage {
@@ -318,6 +335,7 @@
             PeerMessage::LimitQuery(_) => "limit_query",
             PeerMessage::RequestLimits(_) => "request_limits",
             PeerMessage::Hubs { .. } => "hubs",
+            PeerMessage::ColdReports(_) => "cold_reports",
         }
     }
 }
@@ -349,21 +367,35 @@
     Some(bytes)
 }
 
+/// Encodes what is sent behind a message and its stamp, where daemons that do not know it ignore it;
+/// empty for most messages.
+pub fn encode_tail(message: &PeerMessage) -> Vec<u8> {
+    let PeerMessage::Control(_, _, state) = message else { return Vec::new() };
+    let rules = state.config.as_ref().map(SiteConfig::cold_rules).unwrap_or_default();
+    if rules.is_empty() {
+        return Vec::new();
+    }
+    bincode::serde::encode_to_vec(&rules, bincode::config::standard()).unwrap_or_default()
+}
+
 /// Decodes a datagram and the stamp behind it, if there is one; `None` if the bytes are not a valid
 /// message.
 pub fn decode(bytes: &[u8]) -> Option<(PeerMessage, Option<MessageStamp>)> {
-    decode_limited::<MAX_DECODED_BYTES>(bytes)
+    decode_limited::<MAX_DECODED_BYTES>(bytes, true)
 }
 
 /// Decodes a message that came in parts, each of which has the stamp; `None` if the bytes are not a
 /// valid message.
 pub fn decode_joined(bytes: &[u8]) -> Option<PeerMessage> {
-    decode_limited::<MAX_DECODED_MESSAGE_BYTES>(bytes).map(|it| it.0)
+    decode_limited::<MAX_DECODED_MESSAGE_BYTES>(bytes, false).map(|it| it.0)
 }
 
 /// Without a limit the decoder reserves memory for any length that a message claims, and the
 /// process is aborted if there is not as much.
-fn decode_limited<const LIMIT: usize>(bytes: &[u8]) -> Option<(PeerMessage, Option<MessageStamp>)> {
+fn decode_limited<const LIMIT: usize>(
+    bytes: &[u8],
+    is_stamped: bool,
+) -> Option<(PeerMessage, Option<MessageStamp>)> {
     let config = bincode::config::standard().with_limit::<LIMIT>();
     let (mut message, length) = bincode::serde::decode_from_slice(bytes, config).ok()?;
     let mut rest = &bytes[length..];
@@ -382,6 +414,18 @@
         }
         _ => {}
     }
-    let stamp = bincode::serde::decode_from_slice(rest, config).ok().map(|it| it.0);
+    let stamp = match bincode::serde::decode_from_slice(rest, config) {
+        Ok((stamp, length)) if is_stamped => {
+            rest = &rest[length..];
+            Some(stamp)
+        }
+        _ => None,
+    };
+    if let PeerMessage::Control(_, _, state) = &mut message
+        && let Some(site) = &mut state.config
+        && let Ok((rules, _)) = bincode::serde::decode_from_slice(rest, config)
+    {
+        site.set_cold_rules(rules);
+    }
     Some((message, stamp))
 }
--- a/crates/gateway/src/peer_socket.rs
+++ b/crates/gateway/src/peer_socket.rs
@@ -70,17 +70,20 @@
     /// `built_at`. A datagram that cannot be sent at once is dropped; the protocol tolerates losses.
     pub fn send(&self, built_at: Duration, to: &[IpAddr], message: &PeerMessage) {
         let Some(mut bytes) = peer_message::encode(message) else { return };
+        let tail = peer_message::encode_tail(message);
         let length = bytes.len();
         let stamped = self.stamp_for(to, built_at);
         let stamp_bytes: usize = stamped.iter().map(|it| it.1.len()).sum();
         let sent_bytes = self.sent_bytes.with_label_values(&[message.kind()]);
-        sent_bytes.inc_by((length * to.len() + stamp_bytes) as u64);
-        if length + MAX_STAMP_BYTES > MAX_DATAGRAM_BYTES {
+        sent_bytes.inc_by(((length + tail.len()) * to.len() + stamp_bytes) as u64);
+        if length + MAX_STAMP_BYTES + tail.len() > MAX_DATAGRAM_BYTES {
+            bytes.extend_from_slice(&tail);
             return self.send_parts(stamped, &bytes);
         }
         for (address, stamp) in stamped {
             bytes.truncate(length);
             bytes.extend_from_slice(&stamp);
+            bytes.extend_from_slice(&tail);
             if let Err(error) = self.socket.try_send_to(&bytes, address) {
                 tracing::debug!(%address, "peers: datagram not sent: {error}");
             }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -5,6 +5,7 @@
 
 use ids::{PoolId, RequestRate, TargetId};
 use policy::admission::{ReplicaUse, WithholdReason};
+use policy::cold_pace::{self, ColdRule};
 use policy::engine_choice::{EngineView, PrefillSpeed};
 use policy::fetch_source::{self, PartSource, SourceKind};
 use policy::health::HealthState;
@@ -46,6 +47,10 @@
     pub expected: Duration,
     /// The requests that the replica takes from all daemons together, if it limits them.
     pub request_limit: Option<RequestRate>,
+    /// Set if the replica is cold, so that the request needs a token.
+    pub cold_rule: Option<ColdRule>,
+    /// When the request's token was taken, if it needs one.
+    pub token_at: Option<Duration>,
     /// What the request adds to the replica's load.
     pub load: LoadCount,
     /// The replica's load from all daemons before this request, as far as known.
@@ -196,7 +201,7 @@
             .collect();
         let index = policy::plain_choice::choose(&views, rand::random())?;
         let (member, load_before) = (eligible[index].member, self.load(now, eligible[index]));
-        let placed = self.reserve(member, LoadCount { running: 1, ..LoadCount::default() })?;
+        let placed = self.reserve(now, member, LoadCount { running: 1, ..LoadCount::default() })?;
         Some(PlacedTarget { load_before, ..placed })
     }
 
@@ -238,7 +243,7 @@
                     member: it.member,
                     cached_tokens: cached,
                     same_domain: it.entry.domain == self.domain,
-                    is_limited: it.request_limit.rate.is_some(),
+                    is_limited: it.request_limit.rate.is_some() || it.cold_state(now).is_some(),
                     penalty_s,
                 }
             })
@@ -260,7 +265,7 @@
             ..LoadCount::default()
         };
         let load_before = self.load(now, chosen);
-        let placed = self.reserve(member, load)?;
+        let placed = self.reserve(now, member, load)?;
         let expected = Duration::from_secs_f64(first_token_s);
         Some(PlacedTarget {
             cached_tokens: cached,
@@ -392,8 +397,24 @@
     }
 
     /// Whether a placed request may still be sent: fails if the replica, in the incarnation that
-    /// was chosen, said meanwhile that it takes no more.
+    /// was chosen, said meanwhile that it takes no more, or if it is cold and the request has no
+    /// token.
     pub fn admit_placed(&self, now: Duration, placed: &PlacedTarget) -> Result<(), WithholdReason> {
+        self.admit_probe(now, placed)?;
+        let replica = self.replicas.get(&placed.member);
+        let is_cold = replica.is_some_and(|it| it.cold_state(now).is_some());
+        match is_cold && !cold_pace::is_token_valid(now, placed.token_at) {
+            true => Err(WithholdReason::Cold),
+            false => Ok(()),
+        }
+    }
+
+    /// The same for a probe of the replica, which needs no token.
+    pub(crate) fn admit_probe(
+        &self,
+        now: Duration,
+        placed: &PlacedTarget,
+    ) -> Result<(), WithholdReason> {
         let replica = self.replicas.get(&placed.member);
         let replica = replica.filter(|it| it.entry.incarnation == placed.incarnation);
         let mut state = match replica {
@@ -407,7 +428,7 @@
     }
 
     /// Adds a request to a replica's load; `None` if the replica is not listed any more.
-    fn reserve(&mut self, member: u64, load: LoadCount) -> Option<PlacedTarget> {
+    fn reserve(&mut self, now: Duration, member: u64, load: LoadCount) -> Option<PlacedTarget> {
         let replica = self.replicas.get_mut(&member)?;
         replica.local_load.add(&load);
         Some(PlacedTarget {
@@ -421,6 +442,8 @@
             save_to: None,
             expected: Duration::ZERO,
             request_limit: replica.request_limit.rate,
+            cold_rule: replica.binding_cold_rule(now),
+            token_at: None,
             load,
             load_before: LoadCount::default(),
         })
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -4,6 +4,7 @@
 
 use ids::RequestRate;
 use policy::admission::{ReplicaState, ReplicaUse};
+use policy::cold_pace::{ColdPace, ColdRule, ColdSource, ColdState};
 use policy::health::ReplicaHealth;
 use policy::hold_off::HoldOff;
 use policy::rendezvous;
@@ -58,6 +59,14 @@
     pub hold_off: HoldOff,
     /// The requests that it takes from all daemons together.
     pub(crate) request_limit: RequestLimit,
+    /// Whether it is cold, as far as known; counts if `cold_rule` is set.
+    pub(crate) cold: ColdPace,
+    /// Set if its pool limits the requests to cold replicas.
+    pub(crate) cold_rule: Option<ColdRule>,
+    /// The cold state that was logged last.
+    pub(crate) logged_cold: Option<ColdSource>,
+    /// Whether an invalid statement of it was logged.
+    pub(crate) logged_invalid: bool,
     /// Until when it gets no requests because it was full.
     full_until: Duration,
     /// The version of its weights, by the newest report.
@@ -131,6 +140,10 @@
             recent_answers: RecentAnswers::default(),
             hold_off: HoldOff::default(),
             request_limit: RequestLimit::default(),
+            cold: ColdPace::at_daemon_start(Duration::ZERO),
+            cold_rule: None,
+            logged_cold: None,
+            logged_invalid: false,
             full_until: Duration::ZERO,
             weights: newest_weights(&entry),
             last_command: None,
@@ -189,6 +202,16 @@
         }
     }
 
+    /// Its cold state; `None` if it is not cold or its pool does not limit cold replicas.
+    pub(crate) fn cold_state(&self, now: Duration) -> Option<ColdState> {
+        self.cold.state(now, self.cold_rule?)
+    }
+
+    /// The rule by which requests to it need tokens now, as it is cold.
+    pub(crate) fn binding_cold_rule(&self, now: Duration) -> Option<ColdRule> {
+        self.cold_rule.filter(|_| self.cold_state(now).is_some())
+    }
+
     /// When it may get a request that it wants none of now; `None` if it wants one.
     pub(crate) fn wants_requests_at(&self, now: Duration) -> Option<Duration> {
         self.hold_off.ends_at(now).max(self.request_limit.opens_at(now))
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ids::{FailureDomain, InstanceId};
+use policy::cold_pace::ColdAllowance;
 use policy::peer_tree::InstanceCapacity;
 
 /// A source of settings, such as a file, that can be read again while the daemon runs.
@@ -77,4 +78,6 @@
     pub version: Duration,
     /// Share of a pool's requests that a bad release may get while it is rolled out.
     pub rollout_exposure: f64,
+    /// By how much requests to a cold replica may exceed its rate in any one second.
+    pub cold: ColdAllowance,
 }
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -8,6 +8,7 @@
 
 use policy::read_schedule;
 
+use crate::cold_replicas;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::{Gateway, StateSource, lock};
@@ -108,6 +109,7 @@
             Ok(snapshot) => {
                 let update = gateway.apply_listing(asked_at, snapshot, StateSource::Store);
                 gossip::forward_listing(gateway, None, update);
+                cold_replicas::publish(gateway);
                 None
             }
             Err(error) => Some(error),
--- a/crates/gateway/tests/leaving_homes.rs
+++ b/crates/gateway/tests/leaving_homes.rs
@@ -34,7 +34,7 @@
 
 fn fleet_of_two() -> FleetTable {
     let mut fleet = FleetTable::new("a".parse().expect("an id"), fixtures::TIMEOUTS);
-    fleet.apply_listing(&listing(None));
+    fleet.apply_listing(Duration::ZERO, &listing(None));
     fleet
 }
 
@@ -86,7 +86,9 @@
         LeavingSource::PeerReport => {
             fleet.apply_leaving(&[(rendezvous::hash_member(replica.id.as_str()), 1)]);
         }
-        LeavingSource::Listing => fleet.apply_listing(&listing(Some(replica.id.as_str()))),
+        LeavingSource::Listing => {
+            fleet.apply_listing(Duration::ZERO, &listing(Some(replica.id.as_str())))
+        }
     }
 }
 
--- a/crates/gateway/tests/listing_changes.rs
+++ b/crates/gateway/tests/listing_changes.rs
@@ -117,7 +117,7 @@
 
 fn fleet_of(replicas: usize) -> FleetTable {
     let mut fleet = FleetTable::new("a".parse().expect("an id"), fixtures::TIMEOUTS);
-    fleet.apply_listing(&entries(0..replicas));
+    fleet.apply_listing(Duration::ZERO, &entries(0..replicas));
     fleet
 }
 
--- a/crates/gateway/tests/load_sums.rs
+++ b/crates/gateway/tests/load_sums.rs
@@ -27,7 +27,7 @@
 
 fn fleet_of(replicas: usize) -> FleetTable {
     let mut fleet = FleetTable::new("a".parse().expect("an id"), fixtures::TIMEOUTS);
-    fleet.apply_listing(&listing_of(replicas));
+    fleet.apply_listing(Duration::ZERO, &listing_of(replicas));
     fleet
 }
 
@@ -134,7 +134,7 @@
     }
     let mut listing = listing_of(replicas);
     listing[0].leaving = true;
-    fleet.apply_listing(&listing);
+    fleet.apply_listing(Duration::ZERO, &listing);
 }
 
 /// With eight times the daemons and replicas there are eight times the reports to handle. Work that
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -22,6 +22,8 @@
         paused: 0,
         held_off: 1,
         limited: 2,
+        cold: 3,
+        cold_withheld: 1,
     },
     prefill_speed: 30_000.0,
 };
@@ -59,6 +61,8 @@
         "kingcupshift_belief_age_seconds{what=\"config\"} 0.25",
         "kingcupshift_replicas{state=\"closed\"} 1",
         "kingcupshift_replicas{state=\"open\"} 17",
+        "kingcupshift_replicas{state=\"cold\"} 3",
+        "kingcupshift_replicas_withheld{reason=\"cold\"} 1",
         "kingcupshift_replicas_withheld{reason=\"held_off\"} 1",
         "kingcupshift_replicas_withheld{reason=\"leaving\"} 0",
         "kingcupshift_replicas_withheld{reason=\"limited\"} 2",
--- a/crates/gateway/tests/shared_evidence.rs
+++ b/crates/gateway/tests/shared_evidence.rs
@@ -17,7 +17,7 @@
 
 fn fleet_of_one() -> FleetTable {
     let mut fleet = FleetTable::new("a".parse().expect("an id"), fixtures::TIMEOUTS);
-    fleet.apply_listing(&[entry("r", false)]);
+    fleet.apply_listing(Duration::ZERO, &[entry("r", false)]);
     fleet
 }
 
@@ -66,13 +66,13 @@
 #[test]
 fn a_report_that_a_replica_is_leaving_does_not_apply_after_its_restart() {
     let mut peer = fleet_of_one();
-    peer.apply_listing(&[entry("r", true)]);
+    peer.apply_listing(Duration::ZERO, &[entry("r", true)]);
     let reported_leaving = peer.leaving_replicas();
     let mut fleet = fleet_of_one();
     fleet.apply_leaving(&reported_leaving);
     assert!(fleet.replicas().all(|it| it.leaving));
     let restarted = TargetEntry { incarnation: 2, ..entry("r", false) };
-    fleet.apply_listing(&[restarted]);
+    fleet.apply_listing(Duration::ZERO, &[restarted]);
     fleet.apply_leaving(&reported_leaving);
     assert!(fleet.replicas().all(|it| it.accepts_requests(NOW)));
 }
--- a/crates/gateway/tests/unlisted_notices.rs
+++ b/crates/gateway/tests/unlisted_notices.rs
@@ -35,14 +35,14 @@
 ) {
     let mut fleet = FleetTable::new("a".parse().expect("an id"), fixtures::TIMEOUTS);
     let mut replica = entry("r-1", false);
-    fleet.apply_listing(std::slice::from_ref(&replica));
-    fleet.apply_listing(&[]);
+    fleet.apply_listing(Duration::ZERO, std::slice::from_ref(&replica));
+    fleet.apply_listing(Duration::ZERO, &[]);
     match notice {
         Notice::Answer(it) => fleet.record_notice(NOW, &replica.id, 1, it),
         Notice::PeerReport => fleet.apply_leaving(&[(rendezvous::hash_member("r-1"), 1)]),
     }
     replica.incarnation = incarnation;
-    fleet.apply_listing(std::slice::from_ref(&replica));
+    fleet.apply_listing(Duration::ZERO, std::slice::from_ref(&replica));
     let listed = fleet.get(&replica.id).expect("it is listed");
     assert_eq!(listed.accepts_requests(NOW), accepts_requests);
 }
--- a/crates/gateway/tests/withheld_requests.rs
+++ b/crates/gateway/tests/withheld_requests.rs
@@ -32,7 +32,7 @@
 
 fn fleet_of_one() -> FleetTable {
     let mut fleet = FleetTable::new("a".parse().expect("an id"), fixtures::TIMEOUTS);
-    fleet.apply_listing(&[entry("r-1", false)]);
+    fleet.apply_listing(Duration::ZERO, &[entry("r-1", false)]);
     fleet
 }
 
@@ -55,7 +55,7 @@
     let placed = place(&mut fleet, NOW).expect("it is open");
     assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
     if !stays_listed {
-        fleet.apply_listing(&[]);
+        fleet.apply_listing(Duration::ZERO, &[]);
     }
     fleet.record_notice(NOW, &placed.id, 1, notice);
     assert_eq!(fleet.admit_placed(NOW, &placed), Err(reason));
@@ -66,7 +66,7 @@
     let mut fleet = fleet_of_one();
     let mut restarted = entry("r-1", false);
     restarted.incarnation = 2;
-    fleet.apply_listing(&[restarted]);
+    fleet.apply_listing(Duration::ZERO, &[restarted]);
     let placed = place(&mut fleet, NOW).expect("it is open");
     fleet.record_notice(NOW, &placed.id, 1, LEAVING);
     assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -36,6 +36,8 @@
     LoadingWeights,
     /// It limits its requests, and there is no token for one.
     AtLimit,
+    /// It is cold, and there is no token for a request.
+    Cold,
 }
 
 /// All that the decision depends on, for one incarnation of a replica.
@@ -99,6 +101,7 @@
             WithholdReason::Paused => "paused",
             WithholdReason::LoadingWeights => "loading",
             WithholdReason::AtLimit => "limited",
+            WithholdReason::Cold => "cold",
         }
     }
 
@@ -117,6 +120,7 @@
             WithholdReason::Paused => "it failed recently",
             WithholdReason::LoadingWeights => "it is loading weights",
             WithholdReason::AtLimit => "its limit of requests is reached",
+            WithholdReason::Cold => "it is cold and there is no token",
         })
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cache_scope;
 pub mod chain;
 pub mod claim;
+pub mod cold_pace;
 mod crash_record;
 pub mod crash_suspects;
 pub mod customer_quota;
--- a/crates/policy/src/request_limit.rs
+++ b/crates/policy/src/request_limit.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 
 use crate::bucket::TokenBucket;
+use crate::cold_pace;
 use crate::repeated_query::AnsweredQueries;
 
 /// What a bucket holds at most, as the time in which it fills.
@@ -23,14 +24,32 @@
 const MIN_WAIT: Duration = Duration::from_millis(5);
 /// The wait for a token of a replica that takes no requests.
 const CLOSED_WAIT: Duration = Duration::from_secs(1);
+/// Below this share of the daemons, the bucket of a cold replica is one of many that nobody
+/// coordinates.
+const LONE_SHARE: f64 = 0.2;
+/// What all such buckets grant of the rate. Their grants add up at random, and 85 of them would exceed
+/// 17 grants in some second at the whole rate of 8 a second.
+const LONE_RATIO: f64 = 0.7;
+/// How long a token of such a bucket is kept: the tokens of many would else be used at once by the
+/// first burst.
+const LONE_TOKEN_TIME: Duration = Duration::from_millis(500);
 
 /// The buckets that one daemon keeps, by the digest of the replica's process.
 #[derive(Debug, Default)]
 pub struct RequestLimitTable {
     buckets: IndexMap<u64, TokenBucket>,
+    cold_buckets: IndexMap<u64, ColdBucket>,
     answered: AnsweredQueries,
 }
 
+/// The bucket of a cold replica.
+#[derive(Debug)]
+struct ColdBucket {
+    tokens: TokenBucket,
+    /// When it holds a whole token, by what was taken last.
+    opens_at: Duration,
+}
+
 impl RequestLimitTable {
     /// Like `take`, for a query of another daemon; a repeated query gets the same answer.
     pub fn take_once(
@@ -71,4 +90,60 @@
         }
         Err(bucket.wait_for(now, 1.0).map_or(CLOSED_WAIT, |it| it.max(MIN_WAIT)))
     }
+
+    /// Like `take_once`, for a cold replica.
+    pub fn take_cold_once(
+        &mut self,
+        now: Duration,
+        query_id: u64,
+        key: u64,
+        rate: RequestRate,
+        share: f64,
+        draw: f64,
+    ) -> Result<(), Duration> {
+        if let Some(answer) = self.answered.get(query_id) {
+            return answer;
+        }
+        let answer = self.take_cold(now, key, rate, share, draw);
+        self.answered.record(query_id, answer);
+        answer
+    }
+
+    /// Like `take`, for a cold replica: its bucket is smaller, and `draw`, a random number from 0 to
+    /// below 1, is the part of a token that a new bucket begins with. Daemons without a keeper would
+    /// else all get their first token at the same time.
+    pub fn take_cold(
+        &mut self,
+        now: Duration,
+        key: u64,
+        rate: RequestRate,
+        share: f64,
+        draw: f64,
+    ) -> Result<(), Duration> {
+        let is_lone = share < LONE_SHARE;
+        let per_s = rate.per_s() * share * if is_lone { LONE_RATIO } else { 1.0 };
+        let capacity = if is_lone { 1.0 } else { cold_pace::BUCKET_CAPACITY };
+        if !self.cold_buckets.contains_key(&key) && self.cold_buckets.len() == MAX_BUCKETS {
+            self.cold_buckets.shift_remove_index(0);
+        }
+        let new_tokens = || {
+            let mut tokens = TokenBucket::empty(now, capacity, per_s);
+            tokens.refund(now, draw);
+            tokens
+        };
+        let new_bucket = || ColdBucket { tokens: new_tokens(), opens_at: now };
+        let is_new = !self.cold_buckets.contains_key(&key);
+        let bucket = self.cold_buckets.entry(key).or_insert_with(new_bucket);
+        if is_lone && !is_new && now > bucket.opens_at + LONE_TOKEN_TIME {
+            bucket.tokens = new_tokens();
+        }
+        bucket.tokens.resize(now, capacity, per_s);
+        let is_granted = bucket.tokens.take_with_debt(now, 1.0, 1.0);
+        let wait = bucket.tokens.wait_for(now, 1.0);
+        bucket.opens_at = now + wait.unwrap_or(CLOSED_WAIT);
+        if is_granted {
+            return Ok(());
+        }
+        Err(wait.map_or(CLOSED_WAIT, |it| it.max(MIN_WAIT)))
+    }
 }
