--- a/crates/policy/src/cold_pace.rs
+++ b/crates/policy/src/cold_pace.rs
@@ -22,8 +22,14 @@
 const GRANTED_RATIO: f64 = 0.97;
 /// The least part that is granted: 0.9 of the rate is to be used while callers wait.
 const MIN_GRANTED_RATIO: f64 = 0.92;
-/// Keepers that may grant at the same time, while one takes over from another.
-const KEEPERS: f64 = 2.0;
+/// How long two daemons may both keep a replica's tokens: keepers are hubs, which hear each other
+/// directly, and a daemon counts as silent after 1.5 s.
+pub const HANDOVER_TIME: Duration = Duration::from_millis(1_500);
+/// The part of its rate that a new keeper grants for that time.
+pub const HANDOVER_RATIO: f64 = 0.9;
+/// The grants that reach a replica in one second are those of this many seconds, as requests take up
+/// to 60 ms from their token to the replica.
+const GRANT_SPAN_S: f64 = 1.06;
 /// The longest time by which a row that is read may be older than the reading: replicas write theirs
 /// every 1.2 s, and a write may take as long.
 const ROW_DELAY: Duration = Duration::from_millis(2_400);
@@ -123,8 +129,9 @@
     /// The rate of the tokens: as high as two keepers may grant together within the allowance.
     pub fn grant_rate(&self, allowance: ColdAllowance) -> Option<RequestRate> {
         let most_in_second = self.per_s * allowance.overage + allowance.slack;
-        let most_of_keeper = (most_in_second / KEEPERS).floor();
-        let strict = most_of_keeper + 0.99 - BUCKET_CAPACITY;
+        // Both keepers together: two full buckets, and what fills meanwhile.
+        let refilled = (most_in_second + 0.99 - 2.0 * BUCKET_CAPACITY).max(0.0);
+        let strict = refilled / (GRANT_SPAN_S * (1.0 + HANDOVER_RATIO));
         let per_s = (self.per_s * GRANTED_RATIO).min(strict).max(self.per_s * MIN_GRANTED_RATIO);
         RequestRate::new(per_s).ok()
     }
--- a/crates/policy/src/request_limit.rs
+++ b/crates/policy/src/request_limit.rs
@@ -48,6 +48,7 @@
     tokens: TokenBucket,
     /// When it holds a whole token, by what was taken last.
     opens_at: Duration,
+    created_at: Duration,
 }
 
 impl RequestLimitTable {
@@ -121,7 +122,13 @@
         draw: f64,
     ) -> Result<(), Duration> {
         let is_lone = share < LONE_SHARE;
-        let per_s = rate.per_s() * share * if is_lone { LONE_RATIO } else { 1.0 };
+        let created_at = self.cold_buckets.get(&key).map_or(now, |it| it.created_at);
+        let ratio = match is_lone {
+            true => LONE_RATIO,
+            false if now < created_at + cold_pace::HANDOVER_TIME => cold_pace::HANDOVER_RATIO,
+            false => 1.0,
+        };
+        let per_s = rate.per_s() * share * ratio;
         let capacity = if is_lone { 1.0 } else { cold_pace::BUCKET_CAPACITY };
         if !self.cold_buckets.contains_key(&key) && self.cold_buckets.len() == MAX_BUCKETS {
             self.cold_buckets.shift_remove_index(0);
@@ -131,7 +138,7 @@
             tokens.refund(now, draw);
             tokens
         };
-        let new_bucket = || ColdBucket { tokens: new_tokens(), opens_at: now };
+        let new_bucket = || ColdBucket { tokens: new_tokens(), opens_at: now, created_at };
         let is_new = !self.cold_buckets.contains_key(&key);
         let bucket = self.cold_buckets.entry(key).or_insert_with(new_bucket);
         if is_lone && !is_new && now > bucket.opens_at + LONE_TOKEN_TIME {
