Wake callers when a cold replica's token is there, and test what older daemons read

A caller that waited for a cold replica looked for one every 60 ms and left part of the rate unused; it now waits until the next token. The bucket of a cold replica holds 1.1 tokens instead of 1.2, so that 0.98 of the rate may be granted within the bound.

--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -102,7 +102,9 @@
                 let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
                 return Err(self.qualify_refusal(refusal.retry_after(self.retry_delay())));
             }
-            let pause = left.min(PLACEMENT_RETRY_INTERVAL);
+            let opens_at = lock(&self.gateway.fleet).cold_opens_at(now, &self.pool);
+            let until_token = opens_at.map_or(left, |it| it.saturating_sub(now));
+            let pause = left.min(PLACEMENT_RETRY_INTERVAL).min(until_token);
             let _ = tokio::time::timeout(pause, freed).await;
         }
     }
--- a/crates/gateway/src/cold_replicas.rs
+++ b/crates/gateway/src/cold_replicas.rs
@@ -163,6 +163,13 @@
         is_new
     }
 
+    /// When the next token of a cold replica of a pool may be there; `None` if none is awaited.
+    pub(crate) fn cold_opens_at(&self, now: Duration, pool: &PoolId) -> Option<Duration> {
+        let cold = self.replicas.values().filter(|it| it.entry.pool == *pool);
+        let cold = cold.filter(|it| it.cold_state(now).is_some());
+        cold.filter_map(|it| it.request_limit.opens_at(now)).min()
+    }
+
     /// All that is known of replicas in pools with such a rule.
     pub(crate) fn cold_reports(&self, now: Duration) -> Vec<ColdReport> {
         let replicas = self.replicas.values().filter(|it| it.cold_rule.is_some());
@@ -245,7 +252,7 @@
 }
 
 /// Logs the replica's cold state if its source changed.
-fn log_change(now: Duration, replica: &mut Replica) {
+pub(crate) fn log_change(now: Duration, replica: &mut Replica) {
     let state = replica.cold_state(now);
     let source = state.map(|it| it.source);
     if source == replica.logged_cold {
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -13,6 +13,7 @@
 
 use crate::call::Call;
 use crate::call_placement::Placement;
+use crate::cold_replicas;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
@@ -128,6 +129,7 @@
             }
             gateway.metrics.record_crash_probe("refused");
             lock(&gateway.fleet).record_failure(gateway.now(), &target, true);
+            cold_replicas::publish(&gateway);
             let replica = target.process().digest();
             let suspects = keys.suspects(replica, progress);
             tracing::info!(
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -13,7 +13,7 @@
 use policy::unanswered::ReplicaProcess;
 use xxhash_rust::xxh3;
 
-use crate::cold_replicas::ColdReplicas;
+use crate::cold_replicas::{self, ColdReplicas};
 use crate::config::TargetEntry;
 use crate::kv_store::KvStoreView;
 use crate::load_table::LoadTable;
@@ -209,9 +209,10 @@
         self.peer_loads.update(reported_at, peer, loads);
     }
 
-    /// Drops reports that are too old to be counted, and notes which replicas are leaving.
+    /// Drops reports that are too old to be counted, and notes which replicas are leaving or cold.
     pub fn sweep(&mut self, now: Duration) {
         self.replicas.values_mut().for_each(|it| it.observe_leaving(now));
+        self.replicas.values_mut().for_each(|it| cold_replicas::log_change(now, it));
         self.peer_loads.expire(now);
         self.reported_weights.retain(|_, it| now < it.reported_at + REPORTED_WEIGHTS_TTL);
     }
--- a/crates/gateway/tests/peer_messages.rs
+++ b/crates/gateway/tests/peer_messages.rs
@@ -3,9 +3,13 @@
 
 use std::time::Duration;
 
-use gateway::config::{ControlState, TargetEntry, WeightVersion};
+use gateway::config::{
+    CallerLimits, ControlState, PoolRule, SiteConfig, TargetEntry, WeightVersion,
+};
+use gateway::message_stamp::MessageStamp;
 use gateway::peer_message::{self, MAX_DATAGRAM_BYTES, PeerMessage, WeightStatus};
-use ids::Revision;
+use ids::{Incarnation, Revision};
+use policy::cold_pace::ColdRule;
 use policy::crash_suspects::{SuspectKey, SuspectTable};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -117,3 +121,35 @@
     );
     assert_eq!(peer_message::decode(&bytes), Some((message, None)));
 }
+
+/// Guards against daemons of the version before, which read the stamp right behind the message: the
+/// rules for cold replicas follow the stamp, and nothing does without such rules.
+#[test]
+fn rules_for_cold_replicas_follow_the_stamp() {
+    let message = |cold| {
+        let pool = PoolRule { engine: None, kv_store: None, cold };
+        let config = SiteConfig {
+            revision: Revision(7),
+            routes: Vec::new(),
+            pools: [("desk".parse().expect("an id"), pool)].into_iter().collect(),
+            customers: Default::default(),
+            keys: Default::default(),
+            limits: CallerLimits { header_bytes: 1, body_bytes: 1, idle_time: Duration::ZERO },
+        };
+        let state = ControlState { config: Some(config), ..ControlState::default() };
+        PeerMessage::Control(Revision(4), Duration::ZERO, Box::new(state))
+    };
+    let rule = ColdRule { time: Duration::from_millis(6_500), per_s: 8.0 };
+    let stamp = MessageStamp { incarnation: Incarnation(3), sent_at: rule.time, echo: None };
+    let paced = message(Some(rule));
+    let encoded = peer_message::encode(&paced).expect("it can be encoded");
+    assert_eq!(peer_message::encode(&message(None)), Some(encoded.clone()));
+    assert!(peer_message::encode_tail(&message(None)).is_empty());
+    let stamped = [encoded.clone(), stamp.encode()].concat();
+    assert_eq!(peer_message::decode(&stamped), Some((message(None), Some(stamp))));
+    let tail = peer_message::encode_tail(&paced);
+    let whole = [stamped, tail.clone()].concat();
+    assert_eq!(peer_message::decode(&whole), Some((paced.clone(), Some(stamp))));
+    let joined = [encoded, tail].concat();
+    assert_eq!(peer_message::decode_joined(&joined), Some(paced));
+}
--- a/crates/gateway/tests/withheld_requests.rs
+++ b/crates/gateway/tests/withheld_requests.rs
@@ -12,10 +12,13 @@
 use gateway::connections::{ConnectionTable, SendError};
 use gateway::fleet::FleetTable;
 use gateway::notice_table::AnswerNotice;
+use gateway::peer_message::ColdReport;
 use gateway::placement::{PlacedTarget, PlacementQuery, ReleaseFilter};
 use http::Request;
 use http_body_util::Full;
 use policy::admission::WithholdReason;
+use policy::cold_pace::{ColdEvidence, ColdRule};
+use policy::rendezvous;
 use ports::Clock;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -134,3 +137,28 @@
     assert_eq!(arrived.load(Ordering::Relaxed), 1);
     server.abort();
 }
+
+/// Guards against requests that were placed before their replica stopped: together they would exceed
+/// what it takes when it is back.
+#[test]
+fn a_placed_request_without_a_token_is_withheld_from_a_replica_found_cold() {
+    let mut fleet = fleet_of_one();
+    let rule = ColdRule { time: Duration::from_secs(6), per_s: 8.0 };
+    fleet.set_cold_rules(NOW, vec![("desk".parse().expect("an id"), rule)]);
+    let report = |evidence| ColdReport {
+        member: rendezvous::hash_member("r-1"),
+        incarnation: 1,
+        evidence,
+        age: Duration::ZERO,
+    };
+    assert!(fleet.merge_cold(NOW, NOW, &report(ColdEvidence::Stated(Duration::ZERO))));
+    let mut placed = place(&mut fleet, NOW).expect("it is open");
+    assert_eq!((placed.cold_rule, fleet.admit_placed(NOW, &placed)), (None, Ok(())));
+    assert!(fleet.merge_cold(NOW, NOW, &report(ColdEvidence::Stopped)));
+    assert_eq!(fleet.admit_placed(NOW, &placed), Err(WithholdReason::Cold));
+    assert_eq!(place(&mut fleet, NOW).expect("it is open").cold_rule, Some(rule));
+    placed.token_at = Some(NOW);
+    assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
+    let later = NOW + Duration::from_millis(300);
+    assert_eq!(fleet.admit_placed(later, &placed), Err(WithholdReason::Cold), "an old token");
+}
--- a/crates/policy/src/cold_pace.rs
+++ b/crates/policy/src/cold_pace.rs
@@ -14,12 +14,12 @@
 
 /// What a cold replica's bucket holds at most. One token, and the part of the next one that fills
 /// between the moment when a token is there and the next request for one.
-pub const BUCKET_CAPACITY: f64 = 1.2;
+pub const BUCKET_CAPACITY: f64 = 1.1;
 /// How long a token may wait until its request is sent. Tokens of several seconds would otherwise be
 /// used at once when a replica begins to accept connections.
 const TOKEN_LIFETIME: Duration = Duration::from_millis(250);
 /// The part of the rate that is granted, so that a second holds no more grants than whole tokens.
-const GRANTED_RATIO: f64 = 0.97;
+const GRANTED_RATIO: f64 = 0.98;
 /// The least part that is granted: 0.9 of the rate is to be used while callers wait.
 const MIN_GRANTED_RATIO: f64 = 0.92;
 /// How long two daemons may both keep a replica's tokens: keepers are hubs, which hear each other
