--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -452,7 +452,9 @@
         if let Some(it) = self.same_incarnation(placed) {
             it.recent_answers.record(now, false);
             it.health.record_failure(now, not_listening);
-            if not_listening || it.health.state(now) == HealthState::Paused {
+            let is_paused = it.health.state(now) == HealthState::Paused;
+            // Under overload one daemon sees time-outs while others get answers.
+            if not_listening || (is_paused && self.answers_nobody(now, placed.member)) {
                 self.record_cold(now, placed.member, placed.incarnation, ColdEvidence::Stopped);
             }
         }
@@ -467,6 +469,12 @@
         }
     }
 
+    /// Whether no daemon got an answer of a replica lately.
+    fn answers_nobody(&self, now: Duration, member: u64) -> bool {
+        let replica = self.replicas.get(&member);
+        replica.is_some_and(|it| self.load(now, it).answers.answered == 0)
+    }
+
     pub(crate) fn same_incarnation(&mut self, placed: &PlacedTarget) -> Option<&mut Replica> {
         let replica = self.replicas.get_mut(&placed.member);
         replica.filter(|it| it.entry.incarnation == placed.incarnation)
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -14,6 +14,7 @@
 use ids::TargetId;
 use policy::admission::{ReplicaUse, WithholdReason};
 use policy::health::HealthState;
+use policy::rendezvous;
 use policy::weight_rollout::{self, LaggingTarget};
 use ports::{CommitResult, StoreError};
 use web::client::CallError;
@@ -469,9 +470,16 @@
     let admit = || admit_command(gateway, target);
     let (id, limits) = (target.as_str(), ANSWER_LIMITS);
     let answer = target_client::send_request(gateway, address, id, request, limits, admit).await?;
-    let notice =
-        AnswerNotice::new(answer.status(), &gateway.dialect.parse_answer(answer.headers()));
-    lock(&gateway.fleet).record_notice(gateway.now(), target, incarnation, notice);
+    let head = gateway.dialect.parse_answer(answer.headers());
+    let notice = AnswerNotice::new(answer.status(), &head);
+    let now = gateway.now();
+    let mut fleet = lock(&gateway.fleet);
+    fleet.record_notice(now, target, incarnation, notice);
+    if let Some(left_ms) = head.cold_left_ms {
+        let member = rendezvous::hash_member(target.as_str());
+        fleet.record_cold_answer(now, member, incarnation, left_ms);
+    }
+    drop(fleet);
     Ok((answer.status(), answer.into_body()))
 }
 
