Treat a keeper of a cold replica's tokens that was idle as a new one

Waits for a cold replica's token are at most 0.5 s, as a daemon asked before it knows that it is the keeper grants only its own share.

--- a/crates/policy/src/request_limit.rs
+++ b/crates/policy/src/request_limit.rs
@@ -30,6 +30,9 @@
 /// What all such buckets grant of the rate. Their grants add up at random, and 85 of them would exceed
 /// 17 grants in some second at the whole rate of 8 a second.
 const LONE_RATIO: f64 = 0.7;
+/// Longest wait for a token of a cold replica: a daemon that is asked before it knows that it is the
+/// keeper grants only its own share, and is asked again after this.
+const MAX_COLD_WAIT: Duration = Duration::from_millis(500);
 /// How long a token of such a bucket is kept: the tokens of many would else be used at once by the
 /// first burst.
 const LONE_TOKEN_TIME: Duration = Duration::from_millis(500);
@@ -48,7 +51,9 @@
     tokens: TokenBucket,
     /// When it holds a whole token, by what was taken last.
     opens_at: Duration,
-    created_at: Duration,
+    asked_at: Duration,
+    /// Since when another keeper may have granted from a bucket of its own.
+    handover_at: Duration,
 }
 
 impl RequestLimitTable {
@@ -122,10 +127,12 @@
         draw: f64,
     ) -> Result<(), Duration> {
         let is_lone = share < LONE_SHARE;
-        let created_at = self.cold_buckets.get(&key).map_or(now, |it| it.created_at);
+        let is_current = |it: &&ColdBucket| now <= it.asked_at + cold_pace::HANDOVER_TIME;
+        let handover_at =
+            self.cold_buckets.get(&key).filter(is_current).map_or(now, |it| it.handover_at);
         let ratio = match is_lone {
             true => LONE_RATIO,
-            false if now < created_at + cold_pace::HANDOVER_TIME => cold_pace::HANDOVER_RATIO,
+            false if now < handover_at + cold_pace::HANDOVER_TIME => cold_pace::HANDOVER_RATIO,
             false => 1.0,
         };
         let per_s = rate.per_s() * share * ratio;
@@ -138,12 +145,14 @@
             tokens.refund(now, draw);
             tokens
         };
-        let new_bucket = || ColdBucket { tokens: new_tokens(), opens_at: now, created_at };
+        let new_bucket =
+            || ColdBucket { tokens: new_tokens(), opens_at: now, asked_at: now, handover_at };
         let is_new = !self.cold_buckets.contains_key(&key);
         let bucket = self.cold_buckets.entry(key).or_insert_with(new_bucket);
         if is_lone && !is_new && now > bucket.opens_at + LONE_TOKEN_TIME {
             bucket.tokens = new_tokens();
         }
+        (bucket.asked_at, bucket.handover_at) = (now, handover_at);
         bucket.tokens.resize(now, capacity, per_s);
         let is_granted = bucket.tokens.take_with_debt(now, 1.0, 1.0);
         let wait = bucket.tokens.wait_for(now, 1.0);
@@ -151,6 +160,6 @@
         if is_granted {
             return Ok(());
         }
-        Err(wait.map_or(CLOSED_WAIT, |it| it.max(MIN_WAIT)))
+        Err(wait.unwrap_or(CLOSED_WAIT).clamp(MIN_WAIT, MAX_COLD_WAIT))
     }
 }
