--- a/crates/gateway/src/answer_end.rs
+++ b/crates/gateway/src/answer_end.rs
@@ -39,7 +39,7 @@
 ) -> bool {
     let request = gateway.dialect.report_request();
     // The request under way runs to its end, also in an evacuated failure domain.
-    let admit = || match lock(&gateway.fleet).admit_placed(gateway.now(), target) {
+    let admit = || match lock(&gateway.fleet).admit_probe(gateway.now(), target) {
         Err(WithholdReason::Evacuated) => Ok(()),
         other => other,
     };
--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -79,9 +79,10 @@
             if let Err(PlacementMiss::NoRoom(fraction)) = placement {
                 self.check_room_wait(fraction, give_up_at)?;
             }
-            if let Ok(placement) = placement {
+            if let Ok(mut placement) = placement {
                 match self.take_limit_token(&placement.target).await {
-                    Ok(()) => {
+                    Ok(token_at) => {
+                        placement.target.token_at = token_at;
                         self.record_placement(&placement.target);
                         return Ok(placement);
                     }
@@ -113,7 +114,9 @@
                 let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
                 return Err(self.qualify_refusal(refusal.retry_after(self.retry_delay())));
             }
-            let pause = left.min(PLACEMENT_RETRY_INTERVAL);
+            let opens_at = lock(&self.gateway.fleet).cold_opens_at(now, &self.pool);
+            let until_token = opens_at.map_or(left, |it| it.saturating_sub(now));
+            let pause = left.min(PLACEMENT_RETRY_INTERVAL).min(until_token);
             let _ = tokio::time::timeout(pause, freed).await;
         }
     }
@@ -164,11 +167,13 @@
         self.log_placement(target, load_age);
     }
 
-    /// Takes a token of a replica that limits its requests; without one the replica is closed here
-    /// until there may be one.
-    async fn take_limit_token(&self, target: &PlacedTarget) -> Result<(), TokenMissing> {
-        let Some(rate) = target.request_limit else { return Ok(()) };
-        let taken = request_limits::take(&self.gateway, &self.head.attempt_id, target, rate).await;
+    /// Takes a token of a replica that limits its requests or is cold, and returns when; without one
+    /// the replica is closed here until there may be one.
+    async fn take_limit_token(
+        &self,
+        target: &PlacedTarget,
+    ) -> Result<Option<Duration>, TokenMissing> {
+        let taken = request_limits::take(&self.gateway, &self.head.attempt_id, target).await;
         taken.map_err(|wait| {
             lock(&self.gateway.fleet).close_until(target, self.gateway.now() + wait);
             TokenMissing
--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -180,10 +180,13 @@
             self.confirm_control(snapshot.revision, read_at);
         }
         if let Some(config) = state.config {
-            // A daemon of the version before passes a configuration on without its regions.
+            // A daemon of the version before passes the same revision on without regions and rules for
+            // cold replicas.
             let newer = self.config.as_ref().is_none_or(|it| {
                 let adds_regions = it.regions.is_empty() && !config.regions.is_empty();
-                it.revision < config.revision || it.revision == config.revision && adds_regions
+                let adds_rules = it.cold_rules().is_empty() && !config.cold_rules().is_empty();
+                it.revision < config.revision
+                    || it.revision == config.revision && (adds_regions || adds_rules)
             });
             if newer {
                 change.config = true;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use ids::{FailureDomain, PoolId, RequestRate, TargetId};
-use policy::admission::{ReplicaUse, WithholdReason};
+use policy::admission::ReplicaUse;
+use policy::cold_pace::ColdRule;
 use policy::engine_choice::{self, EngineView, PrefillSpeed, PromptSize, UnseenLoads};
 use policy::engine_room::{EngineRooms, RoomRequest};
 use policy::fetch_source::{self, PartSource, SourceKind};
@@ -59,6 +60,10 @@
     pub expected: Duration,
     /// The requests that the replica takes from all daemons together, if it limits them.
     pub request_limit: Option<RequestRate>,
+    /// Set if the replica is cold, so that the request needs a token.
+    pub cold_rule: Option<ColdRule>,
+    /// When the request's token was taken, if it needs one.
+    pub token_at: Option<Duration>,
     /// What the request adds to the replica's load.
     pub load: LoadCount,
     /// The replica's load from all daemons before this request, as far as known.
@@ -218,7 +223,7 @@
             .collect();
         let index = policy::plain_choice::choose(&views, rand::random())?;
         let (member, load_before) = (eligible[index].member, self.load(now, eligible[index]));
-        let placed = self.reserve(member, LoadCount { running: 1, ..LoadCount::default() })?;
+        let placed = self.reserve(now, member, LoadCount { running: 1, ..LoadCount::default() })?;
         Some(PlacedTarget { load_before, ..placed })
     }
 
@@ -264,7 +269,7 @@
                     member: it.member,
                     cached_tokens: cached,
                     same_domain: it.entry.domain == self.domain,
-                    is_limited: it.request_limit.rate.is_some(),
+                    is_limited: it.request_limit.rate.is_some() || it.cold_state(now).is_some(),
                     penalty_s,
                 }
             })
@@ -294,7 +299,7 @@
             ..LoadCount::default()
         };
         let load_before = self.load(now, chosen);
-        let placed = self.reserve(member, load).ok_or(PlacementMiss::NoReplica)?;
+        let placed = self.reserve(now, member, load).ok_or(PlacementMiss::NoReplica)?;
         let expected = Duration::from_secs_f64(first_token_s);
         Ok(PlacedTarget {
             cached_tokens: cached,
@@ -437,24 +442,8 @@
         usable.then_some(PartSource { source: replica.entry.address, used_at, kind })
     }
 
-    /// Whether a placed request may still be sent: fails if the replica, in the incarnation that
-    /// was chosen, said meanwhile that it takes no more, or its failure domain was evacuated.
-    pub fn admit_placed(&self, now: Duration, placed: &PlacedTarget) -> Result<(), WithholdReason> {
-        let replica = self.replicas.get(&placed.member);
-        let replica = replica.filter(|it| it.entry.incarnation == placed.incarnation);
-        let mut state = match replica {
-            Some(it) => it.state(now),
-            None => self.notices.get(placed.member, placed.incarnation).state(),
-        };
-        state.evacuated = self.is_evacuated(&placed.domain);
-        // The placed request itself is counted.
-        state.running = state.running.saturating_sub(placed.load.running);
-        let reason = state.withhold_reason(now, ReplicaUse::Request);
-        reason.filter(|it| it.is_stated()).map_or(Ok(()), Err)
-    }
-
     /// Adds a request to a replica's load; `None` if the replica is not listed any more.
-    fn reserve(&mut self, member: u64, load: LoadCount) -> Option<PlacedTarget> {
+    fn reserve(&mut self, now: Duration, member: u64, load: LoadCount) -> Option<PlacedTarget> {
         let replica = self.replicas.get_mut(&member)?;
         replica.local_load.add(&load);
         Some(PlacedTarget {
@@ -469,6 +458,8 @@
             save_to: None,
             expected: Duration::ZERO,
             request_limit: replica.request_limit.rate,
+            cold_rule: replica.binding_cold_rule(now),
+            token_at: None,
             load,
             load_before: LoadCount::default(),
         })
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ids::{FailureDomain, InstanceId};
+use policy::cold_pace::ColdAllowance;
 use policy::home_areas::DomainRegions;
 use policy::peer_tree::InstanceCapacity;
 
@@ -91,6 +92,8 @@
     /// Whether engines get no more prompts than they can begin in time; the others wait or are
     /// refused.
     pub limits_engine_load: bool,
+    /// By how much requests to a cold replica may exceed its rate in any one second.
+    pub cold: ColdAllowance,
 }
 
 impl GatewayBounds {
--- a/crates/gateway/tests/withheld_requests.rs
+++ b/crates/gateway/tests/withheld_requests.rs
@@ -12,11 +12,14 @@
 use gateway::connections::{ConnectionTable, SendError};
 use gateway::fleet::FleetTable;
 use gateway::notice_table::AnswerNotice;
+use gateway::peer_message::ColdReport;
 use gateway::placement::{PlacedTarget, PlacementQuery, ReleaseFilter};
 use http::Request;
 use http_body_util::Full;
 use policy::admission::WithholdReason;
+use policy::cold_pace::{ColdEvidence, ColdRule};
 use policy::home_areas::HomeAreas;
+use policy::rendezvous;
 use ports::Clock;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -33,7 +36,7 @@
 
 fn fleet_of_one() -> FleetTable {
     let mut fleet = FleetTable::new("a".parse().expect("an id"), fixtures::TIMEOUTS);
-    fleet.apply_listing(&[entry("r-1", false)]);
+    fleet.apply_listing(Duration::ZERO, &[entry("r-1", false)]);
     fleet
 }
 
@@ -63,7 +66,7 @@
     let placed = place(&mut fleet, NOW).expect("it is open");
     assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
     if !stays_listed {
-        fleet.apply_listing(&[]);
+        fleet.apply_listing(Duration::ZERO, &[]);
     }
     fleet.record_notice(NOW, &placed.id, 1, notice);
     assert_eq!(fleet.admit_placed(NOW, &placed), Err(reason));
@@ -75,13 +78,13 @@
     let mut fleet = fleet_of_one();
     let placed = place(&mut fleet, NOW).expect("it is open");
     if !is_listed {
-        fleet.apply_listing(&[]);
+        fleet.apply_listing(Duration::ZERO, &[]);
     }
     fleet.set_evacuated(&["b".parse().expect("an id")]);
     assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
     fleet.set_evacuated(&["a".parse().expect("an id")]);
     assert_eq!(fleet.admit_placed(NOW, &placed), Err(WithholdReason::Evacuated));
-    fleet.apply_listing(&[entry("r-1", false), entry("r-2", false)]);
+    fleet.apply_listing(Duration::ZERO, &[entry("r-1", false), entry("r-2", false)]);
     assert!(place(&mut fleet, NOW).is_none(), "also a replica that is listed later is evacuated");
     fleet.set_evacuated(&[]);
     assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
@@ -95,7 +98,7 @@
     let domains = ["a", "x"].map(|it| it.parse().expect("an id"));
     assert_eq!(fleet.set_evacuated(&domains).begun, domains);
     assert_eq!(fleet.take_empty_evacuated(), []);
-    fleet.apply_listing(&[entry("r-1", false)]);
+    fleet.apply_listing(Duration::ZERO, &[entry("r-1", false)]);
     assert_eq!(fleet.take_empty_evacuated(), domains[1..]);
     assert_eq!(fleet.set_evacuated(&domains[1..]).ended, domains[..1]);
     assert_eq!(fleet.take_empty_evacuated(), []);
@@ -106,7 +109,7 @@
     let mut fleet = fleet_of_one();
     let mut restarted = entry("r-1", false);
     restarted.incarnation = 2;
-    fleet.apply_listing(&[restarted]);
+    fleet.apply_listing(Duration::ZERO, &[restarted]);
     let placed = place(&mut fleet, NOW).expect("it is open");
     fleet.record_notice(NOW, &placed.id, 1, LEAVING);
     assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
@@ -174,3 +177,27 @@
     assert_eq!(arrived.load(Ordering::Relaxed), 1);
     server.abort();
 }
+
+/// Guards against requests that were placed before their replica stopped: together they would exceed
+/// what it takes when it is back.
+#[test]
+fn a_placed_request_without_a_token_is_withheld_from_a_replica_found_cold() {
+    let mut fleet = fleet_of_one();
+    let rule = ColdRule { time: Duration::from_secs(6), per_s: 8.0 };
+    fleet.set_cold_rules(NOW, vec![("desk".parse().expect("an id"), rule)]);
+    let (member, evidence) = (rendezvous::hash_member("r-1"), ColdEvidence::Stated(Duration::ZERO));
+    let report = ColdReport { member, incarnation: 1, evidence, age: Duration::ZERO };
+    assert!(fleet.merge_cold(NOW, NOW, &report));
+    let mut placed = place(&mut fleet, NOW).expect("it is open");
+    assert_eq!((placed.cold_rule, fleet.admit_placed(NOW, &placed)), (None, Ok(())));
+    fleet.record_failure(NOW, &placed, true);
+    assert_eq!(fleet.admit_placed(NOW, &placed), Err(WithholdReason::Cold));
+    let paused_until = NOW + Duration::from_millis(500);
+    assert_eq!(place(&mut fleet, paused_until).expect("it is open").cold_rule, Some(rule));
+    fleet.record_success(paused_until, &placed);
+    assert_eq!(place(&mut fleet, paused_until).expect("it is open").cold_rule, Some(rule));
+    placed.token_at = Some(NOW);
+    assert_eq!(fleet.admit_placed(NOW, &placed), Ok(()));
+    let later = NOW + Duration::from_millis(300);
+    assert_eq!(fleet.admit_placed(later, &placed), Err(WithholdReason::Cold), "an old token");
+}
--- a/crates/policy/tests/engine_room.rs
+++ b/crates/policy/tests/engine_room.rs
@@ -169,7 +169,7 @@
         placed.retain(|it| now < it.0 + REPORT_DELAY);
         let tries = std::mem::take(&mut waiting);
         for (arrived_at, daemon) in tries {
-            let is_due = (now - arrived_at).as_millis() % RETRY_INTERVAL.as_millis() == 0;
+            let is_due = (now - arrived_at).as_millis().is_multiple_of(RETRY_INTERVAL.as_millis());
             if limited && !is_due {
                 waiting.push((arrived_at, daemon));
                 continue;
