--- a/crates/gateway/src/cold_replicas.rs
+++ b/crates/gateway/src/cold_replicas.rs
@@ -212,7 +212,7 @@
         let mut fleet = lock(&gateway.fleet);
         let is_news = |it: &&ColdReport| fleet.merge_cold(now, reported_at, it);
         let news = reports.iter().filter(is_news);
-        let age = |it: &ColdReport| it.age + now.saturating_sub(reported_at);
+        let age = |it: &ColdReport| it.age.saturating_add(now.saturating_sub(reported_at));
         news.map(|it| ColdReport { age: age(it), ..*it }).collect()
     };
     forward(gateway, Some(from), news);
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -225,11 +225,11 @@
         self.pools.iter().filter_map(|(id, it)| Some((id.clone(), it.cold?))).collect()
     }
 
-    /// Sets the rules that `cold_rules` returned.
+    /// Sets the rules that `cold_rules` returned. Invalid ones, as in a damaged message, are dropped.
     pub fn set_cold_rules(&mut self, rules: Vec<(PoolId, ColdRule)>) {
         for (id, rule) in rules {
             if let Some(it) = self.pools.get_mut(&id) {
-                it.cold = Some(rule);
+                it.cold = ColdRule::new(rule.time.as_secs_f64(), rule.per_s);
             }
         }
     }
--- a/crates/policy/src/cold_pace.rs
+++ b/crates/policy/src/cold_pace.rs
@@ -41,6 +41,9 @@
 /// A stated time longer than this multiple of the configured one is invalid.
 const MAX_STATED_FACTOR: f64 = 10.0;
 
+/// A longer time in a configuration is an error.
+const MAX_COLD_TIME: Duration = Duration::from_secs(86_400);
+
 /// How long the replicas of a pool are cold after their start, and what they take meanwhile.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct ColdRule {
@@ -123,7 +126,8 @@
     /// The rule in a configuration; `None` if either value is missing, zero or invalid.
     pub fn new(time_s: f64, per_s: f64) -> Option<ColdRule> {
         let time = Duration::try_from_secs_f64(time_s).ok()?;
-        (per_s.is_finite() && per_s > 0.0 && !time.is_zero()).then_some(ColdRule { time, per_s })
+        let is_valid_time = !time.is_zero() && time <= MAX_COLD_TIME;
+        (per_s.is_finite() && per_s > 0.0 && is_valid_time).then_some(ColdRule { time, per_s })
     }
 
     /// The rate of the tokens: as high as two keepers may grant together within the allowance.
--- a/crates/policy/src/request_limit.rs
+++ b/crates/policy/src/request_limit.rs
@@ -149,14 +149,14 @@
             || ColdBucket { tokens: new_tokens(), opens_at: now, asked_at: now, handover_at };
         let is_new = !self.cold_buckets.contains_key(&key);
         let bucket = self.cold_buckets.entry(key).or_insert_with(new_bucket);
-        if is_lone && !is_new && now > bucket.opens_at + LONE_TOKEN_TIME {
+        if is_lone && !is_new && now.saturating_sub(LONE_TOKEN_TIME) > bucket.opens_at {
             bucket.tokens = new_tokens();
         }
         (bucket.asked_at, bucket.handover_at) = (now, handover_at);
         bucket.tokens.resize(now, capacity, per_s);
         let is_granted = bucket.tokens.take_with_debt(now, 1.0, 1.0);
         let wait = bucket.tokens.wait_for(now, 1.0);
-        bucket.opens_at = now + wait.unwrap_or(CLOSED_WAIT);
+        bucket.opens_at = now.saturating_add(wait.unwrap_or(CLOSED_WAIT));
         if is_granted {
             return Ok(());
         }
--- a/crates/policy/tests/cold_pace.rs
+++ b/crates/policy/tests/cold_pace.rs
@@ -91,6 +91,7 @@
 #[case(0.0, 8.0)]
 #[case(-6.0, 8.0)]
 #[case(6.0, f64::NAN)]
+#[case(1e18, 8.0)]
 fn a_pool_without_rate_or_time_has_no_rule(#[case] time_s: f64, #[case] per_s: f64) {
     assert_eq!(ColdRule::new(time_s, per_s), None);
 }
