Gateway: apply the pace of replicas that start or recover, off by default

Cause: no daemon used `policy::replica_pace`.

Change: with `GatewayBounds::paces_recovery`, which nothing sets yet, a replica that is new in the list, was paused, or has loaded the weights that it was commanded to load gets a request only while this daemon's requests are below its share of the pace. Outcomes of requests feed the pace (`request_ends.rs`, split from `fleet.rs`). Each gossip round sends the paces in a new message, `Paces`, only while pacing is on; daemons of the previous version drop it. Requests that wait for a replica look again each 25 ms while pacing is on, so that they do not miss a turn of 50 ms. A daemon that starts does not pace the replicas that it finds listed. Answers and expected times that are both zero no longer give a ratio that is not a number.

Not run: the other tests of platform, a fleet of processes with the switch on.

--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -5,6 +5,7 @@
 
 use ids::ErrorKind;
 use policy::crash_suspects::{AnswerProgress, SuspectVerdict};
+use policy::replica_pace::SHARE_TURN;
 
 use crate::call::{Call, MAX_UNSENT_ATTEMPTS};
 use crate::crash_reports::{self, CrashKeys};
@@ -84,9 +85,10 @@
                 continue;
             }
             let now = self.gateway.now();
-            let (has_active, held_off_until) = {
+            let (has_active, held_off_until, is_pacing) = {
                 let fleet = lock(&self.gateway.fleet);
-                (fleet.has_active_replica(&self.pool), fleet.held_off_until(now, &self.pool))
+                let has_active = fleet.has_active_replica(&self.pool);
+                (has_active, fleet.held_off_until(now, &self.pool), fleet.is_pacing())
             };
             let give_up_at = give_up_at.min(self.deadline);
             if let Some(until) = held_off_until.filter(|it| *it >= give_up_at) {
@@ -101,7 +103,9 @@
                 let refusal = CallRefusal::not_run(ErrorKind::NoTarget);
                 return Err(self.qualify_refusal(refusal.retry_after(self.retry_delay())));
             }
-            let pause = left.min(PLACEMENT_RETRY_INTERVAL);
+            // A longer pause would miss this daemon's turns on a paced replica.
+            let interval = if is_pacing { SHARE_TURN / 2 } else { PLACEMENT_RETRY_INTERVAL };
+            let pause = left.min(interval);
             let _ = tokio::time::timeout(pause, freed).await;
         }
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,6 +9,7 @@
 use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
 use policy::rendezvous;
+use policy::replica_pace::PaceEvent;
 use policy::unanswered::ReplicaProcess;
 use xxhash_rust::xxh3;
 
@@ -18,6 +19,7 @@
 use crate::notice_table::{AnswerNotice, NoticeTable, ReplicaNotices};
 use crate::peer_message::{PrefixPlacement, RequestLimitReport, TargetLoad, WeightStatus};
 use crate::placement::PlacedTarget;
+use crate::recovery_pace::FleetPosition;
 use crate::replica::{self, LoadCount, Replica, ReplicaTimeouts};
 
 /// How long the reported weights of a replica are kept while it is not listed: its entry may arrive
@@ -46,6 +48,10 @@
     pub(crate) kv_store: Option<KvStoreView>,
     /// The rate of prompts that this daemon places, to estimate what peers placed unseen.
     pub(crate) demand: PromptDemand,
+    /// This daemon's share of paces; `None` while pacing is off.
+    pub(crate) pacing: Option<FleetPosition>,
+    /// When reports were last swept, which is a moment ago.
+    swept_at: Duration,
     /// Prefixes placed since the last report to peers.
     pub(crate) prefix_placements: Vec<PrefixPlacement>,
 }
@@ -92,6 +98,8 @@
             prefixes: PrefixTable::default(),
             kv_store: None,
             demand: PromptDemand::default(),
+            pacing: None,
+            swept_at: Duration::ZERO,
             prefix_placements: Vec::new(),
         }
     }
@@ -106,6 +114,7 @@
     /// the same.
     pub fn apply_listing(&mut self, entries: &[TargetEntry]) {
         let mut before = std::mem::take(&mut self.replicas);
+        let is_first = before.is_empty();
         for it in before.values() {
             let notices = ReplicaNotices { leaving: it.leaving, hold_off: it.hold_off };
             self.notices.record(it.member, it.entry.incarnation, notices);
@@ -122,7 +131,13 @@
                     known.entry = entry.clone();
                     known
                 }
-                None => self.new_replica(entry),
+                None => {
+                    let mut replica = self.new_replica(entry);
+                    if self.is_pacing() && !is_first {
+                        replica.pace.observe(self.swept_at, PaceEvent::Started);
+                    }
+                    replica
+                }
             };
             self.replicas.insert(member, replica);
             self.pool_orders.entry(entry.pool.clone()).or_default().push(member);
@@ -197,6 +212,7 @@
 
     /// Drops reports that are too old to be counted, and notes which replicas are leaving.
     pub fn sweep(&mut self, now: Duration) {
+        self.swept_at = now;
         self.replicas.values_mut().for_each(|it| it.observe_leaving(now));
         self.peer_loads.expire(now);
         self.reported_weights.retain(|_, it| now < it.reported_at + REPORTED_WEIGHTS_TTL);
@@ -281,6 +297,9 @@
                 let (target, failed) = (&replica.entry.id, load.answers.failed);
                 tracing::info!(%target, failed, "targets: replica paused, no daemon gets answers");
                 replica.health.record_failure(now, true);
+                if self.pacing.is_some() {
+                    replica.pace.observe(now, PaceEvent::Started);
+                }
             }
         }
     }
@@ -320,6 +339,10 @@
         let replica = self.replicas.get_mut(&status.member);
         let same = replica.filter(|it| it.entry.incarnation == status.incarnation);
         let Some(replica) = same else { return changed };
+        let is_pending = |it: (u64, Duration)| it.0 > replica.weights && it.0 <= status.loaded;
+        if self.pacing.is_some() && replica.last_command.is_some_and(is_pending) {
+            replica.pace.observe(now, PaceEvent::Started);
+        }
         replica.weights = replica.weights.max(status.loaded);
         if status.accepted > replica.accepted_commands {
             replica.last_command_at = Some(now);
@@ -370,14 +393,6 @@
         }
     }
 
-    /// Records that a replica refused a request because it is full.
-    pub fn mark_full(&mut self, now: Duration, placed: &PlacedTarget) {
-        if let Some(it) = self.same_incarnation(placed) {
-            it.recent_answers.record(now, true);
-            it.mark_full(now);
-        }
-    }
-
     /// Records that a replica announced that it will stop.
     pub fn mark_leaving(&mut self, placed: &PlacedTarget) {
         if let Some(it) = self.same_incarnation(placed) {
@@ -464,23 +479,7 @@
         }
     }
 
-    /// Records a failed request. `not_listening`: the replica is known to refuse connections.
-    pub fn record_failure(&mut self, now: Duration, placed: &PlacedTarget, not_listening: bool) {
-        if let Some(it) = self.same_incarnation(placed) {
-            it.recent_answers.record(now, false);
-            it.health.record_failure(now, not_listening);
-        }
-    }
-
-    /// Records an answer that shows the replica to be healthy.
-    pub fn record_success(&mut self, now: Duration, placed: &PlacedTarget) {
-        if let Some(it) = self.same_incarnation(placed) {
-            it.recent_answers.record(now, true);
-            it.health.record_success(None);
-        }
-    }
-
-    fn same_incarnation(&mut self, placed: &PlacedTarget) -> Option<&mut Replica> {
+    pub(crate) fn same_incarnation(&mut self, placed: &PlacedTarget) -> Option<&mut Replica> {
         let replica = self.replicas.get_mut(&placed.member);
         replica.filter(|it| it.entry.incarnation == placed.incarnation)
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -22,6 +22,7 @@
 };
 use crate::peer_socket::ReceivedMessage;
 use crate::rate_limit;
+use crate::recovery_pace;
 use crate::request_limits;
 use crate::resend_limit::{ResendLimit, WholeState};
 use crate::rollouts;
@@ -74,6 +75,7 @@
 
 async fn send_round<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, full: bool) {
     let peers = lock(&gateway.members).gossip_peers(gateway.now());
+    recovery_pace::send_reports(gateway, &peers.forward_targets(None));
     let own_prefixes = {
         let mut fleet = lock(&gateway.fleet);
         fleet.begin_report_period(gateway.now());
@@ -316,6 +318,9 @@
         PeerMessage::RequestLimits(reports) => {
             request_limits::merge(gateway, from, sent_at.unwrap_or(now), &reports);
         }
+        PeerMessage::Paces(reports) => {
+            lock(&gateway.fleet).merge_paces(now, sent_at.unwrap_or(now), &reports);
+        }
     }
 }
 
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -16,6 +16,7 @@
 use crate::directory::MemberEntry;
 use crate::message_parts::{MAX_MESSAGE_BYTES, MessagePart};
 use crate::message_stamp::MessageStamp;
+use crate::recovery_pace::ReplicaPaceReport;
 use crate::replica::LoadCount;
 
 /// The requests of one or several daemons on one replica, in the compact form sent to peers.
@@ -293,6 +294,8 @@
         /// The hashes of the hubs' ids.
         hubs: Box<[u64]>,
     },
+    /// Paces of replicas that start or recover; only sent while pacing is on.
+    Paces(Vec<ReplicaPaceReport>),
 }
 
 impl PeerMessage {
@@ -318,6 +321,7 @@
             PeerMessage::LimitQuery(_) => "limit_query",
             PeerMessage::RequestLimits(_) => "request_limits",
             PeerMessage::Hubs { .. } => "hubs",
+            PeerMessage::Paces(_) => "paces",
         }
     }
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -44,6 +44,10 @@
     pub save_to: Option<KvStoreCopy>,
     /// Estimated time to the first token; zero for plain services.
     pub expected: Duration,
+    /// Time to the first token if the replica were idle; zero for plain services.
+    pub idle_time: Duration,
+    /// When the replica was chosen.
+    pub placed_at: Duration,
     /// The requests that the replica takes from all daemons together, if it limits them.
     pub request_limit: Option<RequestRate>,
     /// What the request adds to the replica's load.
@@ -134,6 +138,7 @@
             it.entry.pool == *query.pool
                 && query.releases.allows(it)
                 && it.accepts_requests(now)
+                && self.is_within_pace(now, it)
                 && it.weights >= query.min_weights
                 && !query.excluded_targets.contains(&it.entry.id)
         })
@@ -197,7 +202,7 @@
         let index = policy::plain_choice::choose(&views, rand::random())?;
         let (member, load_before) = (eligible[index].member, self.load(now, eligible[index]));
         let placed = self.reserve(member, LoadCount { running: 1, ..LoadCount::default() })?;
-        Some(PlacedTarget { load_before, ..placed })
+        Some(PlacedTarget { load_before, placed_at: now, ..placed })
     }
 
     /// Places a prompt on an engine and adds it to the replica's load; `None` if no replica is
@@ -262,11 +267,14 @@
         let load_before = self.load(now, chosen);
         let placed = self.reserve(member, load)?;
         let expected = Duration::from_secs_f64(first_token_s);
+        let idle_time = Duration::from_secs_f64(speed.first_token_s(load.pending_tokens));
         Some(PlacedTarget {
             cached_tokens: cached,
             fetch_from,
             save_to,
             expected,
+            idle_time,
+            placed_at: now,
             load_before,
             ..placed
         })
@@ -420,6 +428,8 @@
             fetch_from: None,
             save_to: None,
             expected: Duration::ZERO,
+            idle_time: Duration::ZERO,
+            placed_at: Duration::ZERO,
             request_limit: replica.request_limit.rate,
             load,
             load_before: LoadCount::default(),
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -7,6 +7,7 @@
 use policy::health::ReplicaHealth;
 use policy::hold_off::HoldOff;
 use policy::rendezvous;
+use policy::replica_pace::ReplicaPace;
 use policy::silence::{AnswerCount, RecentAnswers};
 
 use crate::config::TargetEntry;
@@ -58,6 +59,8 @@
     pub hold_off: HoldOff,
     /// The requests that it takes from all daemons together.
     pub(crate) request_limit: RequestLimit,
+    /// The requests that all daemons together may have on it while it starts or recovers.
+    pub(crate) pace: ReplicaPace,
     /// Until when it gets no requests because it was full.
     full_until: Duration,
     /// The version of its weights, by the newest report.
@@ -131,6 +134,7 @@
             recent_answers: RecentAnswers::default(),
             hold_off: HoldOff::default(),
             request_limit: RequestLimit::default(),
+            pace: ReplicaPace::default(),
             full_until: Duration::ZERO,
             weights: newest_weights(&entry),
             last_command: None,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -77,4 +77,6 @@
     pub version: Duration,
     /// Share of a pool's requests that a bad release may get while it is rolled out.
     pub rollout_exposure: f64,
+    /// Whether replicas that start or recover are paced by how they answer.
+    pub paces_recovery: bool,
 }
--- a/crates/policy/src/replica_pace.rs
+++ b/crates/policy/src/replica_pace.rs
@@ -15,6 +15,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// An answer is late above this multiple of the expected time. Full batches slow a healthy engine
 /// by half, which must not count as late.
 const LATE_FACTOR: f64 = 2.0;
@@ -22,6 +24,8 @@
 /// daemon hears of the others a few times a second, so smaller steps would delay a replica that
 /// returns at full speed for seconds.
 pub const MAX_GROWTH: f64 = 4.0;
+/// Shorter times count as this, so that their ratio is a number.
+const MIN_TIME: Duration = Duration::from_micros(1);
 /// The most that one late answer or rejection takes away.
 const MAX_DECREASE: f64 = 0.5;
 /// Consecutive late, rejected or failed requests after which an unpaced replica is paced. Fewer
@@ -44,7 +48,7 @@
 pub const SHARE_TURN: Duration = Duration::from_millis(50);
 
 /// Requests that all daemons together may have on a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PaceLimit(pub u32);
 
 /// A request that was sent to the replica.
@@ -57,7 +61,7 @@
 }
 
 /// The pace of one daemon, for the others. It applies to one process of the replica.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct PaceReport {
     /// The limit while the replica is not closed.
     pub limit: PaceLimit,
@@ -127,6 +131,7 @@
             PaceEvent::Started => *self = ReplicaPace::paced(PaceRamp::new(now, 1.0)),
             PaceEvent::Reported(report) => self.apply_report(now, report),
             PaceEvent::Answered { request, took, expected } => {
+                let (took, expected) = (took.max(MIN_TIME), expected.max(MIN_TIME));
                 let time_left = LATE_FACTOR * expected.as_secs_f64() / took.as_secs_f64();
                 let factor = (time_left * time_left).clamp(MAX_DECREASE, MAX_GROWTH);
                 if time_left < 1.0 {
--- a/crates/policy/tests/replica_pace.rs
+++ b/crates/policy/tests/replica_pace.rs
@@ -222,13 +222,15 @@
             let sent_at = now.saturating_sub(Duration::from_millis(age_ms));
             let request = SentRequest { sent_at, running };
             let in_time = Duration::from_millis(40 + gap_ms % 60);
-            let answered = |took| PaceEvent::Answered { request, took, expected: SERVICE_TIME };
+            let answered =
+                |took, expected| PaceEvent::Answered { request, took, expected };
             pace.observe(now, match kind {
                 0 => PaceEvent::Started,
                 1 => PaceEvent::Rejected(request),
                 2 => PaceEvent::Failed(request),
-                3 => answered(SERVICE_TIME * 3),
-                _ => answered(in_time),
+                3 => answered(SERVICE_TIME * 3, SERVICE_TIME),
+                4 => answered(Duration::ZERO, Duration::ZERO),
+                _ => answered(in_time, SERVICE_TIME),
             });
             // Requests that were sent before the last decrease prove nothing.
             match kind {
