--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -33,7 +33,7 @@
         tracing::info!(
             request = %self.head.attempt_id, pool = %self.pool, listed = counts.listed,
             open = counts.available, leaving = counts.leaving, loading = counts.loading,
-            paused = counts.paused, held_off = counts.held_off,
+            paused = counts.paused, held_off = counts.held_off, paced = counts.paced,
             sent_before = self.unsent_attempts, "call: no replica available"
         );
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,7 +9,7 @@
 use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
 use policy::rendezvous;
-use policy::replica_pace::PaceEvent;
+use policy::replica_pace::{PaceEvent, TypicalTime};
 use policy::unanswered::ReplicaProcess;
 use xxhash_rust::xxh3;
 
@@ -50,6 +50,8 @@
     pub(crate) demand: PromptDemand,
     /// This daemon's share of paces; `None` while pacing is off.
     pub(crate) pacing: Option<FleetPosition>,
+    /// The usual times of answers of plain services.
+    pub(crate) typical_times: IndexMap<PoolId, TypicalTime>,
     /// When reports were last swept, which is a moment ago.
     swept_at: Duration,
     /// Prefixes placed since the last report to peers.
@@ -74,6 +76,8 @@
     pub held_off: u32,
     /// Replicas that limit their requests, and whose limit is reached.
     pub limited: u32,
+    /// Replicas that start or recover, and whose pace leaves this daemon no request now.
+    pub paced: u32,
 }
 
 /// What was last reported of one incarnation of a replica.
@@ -99,6 +103,7 @@
             kv_store: None,
             demand: PromptDemand::default(),
             pacing: None,
+            typical_times: IndexMap::new(),
             swept_at: Duration::ZERO,
             prefix_placements: Vec::new(),
         }
@@ -190,6 +195,7 @@
             counts.paused += u32::from(it.health.state(now) == HealthState::Paused);
             counts.held_off += u32::from(it.hold_off.ends_at(now).is_some());
             counts.limited += u32::from(it.request_limit.opens_at(now).is_some());
+            counts.paced += u32::from(!self.is_within_pace(now, it));
             counts.available += u32::from(it.accepts_requests(now));
         }
         counts
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -319,7 +319,7 @@
             request_limits::merge(gateway, from, sent_at.unwrap_or(now), &reports);
         }
         PeerMessage::Paces(reports) => {
-            lock(&gateway.fleet).merge_paces(now, sent_at.unwrap_or(now), &reports);
+            recovery_pace::merge(gateway, from, sent_at.unwrap_or(now), &reports);
         }
     }
 }
--- a/crates/gateway/src/recovery_pace.rs
+++ b/crates/gateway/src/recovery_pace.rs
@@ -73,16 +73,17 @@
         reports.collect()
     }
 
-    /// Merges paces that a peer knew at `reported_at`.
+    /// Merges paces that a peer knew at `reported_at`; returns those that are new, as of `now`.
     pub fn merge_paces(
         &mut self,
         now: Duration,
         reported_at: Duration,
         reports: &[ReplicaPaceReport],
-    ) {
+    ) -> Vec<ReplicaPaceReport> {
         if !self.is_pacing() {
-            return;
+            return Vec::new();
         }
+        let mut news = Vec::new();
         let on_the_way = now.saturating_sub(reported_at);
         for it in reports {
             let replica = self.replicas.get_mut(&it.member);
@@ -93,8 +94,13 @@
                 lowered_age: it.pace.lowered_age.saturating_add(on_the_way),
                 ..it.pace
             };
+            let before = replica.pace;
             replica.pace.observe(now, PaceEvent::Reported(report));
+            if replica.pace != before {
+                news.push(ReplicaPaceReport { pace: report, ..*it });
+            }
         }
+        news
     }
 }
 
@@ -112,6 +118,22 @@
     }
 }
 
+/// Merges paces that a peer knew at `reported_at`, and passes on what is new, so that a pace does not
+/// wait for a round of reports at each hub on its way.
+pub(crate) fn merge<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    from: IpAddr,
+    reported_at: Duration,
+    reports: &[ReplicaPaceReport],
+) {
+    let now = gateway.now();
+    let news = lock(&gateway.fleet).merge_paces(now, reported_at, reports);
+    if !news.is_empty() {
+        let to = lock(&gateway.members).gossip_peers(now).forward_targets(Some(from));
+        gateway.peer_socket.send(now, &to, &PeerMessage::Paces(news));
+    }
+}
+
 fn find_position<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     now: Duration,
--- a/crates/gateway/src/request_ends.rs
+++ b/crates/gateway/src/request_ends.rs
@@ -49,18 +49,25 @@
         if !self.is_pacing() {
             return;
         }
-        let Some(replica) = self.same_incarnation(placed) else { return };
+        let replica = self.replicas.get_mut(&placed.member);
+        let Some(replica) = replica.filter(|it| it.entry.incarnation == placed.incarnation) else {
+            return;
+        };
         let request =
             SentRequest { sent_at: placed.placed_at, running: placed.load_before.running + 1 };
         let was_paced = replica.pace.allowance(now).is_some();
         let took = now.saturating_sub(placed.placed_at);
         let event = match end {
-            // Plain services state no expected time: only rejections and failures slow them down.
-            RequestEnd::Answered if placed.idle_time.is_zero() => {
-                PaceEvent::Answered { request, took, expected: took }
-            }
             RequestEnd::Answered => {
-                PaceEvent::Answered { request, took, expected: placed.idle_time }
+                let typical = self.typical_times.entry(replica.entry.pool.clone()).or_default();
+                let is_plain = placed.idle_time.is_zero();
+                if is_plain && !was_paced {
+                    typical.record(took);
+                }
+                // Without an expected time only rejections and failures lower the pace.
+                let plain_time = typical.expected().unwrap_or(took);
+                let expected = if is_plain { plain_time } else { placed.idle_time };
+                PaceEvent::Answered { request, took, expected }
             }
             RequestEnd::Rejected => PaceEvent::Rejected(request),
             RequestEnd::Failed => PaceEvent::Failed(request),
@@ -69,5 +76,12 @@
         if !was_paced && replica.health.state(now) == HealthState::Paused {
             replica.pace.observe(now, PaceEvent::Started);
         }
+        let is_paced = replica.pace.allowance(now).is_some();
+        let target = &placed.id;
+        match (was_paced, is_paced) {
+            (false, true) => tracing::info!(%target, ?end, "targets: replica is paced"),
+            (true, false) => tracing::info!(%target, "targets: replica is no longer paced"),
+            _ => {}
+        }
     }
 }
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -22,6 +22,7 @@
         paused: 0,
         held_off: 1,
         limited: 2,
+        paced: 0,
     },
     prefill_speed: 30_000.0,
 };
--- a/crates/policy/src/replica_pace.rs
+++ b/crates/policy/src/replica_pace.rs
@@ -24,6 +24,14 @@
 /// daemon hears of the others a few times a second, so smaller steps would delay a replica that
 /// returns at full speed for seconds.
 pub const MAX_GROWTH: f64 = 4.0;
+/// Weight of one sample in the mean of usual times, as in the retransmission timer of TCP (RFC 6298).
+const MEAN_WEIGHT: f64 = 0.125;
+/// Weight of one sample in their deviation, as there.
+const DEVIATION_WEIGHT: f64 = 0.25;
+/// An answer is usual up to this many deviations above the mean, as there.
+const USUAL_DEVIATIONS: f64 = 4.0;
+/// Samples before a usual time is known.
+const MIN_SAMPLES: u32 = 16;
 /// Shorter times count as this, so that their ratio is a number.
 const MIN_TIME: Duration = Duration::from_micros(1);
 /// The most that one late answer or rejection takes away.
@@ -278,6 +286,37 @@
     own < share && known < limit.0.saturating_mul(KNOWN_FACTOR)
 }
 
+/// The usual time of answers where requests state no expected time, as with plain services.
+///
+/// One service answers different requests in different times, so an answer that is much later than the
+/// mean is still usual where times vary much.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TypicalTime {
+    samples: u32,
+    mean_s: f64,
+    deviation_s: f64,
+}
+
+impl TypicalTime {
+    /// Records the time of an answer of a replica that is not paced.
+    pub fn record(&mut self, took: Duration) {
+        let difference = took.as_secs_f64() - self.mean_s;
+        let (mean_weight, deviation_weight) =
+            if self.samples == 0 { (1.0, 0.5) } else { (MEAN_WEIGHT, DEVIATION_WEIGHT) };
+        self.deviation_s += deviation_weight * (difference.abs() - self.deviation_s);
+        self.mean_s += mean_weight * difference;
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// The expected time for [`PaceEvent::Answered`], of which a usual answer takes at most
+    /// `LATE_FACTOR` times as long; `None` until there are enough samples.
+    pub fn expected(&self) -> Option<Duration> {
+        let latest_s = self.mean_s + USUAL_DEVIATIONS * self.deviation_s;
+        let expected_s = self.mean_s.max(latest_s / LATE_FACTOR);
+        (self.samples >= MIN_SAMPLES).then(|| Duration::from_secs_f64(expected_s))
+    }
+}
+
 /// The requests that one daemon may have on a replica under a fleet-wide limit.
 ///
 /// Every daemon has the same basic share. What is left over goes to some of them, by their
