Pace: known requests may reach twice the limit, not four times

Cause: four times was chosen while the fake daemons reported all at the same moment, which made them stop and go together. It lets requests that outlast turns pile up to that multiple.

--- a/crates/policy/src/replica_pace.rs
+++ b/crates/policy/src/replica_pace.rs
@@ -49,7 +49,7 @@
 /// some milliseconds.
 const REPORT_TOLERANCE: Duration = Duration::from_millis(20);
 /// Requests that may be known to run on a replica, as a multiple of its limit.
-const KNOWN_FACTOR: u32 = 4;
+const KNOWN_FACTOR: u32 = 2;
 /// How long the daemons with the larger shares keep them. With 100 ms a replica with little work is
 /// left idle too long, as its few requests wait for their daemons' turns; with 25 ms more daemons
 /// have turns before the first report of each other's requests.
@@ -281,7 +281,7 @@
 ///
 /// Requests that outlast their daemon's turn are not part of the present shares, so the known
 /// requests count as well. They may exceed the limit by as much again: reports are some moments
-/// old, and with a strict bound all daemons would stop together until the next ones.
+/// old, and with a strict bound daemons stop together and leave part of a cold replica unused.
 pub fn permits_request(limit: PaceLimit, share: u32, own: u32, known: u32) -> bool {
     own < share && known < limit.0.saturating_mul(KNOWN_FACTOR)
 }
