--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -36,6 +36,7 @@
             request = %self.head.attempt_id, pool = %self.pool, listed = counts.listed,
             open = counts.available, leaving = counts.leaving, loading = counts.loading,
             paused = counts.paused, held_off = counts.held_off, evacuated = counts.evacuated,
+            paced = counts.paced,
             sent_before = self.unsent_attempts, "call: no replica available"
         );
         let HomeAreas::Only(domains) = areas else { return };
--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -8,6 +8,7 @@
 use policy::crash_suspects::{AnswerProgress, SuspectVerdict};
 use policy::engine_room;
 use policy::home_areas::HomeAreas;
+use policy::replica_pace::SHARE_TURN;
 
 use crate::call::{Call, MAX_UNSENT_ATTEMPTS};
 use crate::crash_reports::{self, CrashKeys};
@@ -96,10 +97,11 @@
                 continue;
             }
             let now = self.gateway.now();
-            let (has_active, held_off_until) = {
+            let (has_active, held_off_until, is_pacing) = {
                 let fleet = lock(&self.gateway.fleet);
                 let has_active = fleet.has_active_replica(&self.pool, &areas);
-                (has_active, fleet.held_off_until(now, &self.pool, &areas))
+                let held_off_until = fleet.held_off_until(now, &self.pool, &areas);
+                (has_active, held_off_until, fleet.is_pacing())
             };
             let give_up_at = give_up_at.min(self.deadline);
             if let Some(until) = held_off_until.filter(|it| *it >= give_up_at) {
@@ -116,7 +118,9 @@
             }
             let opens_at = lock(&self.gateway.fleet).cold_opens_at(now, &self.pool);
             let until_token = opens_at.map_or(left, |it| it.saturating_sub(now));
-            let pause = left.min(PLACEMENT_RETRY_INTERVAL).min(until_token);
+            // A longer pause would miss this daemon's turns on a paced replica.
+            let interval = if is_pacing { SHARE_TURN / 2 } else { PLACEMENT_RETRY_INTERVAL };
+            let pause = left.min(interval).min(until_token);
             let _ = tokio::time::timeout(pause, freed).await;
         }
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -11,6 +11,7 @@
 use policy::health::HealthState;
 use policy::prefix_table::PrefixTable;
 use policy::rendezvous;
+use policy::replica_pace::{PaceEvent, TypicalTime};
 use policy::unanswered::ReplicaProcess;
 use xxhash_rust::xxh3;
 
@@ -22,6 +23,7 @@
 use crate::notice_table::{AnswerNotice, NoticeTable, ReplicaNotices};
 use crate::peer_message::{PrefixPlacement, TargetLoad, WeightStatus};
 use crate::placement::PlacedTarget;
+use crate::recovery_pace::FleetPosition;
 use crate::replica::{self, LoadCount, Replica, ReplicaTimeouts};
 
 /// How long the reported weights of a replica are kept while it is not listed: its entry may arrive
@@ -52,6 +54,12 @@
     pub(crate) demand: PromptDemand,
     /// The rate of this daemon's attempts to place prompts, to estimate how many compete for room.
     pub(crate) attempts: AttemptRate,
+    /// This daemon's share of paces; `None` while pacing is off.
+    pub(crate) pacing: Option<FleetPosition>,
+    /// The usual times of answers of plain services.
+    pub(crate) typical_times: IndexMap<PoolId, TypicalTime>,
+    /// When reports were last swept, which is a moment ago.
+    swept_at: Duration,
     /// Prefixes placed since the last report to peers.
     pub(crate) prefix_placements: Vec<PrefixPlacement>,
     pub(crate) evacuated: EvacuatedDomains,
@@ -82,6 +90,8 @@
     pub cold: u32,
     /// Cold replicas for which there is no token now.
     pub cold_withheld: u32,
+    /// Replicas that start or recover, and whose pace leaves this daemon no request now.
+    pub paced: u32,
 }
 
 /// What was last reported of one incarnation of a replica.
@@ -107,6 +117,9 @@
             kv_store: None,
             demand: PromptDemand::default(),
             attempts: AttemptRate::default(),
+            pacing: None,
+            typical_times: IndexMap::new(),
+            swept_at: Duration::ZERO,
             prefix_placements: Vec::new(),
             evacuated: EvacuatedDomains::default(),
             cold_replicas: ColdReplicas::default(),
@@ -123,6 +136,7 @@
     /// the same.
     pub fn apply_listing(&mut self, now: Duration, entries: &[TargetEntry]) {
         let mut before = std::mem::take(&mut self.replicas);
+        let is_first = before.is_empty();
         for it in before.values() {
             let notices = ReplicaNotices { leaving: it.leaving, hold_off: it.hold_off };
             self.notices.record(it.member, it.entry.incarnation, notices);
@@ -139,7 +153,13 @@
                     known.entry = entry.clone();
                     known
                 }
-                None => self.new_replica(now, entry),
+                None => {
+                    let mut replica = self.new_replica(now, entry);
+                    if self.is_pacing() && !is_first {
+                        replica.pace.observe(self.swept_at, PaceEvent::Started);
+                    }
+                    replica
+                }
             };
             self.replicas.insert(member, replica);
             self.pool_orders.entry(entry.pool.clone()).or_default().push(member);
@@ -200,6 +220,7 @@
             counts.limited += u32::from(is_closed && !is_cold);
             counts.cold += u32::from(is_cold);
             counts.cold_withheld += u32::from(is_closed && is_cold);
+            counts.paced += u32::from(!self.is_within_pace(now, it));
             counts.available += u32::from(it.accepts_requests(now));
         }
         counts
@@ -222,6 +243,7 @@
 
     /// Drops reports that are too old to be counted, and notes which replicas are leaving or cold.
     pub fn sweep(&mut self, now: Duration) {
+        self.swept_at = now;
         self.replicas.values_mut().for_each(|it| it.observe_leaving(now));
         self.replicas.values_mut().for_each(|it| cold_replicas::log_change(now, it));
         self.peer_loads.expire(now);
@@ -309,6 +331,9 @@
                 tracing::info!(%target, failed, "targets: replica paused, no daemon gets answers");
                 replica.health.record_failure(now, true);
                 stopped.push((*member, replica.entry.incarnation));
+                if self.pacing.is_some() {
+                    replica.pace.observe(now, PaceEvent::Started);
+                }
             }
         }
         for (member, incarnation) in stopped {
@@ -351,6 +376,10 @@
         let replica = self.replicas.get_mut(&status.member);
         let same = replica.filter(|it| it.entry.incarnation == status.incarnation);
         let Some(replica) = same else { return changed };
+        let is_pending = |it: (u64, Duration)| it.0 > replica.weights && it.0 <= status.loaded;
+        if self.pacing.is_some() && replica.last_command.is_some_and(is_pending) {
+            replica.pace.observe(now, PaceEvent::Started);
+        }
         replica.weights = replica.weights.max(status.loaded);
         if status.accepted > replica.accepted_commands {
             replica.last_command_at = Some(now);
@@ -401,15 +430,6 @@
         }
     }
 
-    /// Records that a replica refused a request because it is full.
-    pub fn mark_full(&mut self, now: Duration, placed: &PlacedTarget) {
-        if let Some(it) = self.same_incarnation(placed) {
-            it.recent_answers.record(now, true);
-            it.mark_full(now);
-            self.record_cold(now, placed.member, placed.incarnation, ColdEvidence::Answered);
-        }
-    }
-
     /// Records that a replica announced that it will stop.
     pub fn mark_leaving(&mut self, placed: &PlacedTarget) {
         if let Some(it) = self.same_incarnation(placed) {
@@ -450,34 +470,6 @@
         }
     }
 
-    /// Records a failed request. `not_listening`: the replica is known to refuse connections.
-    pub fn record_failure(&mut self, now: Duration, placed: &PlacedTarget, not_listening: bool) {
-        if let Some(it) = self.same_incarnation(placed) {
-            it.recent_answers.record(now, false);
-            it.health.record_failure(now, not_listening);
-            let is_paused = it.health.state(now) == HealthState::Paused;
-            // Under overload one daemon sees time-outs while others get answers.
-            if not_listening || (is_paused && self.answers_nobody(now, placed.member)) {
-                self.record_cold(now, placed.member, placed.incarnation, ColdEvidence::Stopped);
-            }
-        }
-    }
-
-    /// Records an answer that shows the replica to be healthy.
-    pub fn record_success(&mut self, now: Duration, placed: &PlacedTarget) {
-        if let Some(it) = self.same_incarnation(placed) {
-            it.recent_answers.record(now, true);
-            it.health.record_success(None);
-            self.record_cold(now, placed.member, placed.incarnation, ColdEvidence::Answered);
-        }
-    }
-
-    /// Whether no daemon got an answer of a replica lately.
-    fn answers_nobody(&self, now: Duration, member: u64) -> bool {
-        let replica = self.replicas.get(&member);
-        replica.is_some_and(|it| self.load(now, it).answers.answered == 0)
-    }
-
     pub(crate) fn same_incarnation(&mut self, placed: &PlacedTarget) -> Option<&mut Replica> {
         let replica = self.replicas.get_mut(&placed.member);
         replica.filter(|it| it.entry.incarnation == placed.incarnation)
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -17,6 +17,7 @@
 use crate::directory::MemberEntry;
 use crate::message_parts::{MAX_MESSAGE_BYTES, MessagePart};
 use crate::message_stamp::MessageStamp;
+use crate::recovery_pace::ReplicaPaceReport;
 use crate::replica::LoadCount;
 
 /// The requests of one or several daemons on one replica, in the compact form sent to peers.
@@ -345,6 +346,8 @@
     /// Replicas that are or may be cold; only of pools whose configuration limits the requests to cold
     /// replicas. Daemons of the version before ignore it.
     ColdReports(Vec<ColdReport>),
+    /// Paces of replicas that start or recover; only sent while pacing is on.
+    Paces(Vec<ReplicaPaceReport>),
 }
 
 impl PeerMessage {
@@ -371,6 +374,7 @@
             PeerMessage::RequestLimits(_) => "request_limits",
             PeerMessage::Hubs { .. } => "hubs",
             PeerMessage::ColdReports(_) => "cold_reports",
+            PeerMessage::Paces(_) => "paces",
         }
     }
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -58,6 +58,10 @@
     pub save_to: Option<KvStoreCopy>,
     /// Estimated time to the first token; zero for plain services.
     pub expected: Duration,
+    /// Time to the first token if the replica were idle; zero for plain services.
+    pub idle_time: Duration,
+    /// When the replica was chosen.
+    pub placed_at: Duration,
     /// The requests that the replica takes from all daemons together, if it limits them.
     pub request_limit: Option<RequestRate>,
     /// Set if the replica is cold, so that the request needs a token.
@@ -166,6 +170,7 @@
                 && query.releases.allows(it)
                 && query.areas.allows(&it.entry.domain)
                 && it.accepts_requests(now)
+                && self.is_within_pace(now, it)
                 && it.weights >= query.min_weights
                 && !query.excluded_targets.contains(&it.entry.id)
         })
@@ -224,7 +229,7 @@
         let index = policy::plain_choice::choose(&views, rand::random())?;
         let (member, load_before) = (eligible[index].member, self.load(now, eligible[index]));
         let placed = self.reserve(now, member, LoadCount { running: 1, ..LoadCount::default() })?;
-        Some(PlacedTarget { load_before, ..placed })
+        Some(PlacedTarget { load_before, placed_at: now, ..placed })
     }
 
     /// Places a prompt on an engine and adds it to the replica's load.
@@ -301,11 +306,14 @@
         let load_before = self.load(now, chosen);
         let placed = self.reserve(now, member, load).ok_or(PlacementMiss::NoReplica)?;
         let expected = Duration::from_secs_f64(first_token_s);
+        let idle_time = Duration::from_secs_f64(speed.first_token_s(load.pending_tokens));
         Ok(PlacedTarget {
             cached_tokens: cached,
             fetch_from,
             save_to,
             expected,
+            idle_time,
+            placed_at: now,
             load_before,
             ..placed
         })
@@ -457,6 +465,8 @@
             fetch_from: None,
             save_to: None,
             expected: Duration::ZERO,
+            idle_time: Duration::ZERO,
+            placed_at: Duration::ZERO,
             request_limit: replica.request_limit.rate,
             cold_rule: replica.binding_cold_rule(now),
             token_at: None,
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -8,6 +8,7 @@
 use policy::health::ReplicaHealth;
 use policy::hold_off::HoldOff;
 use policy::rendezvous;
+use policy::replica_pace::ReplicaPace;
 use policy::silence::{AnswerCount, RecentAnswers};
 
 use crate::config::TargetEntry;
@@ -67,6 +68,8 @@
     pub(crate) logged_cold: Option<ColdSource>,
     /// Whether an invalid statement of it was logged.
     pub(crate) logged_invalid: bool,
+    /// The requests that all daemons together may have on it while it starts or recovers.
+    pub(crate) pace: ReplicaPace,
     /// Until when it gets no requests because it was full.
     full_until: Duration,
     /// The version of its weights, by the newest report.
@@ -146,6 +149,7 @@
             cold_rule: None,
             logged_cold: None,
             logged_invalid: false,
+            pace: ReplicaPace::default(),
             full_until: Duration::ZERO,
             weights: newest_weights(&entry),
             last_command: None,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -94,6 +94,8 @@
     pub limits_engine_load: bool,
     /// By how much requests to a cold replica may exceed its rate in any one second.
     pub cold: ColdAllowance,
+    /// Whether replicas that start or recover are paced by how they answer.
+    pub paces_recovery: bool,
 }
 
 impl GatewayBounds {
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -25,6 +25,7 @@
         limited: 2,
         cold: 3,
         cold_withheld: 1,
+        paced: 0,
     },
     evacuated_domains: 1,
     prefill_speed: 30_000.0,
