--- a/crates/gateway/tests/recovery_pace.rs
+++ b/crates/gateway/tests/recovery_pace.rs
@@ -33,7 +33,14 @@
     let other = if replica == "r-1" { "r-2" } else { "r-1" };
     let excluded_targets = &[other.parse().expect("an id")];
     let releases = ReleaseFilter::Any;
-    let query = PlacementQuery { pool: &pool, releases, excluded_targets, min_weights: 0 };
+    let query = PlacementQuery {
+        pool: &pool,
+        releases,
+        excluded_targets,
+        min_weights: 0,
+        areas: &policy::home_areas::HomeAreas::Everywhere,
+        home_store: None,
+    };
     std::iter::from_fn(|| fleet.place_plain(now, query)).take(9).collect()
 }
 
