review: a request under which replicas fall silent is passed on

Nothing counts against a request whose replica falls silent until the replica's successor is listed, and a request that crashes replicas in this way is passed on to further ones for as long.

--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -2,6 +2,7 @@
 //! was broken, 0 if it held and 2 if the case could not run. With `TROUBLE=0` in the environment there
 //! is no disruption.
 
+mod dark;
 mod http;
 mod json;
 mod models;
@@ -32,6 +33,7 @@
         "next-order" => rollout::run(Path::new(folder), rollout::Case::NextOrder),
         "missing-route" => rollout::run(Path::new(folder), rollout::Case::MissingRoute),
         "late-fault" => rollout::run(Path::new(folder), rollout::Case::LateFault),
+        "dark-crash" => dark::run(Path::new(folder)),
         "models" => models::run(Path::new(folder)),
         _ => Err(io::Error::other("no such case")),
     };
--- a/review/rig-2/platform.rs
+++ b/review/rig-2/platform.rs
@@ -194,17 +194,32 @@
         store: &Store,
         record: &Record,
         ip: Ipv4Addr,
-        (id, service, release): (&str, &str, &str),
+        names: (&str, &str, &str),
         models: &[&str],
         run: Arc<Run>,
     ) -> io::Result<Arc<Replica>> {
         let listener = TcpListener::bind((ip, 0))?;
+        let replica = Replica::register_new(store, record, listener.local_addr()?, names, models);
+        let served = replica.clone();
+        http::serve(listener, move |request, writer| served.handle(request, writer, &*run));
+        Ok(replica)
+    }
+
+    /// Registers a new process of a replica, which others serve with `handle`. The names are those of
+    /// the replica, its service and its release.
+    pub fn register_new(
+        store: &Store,
+        record: &Record,
+        address: SocketAddr,
+        (id, service, release): (&str, &str, &str),
+        models: &[&str],
+    ) -> Arc<Replica> {
         let models = models.iter().map(|it| (it.to_string(), 1)).collect();
         let replica = Arc::new(Replica {
             id: id.into(),
             service: service.into(),
             release: release.into(),
-            address: listener.local_addr()?,
+            address,
             weights: Mutex::new(Weights { models, ..Weights::default() }),
             load_time: Duration::from_millis(400),
             born: unix_ms(),
@@ -213,9 +228,7 @@
             record: record.clone(),
         });
         replica.register("ready");
-        let served = replica.clone();
-        http::serve(listener, move |request, writer| served.handle(request, writer, &*run));
-        Ok(replica)
+        replica
     }
 
     fn models_json(&self) -> String {
@@ -249,7 +262,8 @@
         self.unregister();
     }
 
-    fn handle(
+    /// Answers one request.
+    pub fn handle(
         self: &Arc<Self>,
         request: &Message,
         writer: &mut TcpStream,
