review: stand-ins beside build-2.sh

review/ holds one folder for each case; the stand-ins lay in a folder that is none. No source changes.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -D warnings -o target/review-2/rig review/rig-2/main.rs
+rustc --edition 2024 -O -D warnings -o target/review-2/rig review/rig_2.rs
