--- a/review/dark.rs
+++ b/review/dark.rs
@@ -18,11 +18,11 @@
 const CALLERS: usize = 24;
 const CALLER_PAUSE: Duration = Duration::from_millis(100);
 /// The crashing request comes again at this interval.
-const BAD_INTERVAL: Duration = Duration::from_millis(750);
+const BAD_INTERVAL: Duration = Duration::from_millis(1_660);
 /// For how long it comes.
-const BAD_TIME_S: f64 = 22.0;
+const BAD_TIME_S: f64 = 20.0;
 /// How long a crashed replica is away.
-const DARK_TIME: Duration = Duration::from_millis(10_000);
+const DARK_TIME: Duration = Duration::from_millis(12_000);
 /// Three status report intervals.
 const ENTRY_TIME: Duration = Duration::from_millis(3_600);
 /// A caller abandons a stream after a gap of eight times the allowed pause.
