Tell answers of the store that are older than what is known

No log line or metric showed that an answer of the store was compared with a later revision and not used, so that a copy which nothing renews could not be told from one that is not read. Adds a log line and kingcupshift_store_older_answers_total. No change of behavior.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     /// Calls to the store that have ended, also failed ones.
     store_calls: IntCounterVec,
     store_errors: IntCounterVec,
+    store_older_answers: IntCounterVec,
     /// Replicas that were asked whether they had crashed, by what was found.
     crash_probes: IntCounterVec,
     /// Tokens of customers' rates that this daemon granted, by the bucket that they came from.
@@ -191,6 +192,11 @@
                 "Calls that failed",
                 "call",
             ),
+            store_older_answers: builder.counter(
+                "kingcupshift_store_older_answers_total",
+                "Answers of the store that were older than what was known",
+                "call",
+            ),
             crash_probes: builder.counter(
                 "kingcupshift_crash_probes_total",
                 "Replicas probed after a connection broke",
@@ -291,6 +297,11 @@
         }
     }
 
+    /// Records an answer of the store that is older than what was known before.
+    pub(crate) fn record_older_answer(&self, call: &str) {
+        self.store_older_answers.with_label_values(&[call]).inc();
+    }
+
     /// Records a request that was refused because no room on the engines was expected in time.
     pub(crate) fn record_room_refusal(&self) {
         self.room_refusals.with_label_values(&["no_room"]).inc();
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ids::Revision;
 use policy::read_schedule;
 
 use crate::cold_replicas;
@@ -96,6 +97,7 @@
     let failed = match subject {
         StoreSubject::Control => match gateway.directory.read_control().await {
             Ok(snapshot) => {
+                check_order(gateway, subject, snapshot.revision);
                 let change =
                     gateway.apply_control(asked_at, gateway.now(), snapshot, StateSource::Store);
                 if change.any() {
@@ -107,6 +109,7 @@
         },
         StoreSubject::Targets => match gateway.directory.read_targets().await {
             Ok(snapshot) => {
+                check_order(gateway, subject, snapshot.revision);
                 let update = gateway.apply_listing(asked_at, snapshot, StateSource::Store);
                 gossip::forward_listing(gateway, None, update);
                 cold_replicas::publish(gateway);
@@ -123,6 +126,26 @@
     failed.is_none()
 }
 
+/// Notes an answer that is older than what is known here, from the store or through peers.
+fn check_order<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    subject: StoreSubject,
+    revision: Revision,
+) {
+    let known = {
+        let view = lock(&gateway.view);
+        match subject {
+            StoreSubject::Control => Some(view.control_revision()),
+            StoreSubject::Targets => view.listing().map(|it| it.revision),
+        }
+    };
+    if let Some(known) = known.filter(|it| *it > revision) {
+        gateway.metrics.record_older_answer(subject.name());
+        let subject = subject.name();
+        tracing::info!(subject, %revision, %known, "store: answer is older than what is known");
+    }
+}
+
 /// Announces this daemon in the store if it is a hub, so that daemons whose seeds are gone find it,
 /// and reads the announced daemons if it is the first in rank or reaches no other.
 pub(crate) async fn announce<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
