Order what comes from the store by its era, and then by its counter

Callers saw a key or route that had been confirmed refused with 401 or 404 for many seconds (CONFIG), and could have seen requests at replicas that had left.

Cause: a store that comes back from an older copy gives its revisions out again. The daemons compared its counter as if it only rose. Until it had caught up, no read confirmed a copy, so that each daemon read without a pause (4,334 calls in 3 s, 34 before, which the limit of calls turns into 429 for all); lists of replicas were dropped; and a daemon that had started meanwhile was never sent the configuration that the store had lost, because its counter was higher than that of the peers that knew it.

Change: Revision::in_era puts the era (Store-Era) above the counter, so that every comparison that exists takes it into account, on the wire too: with era 0 the messages are what they were.

--- a/crates/gateway/src/cluster_view.rs
+++ b/crates/gateway/src/cluster_view.rs
@@ -1,6 +1,7 @@
 //! This daemon's copy of the configuration, published weights, rollouts and the list of replicas,
 //! with the time at which each was last known to be current. A copy is never replaced by an older
-//! revision.
+//! revision. When the store comes back from an older copy, what operators set before stays in force
+//! until they have written it again.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,9 +12,13 @@
 
 use crate::config::{ControlState, PoolRollout, SiteConfig, TargetEntry, WeightVersion};
 use crate::directory::Snapshot;
+use crate::removed_targets::RemovedTargets;
 
 /// Versions of one model's weights that are remembered, the newest ones.
 const MAX_KNOWN_VERSIONS: usize = 16;
+/// The time that operators have to write again what a store has lost that came back from an older
+/// copy.
+const REWRITE_TIME: Duration = Duration::from_secs(10);
 
 /// The list of replicas as the platform held it at one moment.
 #[derive(Debug, Clone)]
@@ -38,12 +43,20 @@
     /// The newest rollout of each pool, with the time at which this daemon learned of it.
     rollouts: IndexMap<PoolId, (PoolRollout, Duration)>,
     listing: Option<TargetListing>,
+    removed: RemovedTargets,
     control_revision: Revision,
     control_confirmed_at: Option<Duration>,
     control_hash: u64,
     /// The evacuated failure domains as of `control_revision`; `None` if there never were any, as
     /// far as known.
     evacuated: Option<Vec<FailureDomain>>,
+    /// Until when evacuations that the store does not name may be lost rather than ended; `None`
+    /// unless it came back from an older copy.
+    rewritten_by: Option<Duration>,
+    /// Rollouts that were ordered before and have another revision since the store came back.
+    renumbered: Vec<RenumberedOrder>,
+    /// Whether a state of this revision lacked something that is known here.
+    is_ahead: bool,
     /// Whether a version of weights was found that may be much older than this daemon knows.
     asks_for_ages: bool,
 }
@@ -58,6 +71,17 @@
     pub max_gap: Duration,
 }
 
+/// The order of a rollout whose row has another revision in a later era of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RenumberedOrder {
+    /// The pool that it moves.
+    pub pool: PoolId,
+    /// Its revision before.
+    pub before: Revision,
+    /// Its revision now.
+    pub after: Revision,
+}
+
 /// Which parts of a view an update changed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ViewChange {
@@ -131,6 +155,12 @@
         self.control_revision
     }
 
+    /// Whether peers or the store, at the newest known revision, may lack control state that is known
+    /// here: the store came back from an older copy.
+    pub fn is_ahead(&self) -> bool {
+        self.is_ahead
+    }
+
     /// The whole control state, to be sent to a peer. Times of publication are given as ages, since
     /// daemons share no clock.
     pub fn control(&self, now: Duration) -> ControlState {
@@ -173,7 +203,12 @@
         let was_interrupted =
             self.control_confirmed_at.is_some_and(|it| it + unseen.max_gap < read_at);
         let state = snapshot.value;
-        change.evacuated = self.apply_evacuated(snapshot.revision, &state);
+        self.observe_era(snapshot.revision, read_at);
+        change.evacuated = self.apply_evacuated(snapshot.revision, read_at, &state);
+        let lacks_known = self.is_lacking(&state);
+        if lacks_known || snapshot.revision > self.control_revision {
+            self.is_ahead = lacks_known;
+        }
         // A state that leaves out evacuations comes from a daemon that knows of none. It does not
         // confirm those known here, so that this daemon soon reads the store itself.
         if state.evacuated.is_some() || self.evacuated().is_empty() {
@@ -227,11 +262,21 @@
             known.drain(..known.len().saturating_sub(MAX_KNOWN_VERSIONS));
         }
         for (pool, rollout) in state.rollouts {
-            let known = self.rollouts.get(&pool);
-            if known.is_none_or(|it| it.0.revision < rollout.revision) {
-                self.rollouts.insert(pool, (rollout, now));
-                change.rollouts = true;
+            let mut learned_at = now;
+            if let Some((known, at)) = self.rollouts.get(&pool) {
+                if known.revision >= rollout.revision {
+                    continue;
+                }
+                // In a later era, the same move is the same order: its row was in the copy or was
+                // written again.
+                if known.revision.era() < rollout.revision.era() && known.to == rollout.to {
+                    learned_at = *at;
+                    let (before, after) = (known.revision, rollout.revision);
+                    self.renumbered.push(RenumberedOrder { pool: pool.clone(), before, after });
+                }
             }
+            self.rollouts.insert(pool, (rollout, learned_at));
+            change.rollouts = true;
         }
         if change.any() {
             self.control_hash = self.compute_control_hash();
@@ -239,17 +284,30 @@
         change
     }
 
+    /// The orders that were renumbered since the last call.
+    pub fn take_renumbered(&mut self) -> Vec<RenumberedOrder> {
+        std::mem::take(&mut self.renumbered)
+    }
+
     /// Replaces the evacuated domains by those of a state with a newer revision; returns whether they
     /// differ. A state without the known configuration comes from a store that has lost rows: its
     /// evacuations begin, and those that it does not name go on.
-    fn apply_evacuated(&mut self, revision: Revision, state: &ControlState) -> bool {
+    fn apply_evacuated(
+        &mut self,
+        revision: Revision,
+        read_at: Duration,
+        state: &ControlState,
+    ) -> bool {
         let Some(stated) = &state.evacuated else { return false };
+        let rewrite_ended = self.rewritten_by.take_if(|it| *it <= read_at).is_some();
         let is_newer = self.control_confirmed_at.is_none() || revision > self.control_revision;
+        let is_newer = is_newer || (rewrite_ended && revision == self.control_revision);
         if !is_newer || (stated.is_empty() && self.evacuated.is_none()) {
             return false;
         }
         let known_config = self.config.as_ref().map(|it| it.revision);
-        let has_lost_rows = state.config.as_ref().map(|it| it.revision) < known_config;
+        let has_lost_rows = self.rewritten_by.is_some()
+            || state.config.as_ref().map(|it| it.revision) < known_config;
         let kept = if has_lost_rows { self.evacuated() } else { &[] };
         let mut next: Vec<FailureDomain> = stated.iter().chain(kept).cloned().collect();
         next.sort_unstable();
@@ -259,6 +317,24 @@
         differs
     }
 
+    /// Notes that the store came back from an older copy.
+    fn observe_era(&mut self, revision: Revision, read_at: Duration) {
+        if self.control_confirmed_at.is_some() && revision.era() > self.control_revision.era() {
+            self.rewritten_by = Some(read_at + REWRITE_TIME);
+        }
+    }
+
+    /// Whether a state lacks something that is known here.
+    fn is_lacking(&self, state: &ControlState) -> bool {
+        let known_config = self.config.as_ref().map(|it| it.revision);
+        let lacks_weights = self
+            .newest_weights()
+            .any(|(model, known)| state.weights.get(model).is_none_or(|it| it.version < known.0));
+        state.config.as_ref().map(|it| it.revision) < known_config
+            || lacks_weights
+            || self.rollouts.keys().any(|it| !state.rollouts.contains_key(it))
+    }
+
     /// A hash of the control state, by which daemons compare theirs.
     pub fn control_hash(&self) -> u64 {
         self.control_hash
@@ -283,6 +359,7 @@
     /// Records that the control state of this revision was current at `read_at`.
     pub fn confirm_control(&mut self, revision: Revision, read_at: Duration) {
         if revision >= self.control_revision {
+            self.observe_era(revision, read_at);
             self.control_revision = revision;
             self.control_confirmed_at = self.control_confirmed_at.max(Some(read_at));
         }
@@ -302,12 +379,13 @@
         &mut self,
         read_at: Duration,
         revision: Revision,
-        entries: Vec<TargetEntry>,
+        mut entries: Vec<TargetEntry>,
     ) -> ViewChange {
         let known = self.listing.as_ref();
         if known.is_some_and(|it| it.revision > revision) {
             return ViewChange::default();
         }
+        entries.retain(|it| !self.removed.contains(read_at, revision.era(), it));
         let same = known.is_some_and(|it| *it.entries == *entries);
         let read_at = known.map_or(read_at, |it| it.read_at.max(read_at));
         let entries = match (same, known) {
@@ -318,6 +396,9 @@
             (true, Some(it)) => it.hash,
             _ => hash_listing(&entries),
         };
+        if let Some(known) = known.filter(|_| !same) {
+            self.removed.record(read_at, revision.era(), &known.entries, &entries);
+        }
         self.listing = Some(TargetListing { revision, read_at, entries, hash });
         ViewChange { listing: !same, ..ViewChange::default() }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -344,6 +344,9 @@
             if change.evacuated {
                 self.use_evacuations(&view, read_at, source);
             }
+            if change.rollouts {
+                lock(&self.rollouts).renumber(now, &view.take_renumbered());
+            }
             if let Some(config) = view.config().filter(|_| change.config) {
                 lock(&self.fleet).set_cold_rules(now, config.cold_rules());
             }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -434,7 +434,7 @@
     }
 }
 
-/// The parts of the state for which a peer has an older revision.
+/// The parts of the state of which a peer lacks something.
 #[derive(Debug, Clone, Copy)]
 struct PeerLag {
     control: bool,
@@ -453,7 +453,9 @@
         Some((revision, age, hash)) if hash == view.control_hash() => {
             view.confirm_control(revision, gateway.evidence_time(sent_at, age));
         }
-        Some((revision, ..)) => lag.control = revision < view.control_revision(),
+        Some((revision, ..)) => {
+            lag.control = revision < view.control_revision() || view.is_ahead();
+        }
         None => lag.control = view.control_confirmed_at().is_some(),
     }
     let Some(listing) = view.listing() else { return lag };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod readiness;
 pub mod recovery_pace;
 mod refusal;
+mod removed_targets;
 pub mod replica;
 mod request_ends;
 mod request_limits;
--- a/crates/gateway/src/rollout_table.rs
+++ b/crates/gateway/src/rollout_table.rs
@@ -8,6 +8,7 @@
 use policy::rollout_trial::{AttemptOutcome, RolloutEvidence, RolloutTrial, RouteEvidence};
 use policy::version_trial::TrialFault;
 
+use crate::cluster_view::RenumberedOrder;
 use crate::peer_message::{GossipDirection, RolloutReport};
 
 /// Evidence of a peer that has sent nothing for this long no longer counts: it may now come by way
@@ -84,6 +85,18 @@
         tracing::info!(%pool, order = order.0, ?stage, "rollout: stage");
     }
 
+    /// Continues rollouts under the revisions that their orders have since the store came back from
+    /// an older copy. The store may have lost how far they are, so peers are told again.
+    pub fn renumber(&mut self, now: Duration, orders: &[RenumberedOrder]) {
+        for it in orders {
+            let trial = self.pools.get_mut(&it.pool).filter(|trial| trial.order == it.before);
+            if let Some(trial) = trial {
+                trial.order = it.after;
+                trial.ended_at = trial.ended_at.map(|_| now);
+            }
+        }
+    }
+
     /// Records how a request of this pool ended here.
     pub fn record(
         &mut self,
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -214,15 +214,26 @@
         advance(gateway, rollout, Some(stage));
         return Ok(());
     }
-    let status = RolloutStatus { to: rollout.to.clone(), state: RolloutState::Running };
+    // A store that came back from an older copy may have lost how far the rollout is.
+    let known = lock(&gateway.rollouts).stage(&rollout.pool, rollout.revision).unwrap_or(first);
+    let status = RolloutStatus { to: rollout.to.clone(), state: stored_state(known) };
     let expected = stored.map(|it| it.1);
     if let CommitResult::Done(revision) = write_row(gateway, rollout, &status, expected).await? {
         row.revision = Some(revision);
-        advance(gateway, rollout, Some(first));
+        row.is_final = status.state != RolloutState::Running;
+        advance(gateway, rollout, Some(known));
     }
     Ok(())
 }
 
+fn stored_state(stage: RolloutStage) -> RolloutState {
+    match stage {
+        RolloutStage::Running(_) => RolloutState::Running,
+        RolloutStage::Completed => RolloutState::Completed,
+        RolloutStage::RolledBack => RolloutState::RolledBack,
+    }
+}
+
 /// Writes the end of a rollout. Completion takes effect only with the row, since the platform then
 /// stops the old replicas.
 async fn close_row<D: Dialect, S: Directory>(
@@ -232,10 +243,7 @@
     revision: Revision,
     row: &mut StatusRow,
 ) -> Result<(), StoreError> {
-    let state = match end {
-        RolloutStage::Completed => RolloutState::Completed,
-        _ => RolloutState::RolledBack,
-    };
+    let state = stored_state(end);
     // Read again after each write, also after one without an answer.
     row.revision = None;
     let status = RolloutStatus { to: rollout.to.clone(), state };
@@ -312,6 +320,11 @@
     reports: &[RolloutReport],
 ) {
     let now = gateway.now();
+    let known = |it: &RolloutReport| lock(&gateway.view).rollout(&it.pool).map(|it| it.revision);
+    // Whether an order of a later era is a known one is seen in the control state, which follows.
+    let is_known_era =
+        |it: &&RolloutReport| known(it).is_none_or(|known| known.era() >= it.order.era());
+    let reports: Vec<&RolloutReport> = reports.iter().filter(is_known_era).collect();
     let mut rollouts = lock(&gateway.rollouts);
     let mut lacking = Vec::new();
     for report in reports {
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -126,7 +126,8 @@
     failed.is_none()
 }
 
-/// Notes an answer that is older than what is known here, from the store or through peers.
+/// Notes that the store came back from an older copy, or that an answer is older than what is known
+/// here.
 fn check_order<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     subject: StoreSubject,
@@ -139,9 +140,14 @@
             StoreSubject::Targets => view.listing().map(|it| it.revision),
         }
     };
-    if let Some(known) = known.filter(|it| *it > revision) {
-        gateway.metrics.record_older_answer(subject.name());
-        let subject = subject.name();
+    let Some(known) = known else { return };
+    let (era, subject) = (revision.era(), subject.name());
+    if era > known.era() && known != Revision::default() {
+        let (counter, known) = (revision.counter(), known.counter());
+        tracing::warn!(%era, subject, counter, known, "store: came back from an older copy");
+    }
+    if known > revision {
+        gateway.metrics.record_older_answer(subject);
         tracing::info!(subject, %revision, %known, "store: answer is older than what is known");
     }
 }
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -11,7 +11,9 @@
 
 pub use error_kind::{ErrorAnswer, ErrorKind, Refusal, RunState, error_answer};
 pub use key_digest::KeyDigest;
-pub use number::{Incarnation, Millionths, Revision, TokenCount, TokenRate, VersionNumber};
+pub use number::{
+    Incarnation, Millionths, Revision, StoreEra, TokenCount, TokenRate, VersionNumber,
+};
 pub use request_rate::{RequestRate, RequestRateError};
 pub use text_id::{
     CustomerId, FailureDomain, IdError, InstanceId, KeyId, MoveId, PoolId, RequestId, RouteId,
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -45,9 +45,14 @@
     Millionths
 );
 number!(
-    /// A revision of the configuration or of a table row; never decreases.
+    /// A revision of the configuration or of a table row; never decreases. A store that may come
+    /// back from an older copy numbers its revisions by era and counter ([`Revision::in_era`]).
     Revision
 );
+number!(
+    /// The number of times that a store has come back from an older copy.
+    StoreEra
+);
 number!(
     /// A number of model tokens.
     TokenCount
@@ -70,3 +75,25 @@
         self.0 as f64 / Self::ONE.0 as f64
     }
 }
+
+/// Bits of a revision that hold the counter of its era.
+const COUNTER_BITS: u32 = 40;
+
+impl Revision {
+    /// The revision of a store that had this counter in this era. Revisions of a later era are
+    /// greater than all earlier ones, whatever their counters. `None` if a number is too large.
+    pub fn in_era(era: StoreEra, counter: u64) -> Option<Revision> {
+        let fits = counter >> COUNTER_BITS == 0 && era.0 >> (u64::BITS - COUNTER_BITS) == 0;
+        fits.then_some(Revision(era.0 << COUNTER_BITS | counter))
+    }
+
+    /// The era of a revision that [`Revision::in_era`] returned.
+    pub fn era(self) -> StoreEra {
+        StoreEra(self.0 >> COUNTER_BITS)
+    }
+
+    /// The counter of a revision that [`Revision::in_era`] returned.
+    pub fn counter(self) -> u64 {
+        self.0 & ((1 << COUNTER_BITS) - 1)
+    }
+}
