Fencing tokens go on rising when the store loses the lease

Change: the token carries the store's era in its upper bits. A row of an earlier era, or none in a later era, is taken over only when a lease of then has run out since this daemon first read in the era. The decision is policy::command_lease; the caller moves to a module of its own.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod caller_request;
 pub mod cluster_view;
 mod cold_replicas;
+mod command_lease;
 mod command_table;
 pub mod config;
 pub mod connections;
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -16,23 +16,18 @@
 use policy::health::HealthState;
 use policy::rendezvous;
 use policy::weight_rollout::{self, LaggingTarget};
-use ports::{CommitResult, StoreError};
 use web::client::CallError;
 
+use crate::command_lease::{self, HeldLease};
 use crate::command_table::{CommandState, SharedCommands};
 use crate::dialect::{Dialect, TargetReport, WeightCommand};
-use crate::directory::{CommandLease, Directory};
+use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
 use crate::gossip;
 use crate::notice_table::AnswerNotice;
 use crate::peer_message::WeightStatus;
 use crate::target_client::{self, AnswerLimits};
 
-/// Another daemon waits for one part in this many of the lease beyond its end, since clocks differ
-/// in speed.
-const EXPIRY_MARGIN_DIVISOR: u32 = 5;
-/// The lease lasts for one part in this many of the handover time.
-const LEASE_DIVISOR: u32 = 3;
 /// The time between two rounds while engines have old weights.
 const ROUND_PERIOD: Duration = Duration::from_millis(60);
 /// The longest time between two rounds while there is nothing to do.
@@ -50,17 +45,6 @@
 /// again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// The lease as last written by this daemon.
-#[derive(Debug, Clone)]
-struct HeldLease {
-    lease: CommandLease,
-    /// When the read before the last successful write began, on this daemon's clock; the row states
-    /// the time of that read, and the lease lasts from then.
-    confirmed_at: Duration,
-    /// When the handover time since this daemon took over has passed.
-    handover_ends_at: Duration,
-}
-
 /// A replica whose weights are older than the newest, with the command that it needs.
 #[derive(Debug, Clone)]
 struct NeededCommand {
@@ -84,6 +68,7 @@
 /// ends.
 pub(crate) async fn run<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
     let mut held: Option<HeldLease> = None;
+    let mut era_start = None;
     let mut lagging_since: Option<Duration> = None;
     let commands = Arc::new(SharedCommands::default());
     loop {
@@ -107,8 +92,8 @@
             tokio::time::sleep(ROUND_PERIOD).await;
             continue;
         }
-        if held.as_ref().is_none_or(|it| is_renewal_due(&gateway, it)) {
-            held = match take_lease(&gateway, held.take()).await {
+        if held.as_ref().is_none_or(|it| command_lease::is_renewal_due(&gateway, it)) {
+            held = match command_lease::take(&gateway, held.take(), &mut era_start).await {
                 Ok(it) => it,
                 Err(error) => {
                     tracing::warn!("weights: lease not renewed, no commands are started: {error}");
@@ -137,69 +122,6 @@
     commands.last_tokens.retain(|id, _| fleet.get(id).is_some());
 }
 
-fn lease_duration<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) -> Duration {
-    gateway.settings().bounds.lease / LEASE_DIVISOR
-}
-
-/// Whether the lease is certainly valid now.
-fn is_lease_valid<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, held: &HeldLease) -> bool {
-    gateway.now() < held.confirmed_at + lease_duration(gateway)
-}
-
-/// Whether the lease is to be renewed: half of its duration has passed.
-fn is_renewal_due<D: Dialect, S: Directory>(gateway: &Gateway<D, S>, held: &HeldLease) -> bool {
-    gateway.now() >= held.confirmed_at + lease_duration(gateway) / 2
-}
-
-/// Renews the lease or takes an expired one; `None` if another daemon holds it.
-async fn take_lease<D: Dialect, S: Directory>(
-    gateway: &Gateway<D, S>,
-    held: Option<HeldLease>,
-) -> Result<Option<HeldLease>, StoreError> {
-    let read_began_at = gateway.now();
-    let read = gateway.directory.read_lease().await;
-    let took = gateway.now().saturating_sub(read_began_at);
-    gateway.metrics.record_store_call("lease", took, read.is_err());
-    let snapshot = read?;
-    let expiry = lease_duration(gateway) + lease_duration(gateway) / EXPIRY_MARGIN_DIVISOR;
-    let (token, expected) = match &snapshot.value {
-        None => (1, None),
-        Some((lease, revision)) if lease.holder == gateway.own => {
-            (lease.fencing_token, Some(*revision))
-        }
-        Some((lease, revision)) if snapshot.store_time >= lease.renewed_at + expiry => {
-            (lease.fencing_token + 1, Some(*revision))
-        }
-        Some((lease, _)) => {
-            if held.is_some() {
-                tracing::info!(holder = %lease.holder.id, "weights: lease lost to another daemon");
-            }
-            return Ok(None);
-        }
-    };
-    let lease = CommandLease {
-        holder: gateway.own.clone(),
-        fencing_token: token,
-        renewed_at: snapshot.store_time,
-    };
-    let asked_at = gateway.now();
-    let written = gateway.directory.write_lease(&lease, expected).await;
-    let took = gateway.now().saturating_sub(asked_at);
-    gateway.metrics.record_store_call("lease-write", took, written.is_err());
-    match written? {
-        CommitResult::Done(_) => {
-            if held.is_none() {
-                tracing::info!(token, "weights: lease acquired");
-            }
-            // A lease that was lost for a while may have been held by another daemon meanwhile.
-            let handover_ends_at = held
-                .map_or(gateway.now() + gateway.settings().bounds.lease, |it| it.handover_ends_at);
-            Ok(Some(HeldLease { lease, confirmed_at: read_began_at, handover_ends_at }))
-        }
-        CommitResult::Conflict => Ok(None),
-    }
-}
-
 /// The pools and models with replicas that are to load newer weights.
 fn find_lagging_pools<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
@@ -354,7 +276,7 @@
             return CommandOutcome::TooEarly(safe_at);
         }
         if !report.busy && !sent {
-            if !is_lease_valid(gateway, held) {
+            if !command_lease::is_valid(gateway, held) {
                 return CommandOutcome::Unknown;
             }
             lock(commands).last_tokens.insert(command.target.clone(), token);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod chain;
 pub mod claim;
 pub mod cold_pace;
+pub mod command_lease;
 mod crash_record;
 pub mod crash_suspects;
 pub mod customer_quota;
