Daemons announce themselves again when the store has lost their rows

Cause: a daemon that had announced itself never did so again. After the store came back from an older copy, a daemon that started with stale seeds found no other (and so read, counted and refused by itself).

Change: the announcement is of an era of the store and is repeated in a later one.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::Revision;
+use ids::{Revision, StoreEra};
 use policy::read_schedule;
 
 use crate::cold_replicas;
@@ -157,7 +157,8 @@
 pub(crate) async fn announce<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
     // Seeds name the other daemons to a new one; the store is needed when no seed runs any more.
     tokio::time::sleep(SEED_WAIT).await;
-    let mut announced = false;
+    // The era of the store that holds the announcement.
+    let mut announced_in: Option<StoreEra> = None;
     let mut backoff = ANNOUNCE_MIN_BACKOFF;
     loop {
         let now = gateway.now();
@@ -165,19 +166,22 @@
             let members = lock(&gateway.members);
             (members.is_hub(now), members.rank(now), !members.reaches_any(now))
         };
-        if is_hub && !announced {
+        // A store that came back from an older copy may have lost it.
+        let era = lock(&gateway.view).control_revision().era();
+        let is_announced = announced_in.is_some_and(|it| it >= era);
+        if is_hub && !is_announced {
             let done = gateway.directory.announce(&gateway.own).await;
             let took = gateway.now().saturating_sub(now);
             gateway.metrics.record_store_call("announce", took, done.is_err());
             match done {
-                Ok(()) => announced = true,
+                Ok(()) => announced_in = Some(era),
                 Err(error) => tracing::warn!("members: announcement failed, will retry: {error}"),
             }
         }
         if rank == 0 || has_no_peers {
             read_members(&gateway).await;
         }
-        let retry_soon = (is_hub && !announced) || has_no_peers;
+        let retry_soon = (is_hub && announced_in.is_none()) || has_no_peers;
         backoff = if retry_soon { (backoff * 2).min(MEMBERS_PERIOD) } else { MEMBERS_PERIOD };
         tokio::time::sleep(backoff).await;
     }
