Store refused suspects again when the store has lost them

Cause: the daemon that writes the refused requests and prompt parts compared them with what it wrote last, which a store that came back from an older copy no longer holds.

Change: what is stored counts as unknown from the next era on.

--- a/crates/gateway/src/suspect_store.rs
+++ b/crates/gateway/src/suspect_store.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ids::StoreEra;
 use indexmap::IndexSet;
 use policy::crash_suspects::{self, SuspectKey};
 use ports::{CommitResult, StoreError};
@@ -27,11 +28,17 @@
 pub(crate) async fn run<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
     // What the row held when it was last read or written; `None` before.
     let mut stored: Option<IndexSet<SuspectKey>> = None;
+    let mut era = StoreEra::default();
     let mut changed_at = None;
     loop {
         tokio::time::sleep(CHECK_PERIOD).await;
         let now = gateway.now();
         let refused = refused_keys(&gateway);
+        let era_before = std::mem::replace(&mut era, lock(&gateway.view).control_revision().era());
+        if era_before < era {
+            // A store that came back from an older copy may have lost the row.
+            stored = None;
+        }
         let is_current = match &stored {
             Some(stored) => *stored == refused,
             // A daemon that has run for a while knows from its peers what the row holds.
