Refuse unknown routes and keys for now while the configuration may be old

Cause: 401 and 404 say that a key or route does not exist, which callers do not try again. A daemon gave them by a copy of any age, so that one that was cut off from the store and its peers refused for good what had been added since.

Change: beyond the bound for configurations since the copy was last known to be current, the answer is 503 (config_stale) with Retry-After 250 ms; other daemons may know better. Known keys are served as before.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -11,7 +11,8 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use ids::{ErrorKind, RunState};
+use ids::{CustomerId, ErrorKind, RunState};
+use policy::read_schedule;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time;
@@ -20,10 +21,11 @@
 use crate::buffer_share::BufferShare;
 use crate::call;
 use crate::caller_request::{self, CallerRequest};
+use crate::config::{RouteRule, SiteConfig};
 use crate::connections::CallerResponse;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, RequestHead};
 use crate::directory::Directory;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, lock};
 use crate::refusal::CallRefusal;
 
 /// Size of a connection's read buffer; the server refuses headers that exceed it.
@@ -37,6 +39,9 @@
 const LEAVING_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Delay after a failed accept, because it keeps failing while file descriptors are exhausted.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// When a caller may send again whose route or key is not known here, by a copy that is too old.
+/// Other daemons may know them.
+const STALE_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Idle connections are kept this many times longer than the limit, so that a caller that observes
 /// the limit never sends a request on a closed one.
 const IDLE_FACTOR: u32 = 2;
@@ -164,9 +169,8 @@
         }
         // A newer configuration may have been applied while the body was read.
         let config = gateway.config().unwrap_or(config);
-        let route = config.route(&head.host, parts.uri.path()).cloned();
-        let route = route.ok_or(CallRefusal::not_run(ErrorKind::RouteUnknown))?;
-        let customer = caller_request::resolve_customer(&config, &route, &head)?;
+        let resolved = resolve_route(&config, &head, parts.uri.path());
+        let (route, customer) = resolved.map_err(|it| qualify_denial(gateway, it))?;
         let request = CallerRequest {
             method: parts.method,
             uri: parts.uri,
@@ -188,6 +192,32 @@
     res.await.map_err(log_refusal)
 }
 
+/// Finds the route of a request, and the customer if its key is known.
+fn resolve_route(
+    config: &SiteConfig,
+    head: &RequestHead,
+    path: &str,
+) -> Result<(RouteRule, Option<CustomerId>), CallRefusal> {
+    let route = config.route(&head.host, path).cloned();
+    let route = route.ok_or(CallRefusal::not_run(ErrorKind::RouteUnknown))?;
+    let customer = caller_request::resolve_customer(config, &route, head)?;
+    Ok((route, customer))
+}
+
+/// A route or key that is not known here may have been added since the configuration was last known
+/// to be current; then the request is refused for now instead of for good.
+fn qualify_denial<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    denial: CallRefusal,
+) -> CallRefusal {
+    let confirmed_at = lock(&gateway.view).control_confirmed_at();
+    let age = gateway.now().saturating_sub(confirmed_at.unwrap_or_default());
+    if read_schedule::shows_absence(gateway.settings().bounds.config_apply, age) {
+        return denial;
+    }
+    CallRefusal::not_run(ErrorKind::ConfigStale).retry_after(STALE_RETRY_DELAY)
+}
+
 /// Rejects a body with two lengths, which could smuggle a second request past this daemon.
 fn check_framing(headers: &HeaderMap) -> Result<(), CallRefusal> {
     let chunked = headers.contains_key(http::header::TRANSFER_ENCODING);
--- a/crates/policy/src/read_schedule.rs
+++ b/crates/policy/src/read_schedule.rs
@@ -32,3 +32,9 @@
     let limit = period.mul_f64(TAKEOVER_PERIODS + PERIODS_PER_RANK * behind as f64);
     limit.min(bound.mul_f64(MAX_BOUND_RATIO))
 }
+
+/// Whether a copy of this age shows that something does not exist: what was added before the copy
+/// must be in force by then. An older copy only shows what existed.
+pub fn shows_absence(bound: Duration, age: Duration) -> bool {
+    age <= bound
+}
