Requests go on through another daemon when this one reaches no replica

Cause: a daemon had no way to a replica but its own. It took each failed connection for the replica's fault, and its counts of failures made sound daemons pause the same replicas.

Change: policy::replica_path takes the path to a pool for cut when connections to several replicas fail in a row and connections to others do too. Requests are then passed on over TCP to a daemon that is reachable (relay), which handles them like its own callers' but neither charges the customer again nor passes them on once more; only what certainly did not run is offered to a further one. Probes find the path open again, and requests return over 2 s. While it is cut, failures are not reported to peers nor counted as crashes or against a release, and the daemon commands no engines.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -22,12 +22,15 @@
 use crate::crash_reports::{self, CrashKeys};
 use crate::dialect::{AnswerHead, Dialect, EngineParams, ForwardParams, RequestHead};
 use crate::directory::Directory;
-use crate::gateway::{Gateway, InFlightGuard, lock};
+use crate::gateway::{Gateway, lock};
+use crate::in_flight::InFlightGuard;
 use crate::notice_table::AnswerNotice;
 use crate::placement::PlacedTarget;
 use crate::prompt_spec::PromptSpec;
 use crate::rate_limit;
 use crate::refusal::CallRefusal;
+use crate::relay::{RelayOutcome, RequestOrigin};
+use crate::replica_path;
 use crate::request_limits;
 use crate::rollout_choice::ReleaseDraw;
 use crate::stream;
@@ -63,12 +66,13 @@
     pub(crate) run: RunState,
     /// Attempts that may have run it.
     pub(crate) attempts: u32,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
     /// The memory of the body.
     _body_share: BufferShare,
+    origin: RequestOrigin,
     pub(crate) customer: Option<CustomerId>,
     urgency: u8,
     pub(crate) pool: PoolId,
@@ -99,13 +103,22 @@
         caller_request::choose_pool(&route).ok_or(CallRefusal::not_run(ErrorKind::NoTarget))?;
     let crash_keys = caller_request::crash_keys(customer.as_ref(), &pool, &request);
     crash_reports::check(gateway, &crash_keys)?;
-    if let (Some(id), Some(rule)) = (&customer, rule) {
+    let is_callers = matches!(request.origin, RequestOrigin::Caller);
+    // A daemon that passes a request on has charged it.
+    if let (Some(id), Some(rule), true) = (&customer, rule, is_callers) {
         let tokens = rule.cost(request.head.tokens.map(|it| it.0.0 + it.1.0));
         rate_limit::take(gateway, &request.head.attempt_id, id, rule, tokens).await?;
     }
-    gateway.earn_retry(&pool);
+    if !is_callers && gateway.relay.is_path_cut(&pool) {
+        return Err(CallRefusal::not_run(ErrorKind::NoTarget));
+    }
+    let prefers_relay = is_callers && replica_path::prefers_relay(gateway, &pool);
+    // The daemon that sends it to replicas may send it again.
+    if !prefers_relay {
+        gateway.earn_retry(&pool);
+    }
     let prompt = caller_request::prompt_spec(&config, &pool, customer.as_ref(), &request.head);
-    let call = Call {
+    let mut call = Call {
         gateway: gateway.clone(),
         urgency: rule.and_then(|it| it.priority).unwrap_or(route.priority),
         head: request.head,
@@ -121,6 +134,7 @@
         headers: request.headers,
         body: request.body,
         _body_share: request.body_share,
+        origin: request.origin,
         customer,
         pool,
         prompt,
@@ -130,6 +144,13 @@
         unsent_attempts: 0,
         _in_flight: gateway.track_request(),
     };
+    if prefers_relay {
+        match call.relay().await {
+            RelayOutcome::Answered(response) => return Ok(response),
+            RelayOutcome::Failed(refusal) => return Err(refusal),
+            RelayOutcome::NotTaken => {}
+        }
+    }
     call.answer().await
 }
 
@@ -173,10 +194,25 @@
                 }
             }
         };
-        match failure {
-            Some((target, answer)) => self.forward_answer(&target, answer),
-            None => Err(refusal),
+        if let Some((target, answer)) = failure {
+            return self.forward_answer(&target, answer);
         }
+        if self.may_relay(&refusal) {
+            match self.relay().await {
+                RelayOutcome::Answered(response) => return Ok(response),
+                RelayOutcome::Failed(refusal) => return Err(refusal),
+                RelayOutcome::NotTaken => {}
+            }
+        }
+        Err(refusal)
+    }
+
+    /// Whether a request that this daemon has to refuse may be served through another one.
+    fn may_relay(&self, refusal: &CallRefusal) -> bool {
+        matches!(self.origin, RequestOrigin::Caller)
+            && refusal.run == RunState::NotRun
+            && refusal.kind == ErrorKind::NoTarget
+            && replica_path::may_relay(&self.gateway, &self.pool)
     }
 
     fn record_answer(&mut self, placement: &Placement<D, S>, status: StatusCode) {
@@ -255,6 +291,10 @@
             Err(_) => sending.await,
         };
         let answer = sent?;
+        if answer.is_on_new_connection() {
+            let mut paths = lock(&self.gateway.relay.paths);
+            paths.entry(self.pool.clone()).or_default().record_success();
+        }
         let head = self.gateway.dialect.parse_answer(&answer.headers);
         self.record_notice(target, answer.status, &head);
         // A faulty replica may write the refusal of an earlier request once more.
--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -17,6 +17,7 @@
 use crate::gateway::lock;
 use crate::placement::PlacedTarget;
 use crate::refusal::CallRefusal;
+use crate::replica_path;
 
 impl<D: Dialect, S: Directory> Call<D, S> {
     /// Records a failed attempt; fails with a refusal if the request is not to be sent again.
@@ -31,6 +32,9 @@
                 | AttemptError::Withheld(_)
                 | AttemptError::NotRun(..)
         );
+        if let AttemptError::Connection(CallError::NotSent(_)) = error {
+            replica_path::record_failure(&self.gateway, &self.pool, placement.target.member);
+        }
         let (reason, kind) = self.record_failure(placement, error);
         cold_replicas::publish(&self.gateway);
         if !placement.is_answered {
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -17,6 +17,7 @@
 use crate::dialect::{HeadError, PromptPart, RequestHead};
 use crate::prompt_spec::PromptSpec;
 use crate::refusal::CallRefusal;
+use crate::relay::RequestOrigin;
 
 /// A caller's request, read whole.
 pub(crate) struct CallerRequest {
@@ -27,6 +28,7 @@
     pub(crate) body: Bytes,
     /// The memory of its body.
     pub(crate) body_share: BufferShare,
+    pub(crate) origin: RequestOrigin,
     /// When its headers had arrived, on the daemon's clock.
     pub(crate) started_at: Duration,
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -179,6 +179,12 @@
         connecting.is_ok_and(|it| it.is_err_and(refused))
     }
 
+    /// Whether a connection to an address can be opened now. It carries no request.
+    pub async fn accepts_connections(&self, address: SocketAddr) -> bool {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
+        connecting.is_ok_and(|it| it.is_ok())
+    }
+
     /// Fails if the body that ended on this connection may have been cut short by a crash of the
     /// replica: nothing but the end of the connection marked its end, and the replica is gone.
     /// Otherwise the new connection that shows this is kept in place of the ended one.
@@ -263,6 +269,11 @@
 }
 
 impl OpenAnswer {
+    /// Whether the connection was opened for this request.
+    pub fn is_on_new_connection(&self) -> bool {
+        !self.connection.is_reused
+    }
+
     /// Splits off the connection, which can be reused once the body is read.
     pub fn split(self) -> (StatusCode, HeaderMap, Incoming, ReusableConnection) {
         let idle_time = idle_time(&self.headers);
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -19,6 +19,7 @@
 use crate::gateway::{Gateway, lock};
 use crate::peer_message::PeerMessage;
 use crate::refusal::CallRefusal;
+use crate::replica_path;
 
 /// A daemon that reaches no more than this share of all leaves trying suspects again to others.
 const MIN_PROBE_SHARE: f64 = 0.5;
@@ -114,8 +115,8 @@
         let shared_parts = self.head.shared_parts().iter().map(|it| &*it.id);
         let shared_parts = shared_parts.collect::<Vec<_>>().join(",");
         let request = self.head.attempt_id.clone();
-        let (gateway, keys, target) =
-            (self.gateway.clone(), self.crash_keys.clone(), target.clone());
+        let (gateway, pool) = (self.gateway.clone(), self.pool.clone());
+        let (keys, target) = (self.crash_keys.clone(), target.clone());
         tokio::spawn(async move {
             if !gateway.connections.refuses_connections(target.address).await {
                 gateway.metrics.record_crash_probe("not_refused");
@@ -127,6 +128,14 @@
                 );
                 return;
             }
+            if !replica_path::reaches_others(&gateway, &pool, target.member).await {
+                gateway.metrics.record_crash_probe("path_cut");
+                tracing::info!(
+                    request = %request, target = %target.id,
+                    "call: connection broke and no replica is reached, not counted"
+                );
+                return;
+            }
             gateway.metrics.record_crash_probe("refused");
             lock(&gateway.fleet).record_failure(gateway.now(), &target, true);
             cold_replicas::publish(&gateway);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -152,6 +152,9 @@
     /// Builds the headers of the request to a replica from the caller's headers and `params`.
     fn forward_headers(&self, caller: &HeaderMap, params: &ForwardParams) -> HeaderMap;
 
+    /// Builds the headers of a caller's request that another daemon is to handle within `time_left`.
+    fn relay_headers(&self, caller: &HeaderMap, time_left: Duration) -> HeaderMap;
+
     /// Parses the headers of a replica's answer.
     fn parse_answer(&self, headers: &HeaderMap) -> AnswerHead;
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -64,6 +64,8 @@
     pub(crate) prefix_placements: Vec<PrefixPlacement>,
     pub(crate) evacuated: EvacuatedDomains,
     pub(crate) cold_replicas: ColdReplicas,
+    /// Pools of which this daemon reaches no replica, so that its failures say nothing of them.
+    pub(crate) cut_pools: IndexSet<PoolId>,
 }
 
 /// Number of replicas by what keeps requests away from them; one replica may be counted in several
@@ -123,6 +125,7 @@
             prefix_placements: Vec::new(),
             evacuated: EvacuatedDomains::default(),
             cold_replicas: ColdReplicas::default(),
+            cut_pools: IndexSet::new(),
         }
     }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -27,6 +27,7 @@
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
 use crate::refusal::CallRefusal;
+use crate::relay::{self, RequestOrigin};
 
 /// Size of a connection's read buffer; the server refuses headers that exceed it.
 const READ_BUFFER_BYTES: usize = 64 << 10;
@@ -52,11 +53,21 @@
 /// by then.
 pub(crate) const CLOSE_LINGER: Duration = Duration::from_millis(250);
 
+/// Who connects to a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ListenerSide {
+    /// Callers.
+    Callers,
+    /// Daemons that pass requests on (`relay`).
+    Daemons,
+}
+
 /// Accepts connections until `stop` is true; then serves those that the kernel has accepted, and
 /// closes each one after its current request.
 pub(crate) async fn serve<D: Dialect, S: Directory>(
     gateway: Arc<Gateway<D, S>>,
     listener: TcpListener,
+    side: ListenerSide,
     mut stop: watch::Receiver<bool>,
 ) {
     loop {
@@ -72,17 +83,18 @@
                 continue;
             }
         };
-        tokio::spawn(serve_connection(gateway.clone(), stream, stop.clone()));
+        tokio::spawn(serve_connection(gateway.clone(), stream, side, stop.clone()));
     }
     // Callers consider these connections open, and may have sent a request.
     while let Ok(Ok((stream, _))) = time::timeout(Duration::ZERO, listener.accept()).await {
-        tokio::spawn(serve_connection(gateway.clone(), stream, stop.clone()));
+        tokio::spawn(serve_connection(gateway.clone(), stream, side, stop.clone()));
     }
 }
 
 async fn serve_connection<D: Dialect, S: Directory>(
     gateway: Arc<Gateway<D, S>>,
     stream: TcpStream,
+    side: ListenerSide,
     mut stop: watch::Receiver<bool>,
 ) {
     let _open = gateway.track_connection();
@@ -91,7 +103,7 @@
     let idle = gateway.config().map_or(DEFAULT_IDLE_TIME, |it| it.limits.idle_time);
     let handler = service::service_fn(|request| {
         let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(answer(&gateway, request).await) }
+        async move { Ok::<_, Infallible>(answer(&gateway, side, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -120,11 +132,31 @@
 /// Answers a request; asks the caller to close the connection if this daemon is leaving.
 async fn answer<D: Dialect, S: Directory>(
     gateway: &Arc<Gateway<D, S>>,
-    request: Request<Incoming>,
+    side: ListenerSide,
+    mut request: Request<Incoming>,
 ) -> CallerResponse {
-    let mut response = match route_request(gateway, request).await {
+    let max_sockets = gateway.settings().max_sockets;
+    let origin = match side {
+        ListenerSide::Callers => Some(RequestOrigin::Caller),
+        ListenerSide::Daemons => {
+            request.headers_mut().remove(relay::RELAY_HEADER);
+            gateway.relay.take(max_sockets).map(RequestOrigin::Daemon)
+        }
+    };
+    let answered = match origin {
+        Some(origin) => route_request(gateway, origin, request).await,
+        None => Err(CallRefusal::not_run(ErrorKind::NoTarget)),
+    };
+    let mut response = match answered {
         Ok(response) => response,
-        Err(refusal) => refusal.into_response(),
+        Err(refusal) => {
+            let (kind, run) = (refusal.kind, refusal.run);
+            let mut response = refusal.into_response();
+            if side == ListenerSide::Daemons {
+                relay::mark_refusal(&mut response, kind, run);
+            }
+            response
+        }
     };
     if gateway.is_leaving() {
         let close = HeaderValue::from_static("close");
@@ -136,6 +168,7 @@
 /// Reads a request, finds its route and customer, and handles it. Refusals are counted and logged.
 async fn route_request<D: Dialect, S: Directory>(
     gateway: &Arc<Gateway<D, S>>,
+    origin: RequestOrigin,
     request: Request<Incoming>,
 ) -> Result<CallerResponse, CallRefusal> {
     let started_at = gateway.now();
@@ -178,6 +211,7 @@
             head,
             body,
             body_share: share,
+            origin,
             started_at,
         };
         tokio::select! {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::metrics::{GaugeSample, Metrics};
 use crate::peer_message::ListingChange;
 use crate::peer_socket::PeerSocket;
+use crate::relay::RelayState;
 use crate::replica::ReplicaTimeouts;
 use crate::rollout_table::RolloutTable;
 use crate::settings::{GatewayBounds, GatewaySettings};
@@ -84,15 +85,16 @@
     pub(crate) unanswered: Mutex<UnansweredTable>,
     pub(crate) rollouts: Mutex<RolloutTable>,
     pub(crate) speed: Mutex<PrefillSpeed>,
+    pub(crate) relay: RelayState,
     settings: Mutex<Arc<GatewaySettings>>,
     retry_budgets: Mutex<IndexMap<PoolId, RetryBudget>>,
-    in_flight: AtomicUsize,
+    pub(crate) in_flight: AtomicUsize,
     /// The memory of message bodies that are read.
     pub(crate) buffers: SharedBudget,
     /// The memory of whole answers that their callers have not read yet.
     pub(crate) waiting_answers: SharedBudget,
     /// Callers' connections that are open.
-    open_connections: Arc<AtomicUsize>,
+    pub(crate) open_connections: Arc<AtomicUsize>,
     leaving: AtomicBool,
     closed: AtomicBool,
     drain_ended: watch::Sender<bool>,
@@ -115,26 +117,6 @@
     }
 }
 
-/// Counts a request as in flight until this is dropped.
-pub(crate) struct InFlightGuard<D, S> {
-    gateway: Arc<Gateway<D, S>>,
-}
-
-/// Counts a caller's connection as open until this is dropped.
-pub(crate) struct ConnectionGuard(Arc<AtomicUsize>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl<D, S> Drop for InFlightGuard<D, S> {
-    fn drop(&mut self) {
-        self.gateway.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl<D: Dialect, S: Directory> Gateway<D, S> {
     /// A daemon without any knowledge of configuration, replicas or peers, with the incarnation of
     /// its socket.
@@ -176,6 +158,7 @@
             unanswered: Mutex::default(),
             rollouts: Mutex::default(),
             speed: Mutex::default(),
+            relay: RelayState::default(),
             retry_budgets: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             buffers: Arc::new(Mutex::new(BufferBudget::new(settings.memory_bytes))),
@@ -271,18 +254,6 @@
         self.drain_ended.send_replace(true);
     }
 
-    /// Counts a request as in flight until the returned guard is dropped.
-    pub(crate) fn track_request(self: &Arc<Self>) -> InFlightGuard<D, S> {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlightGuard { gateway: self.clone() }
-    }
-
-    /// Counts a caller's connection as open until the returned guard is dropped.
-    pub(crate) fn track_connection(&self) -> ConnectionGuard {
-        self.open_connections.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(self.open_connections.clone())
-    }
-
     /// Whether callers have open connections or requests in flight.
     pub(crate) fn has_callers(&self) -> bool {
         self.in_flight_count() > 0 || self.open_connections.load(Ordering::Relaxed) > 0
@@ -309,6 +280,7 @@
             members,
             replicas,
             evacuated_domains: view.evacuated().len(),
+            is_path_cut: self.relay.is_any_path_cut(),
             prefill_speed,
         }
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -261,6 +261,13 @@
         known.filter_map(move |it| Some((it.member, now.saturating_sub(it.alive_at?), it.leaving)))
     }
 
+    /// The reachable daemons that are not leaving.
+    pub fn helpers(&self, now: Duration) -> impl Iterator<Item = &MemberEntry> {
+        let reachable_timeout = self.reachable_timeout();
+        let known = self.known.values().filter(move |it| it.is_reachable(now, reachable_timeout));
+        known.filter(|it| !it.leaving).map(|it| &it.entry)
+    }
+
     /// Hashes of the daemons that report to this one as their hub.
     pub fn children(&self, now: Duration) -> Vec<u64> {
         self.known.values().filter(|it| it.is_child(now)).map(|it| it.member).collect()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,7 @@
     store_older_answers: IntCounterVec,
     /// Replicas that were asked whether they had crashed, by what was found.
     crash_probes: IntCounterVec,
+    relays: IntCounterVec,
     /// Tokens of customers' rates that this daemon granted, by the bucket that they came from.
     granted_tokens: IntCounterVec,
     /// Bytes sent to other daemons, by kind of message.
@@ -70,6 +71,8 @@
     pub replicas: ReplicaCounts,
     /// Evacuated failure domains.
     pub evacuated_domains: usize,
+    /// Whether this daemon reaches no replica of some pool.
+    pub is_path_cut: bool,
     /// Learned prefill speed, in tokens per second.
     pub prefill_speed: f64,
 }
@@ -85,6 +88,7 @@
     replicas: GaugeVec,
     /// Listed replicas that get no requests, by reason; one may count for several.
     withheld: GaugeVec,
+    path_cut: Gauge,
     evacuated_domains: Gauge,
     prefill_speed: Gauge,
     dropped_lines: Gauge,
@@ -157,6 +161,10 @@
                 "Replicas that get no requests, by reason",
                 "reason",
             ),
+            path_cut: builder.gauge(
+                "kingcupshift_replica_path_cut",
+                "1 while this daemon reaches no replica of some pool",
+            ),
             evacuated_domains: builder
                 .gauge("kingcupshift_evacuated_domains", "Evacuated failure domains"),
             prefill_speed: builder
@@ -197,6 +205,11 @@
                 "Answers of the store that were older than what was known",
                 "call",
             ),
+            relays: builder.counter(
+                "kingcupshift_relayed_requests_total",
+                "Requests that were offered to another daemon, by outcome",
+                "outcome",
+            ),
             crash_probes: builder.counter(
                 "kingcupshift_crash_probes_total",
                 "Replicas probed after a connection broke",
@@ -302,6 +315,11 @@
         self.store_older_answers.with_label_values(&[call]).inc();
     }
 
+    /// Records a request that was offered to another daemon.
+    pub(crate) fn record_relay(&self, outcome: &str) {
+        self.relays.with_label_values(&[outcome]).inc();
+    }
+
     /// Records a request that was refused because no room on the engines was expected in time.
     pub(crate) fn record_room_refusal(&self) {
         self.room_refusals.with_label_values(&["no_room"]).inc();
@@ -347,6 +365,7 @@
         ] {
             gauges.withheld.with_label_values(&[reason.code()]).set(f64::from(count));
         }
+        gauges.path_cut.set(f64::from(u8::from(sample.is_path_cut)));
         gauges.evacuated_domains.set(sample.evacuated_domains as f64);
         gauges.prefill_speed.set(sample.prefill_speed);
         gauges.dropped_lines.set(dropped_lines as f64);
--- a/crates/gateway/src/request_ends.rs
+++ b/crates/gateway/src/request_ends.rs
@@ -30,6 +30,10 @@
 
     /// Records a failed request. `not_listening`: the replica is known to refuse connections.
     pub fn record_failure(&mut self, now: Duration, placed: &PlacedTarget, not_listening: bool) {
+        let replica = self.replicas.get(&placed.member);
+        if replica.is_some_and(|it| self.cut_pools.contains(&it.entry.pool)) {
+            return;
+        }
         if let Some(it) = self.same_incarnation(placed) {
             it.recent_answers.record(now, false);
             it.health.record_failure(now, not_listening);
--- a/crates/gateway/src/rollout_choice.rs
+++ b/crates/gateway/src/rollout_choice.rs
@@ -97,6 +97,11 @@
     /// Records how the request ended on a replica, if a release is on trial in its pool.
     pub(crate) fn record_outcome(&mut self, placement: &Placement<D, S>, outcome: AttemptOutcome) {
         let Some(evidence) = placement.evidence else { return };
+        if outcome == AttemptOutcome::Failed
+            && self.gateway.relay.is_path_suspect(self.gateway.now(), &self.pool)
+        {
+            return;
+        }
         if evidence.on_new && outcome == AttemptOutcome::Failed {
             self.release_draw = ReleaseDraw::old_release();
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,7 +13,7 @@
 
 use crate::dialect::Dialect;
 use crate::directory::Directory;
-use crate::front::CLOSE_LINGER;
+use crate::front::{CLOSE_LINGER, ListenerSide};
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::peer_socket::PeerSocket;
@@ -81,6 +81,7 @@
 ) -> io::Result<()> {
     let callers = listen(settings.caller_address)?;
     let readiness = listen(settings.readiness_address)?;
+    let relayed = listen(SocketAddr::new(settings.peer_address, settings.peer_port))?;
     let metrics = Metrics::new();
     let (address, port) = (settings.peer_address, settings.peer_port);
     let incarnation = start_incarnation();
@@ -98,7 +99,9 @@
     spawn_restarting(&gateway, "suspect store", suspect_store::run);
     spawn_restarting(&gateway, "kv store probe", kv_store::probe_loop);
     tokio::spawn(readiness::serve(gateway.clone(), readiness));
-    tokio::spawn(front::serve(gateway.clone(), callers, stopped));
+    let side = ListenerSide::Callers;
+    tokio::spawn(front::serve(gateway.clone(), callers, side, stopped.clone()));
+    tokio::spawn(front::serve(gateway.clone(), relayed, ListenerSide::Daemons, stopped));
     let mut dropped = 0;
     tokio::pin!(stop);
     loop {
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -76,7 +76,9 @@
         let view_changed = gateway.view_changed.notified();
         forget_unlisted(&gateway, &commands);
         let needed = find_lagging_pools(&gateway, &commands);
-        if needed.is_empty() || gateway.is_leaving() {
+        // Another daemon reaches the engines.
+        let is_cut = gateway.relay.is_any_path_cut();
+        if needed.is_empty() || gateway.is_leaving() || is_cut {
             lagging_since = None;
             let _ = tokio::time::timeout(IDLE_PERIOD, view_changed).await;
             continue;
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -28,6 +28,7 @@
         paced: 0,
     },
     evacuated_domains: 1,
+    is_path_cut: false,
     prefill_speed: 30_000.0,
 };
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod rendezvous;
 pub mod repeated_query;
 pub mod replica_pace;
+pub mod replica_path;
 pub mod request_limit;
 pub mod retry;
 pub mod rollout_stage;
