--- a/crates/gateway/src/attempt_error.rs
+++ b/crates/gateway/src/attempt_error.rs
@@ -28,6 +28,9 @@
     /// The body is encoded, which no replica does on its own: it is not the replica's body.
     #[error("the answer has a content encoding")]
     Encoded,
+    /// The status is none of HTTP (RFC 9110, section 15), so that nothing else can be relied on.
+    #[error("the answer has the invalid status {0}")]
+    InvalidStatus(StatusCode),
     /// A successful status without the header that replicas set on every answer.
     #[error("the answer lacks the replica's seal header")]
     Unsealed,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,7 +9,7 @@
 use ids::{CustomerId, ErrorKind, PoolId, RunState, TargetId};
 use policy::retry::RetryReason;
 use policy::rollout_trial::AttemptOutcome;
-use web::client::Connection;
+use web::client::{self, Connection};
 
 use crate::attempt_error::AttemptError;
 use crate::buffer_share::BufferShare;
@@ -304,6 +304,9 @@
         if head.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
             return Err(AttemptError::NotRun(answer.status, head));
         }
+        if !client::is_valid_status(answer.status) {
+            return Err(AttemptError::InvalidStatus(answer.status));
+        }
         if answer.headers.contains_key(header::CONTENT_ENCODING) {
             return Err(AttemptError::Encoded);
         }
--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -120,7 +120,10 @@
                 fleet.record_cold(now, member, incarnation, ColdEvidence::Stopped);
                 (RetryReason::BrokeEarly, ErrorKind::TargetFailed)
             }
-            AttemptError::WrongAttempt | AttemptError::Encoded | AttemptError::Unsealed => {
+            AttemptError::WrongAttempt
+            | AttemptError::Encoded
+            | AttemptError::InvalidStatus(_)
+            | AttemptError::Unsealed => {
                 self.run = RunState::MaybeRun;
                 (RetryReason::CrossedAnswer, ErrorKind::TargetFailed)
             }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::{self, connect};
@@ -90,6 +90,9 @@
         };
         match tokio::time::timeout(deadline, client.request(request)).await {
             Err(_) => Err(CallError::Timeout(deadline)),
+            Ok(Ok(answer)) if !is_valid_status(answer.status()) => {
+                Err(CallError::Broken(format!("invalid status {}", answer.status()).into()))
+            }
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(error)) if error.is_connect() => Err(CallError::NotSent(join_causes(&error))),
             Ok(Err(error)) => Err(CallError::Broken(join_causes(&error))),
@@ -140,6 +143,11 @@
         .build(connector)
 }
 
+/// Whether a status is one of HTTP (RFC 9110, section 15). Smaller ones are not parsed.
+pub fn is_valid_status(status: StatusCode) -> bool {
+    status.as_u16() < 600
+}
+
 /// The texts of an error and of all its causes, on one line.
 pub fn join_causes(error: &dyn Error) -> Box<str> {
     let mut text = error.to_string();
