--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -139,8 +139,9 @@
     let origin = match side {
         ListenerSide::Callers => Some(RequestOrigin::Caller),
         ListenerSide::Daemons => {
-            request.headers_mut().remove(relay::RELAY_HEADER);
-            gateway.relay.take(max_sockets).map(RequestOrigin::Daemon)
+            let from = request.headers_mut().remove(relay::RELAY_HEADER);
+            let from = from.as_ref().and_then(|it| it.to_str().ok());
+            gateway.relay.take(max_sockets, from.unwrap_or_default()).map(RequestOrigin::Daemon)
         }
     };
     let answered = match origin {
@@ -178,6 +179,9 @@
         caller_request::refuse_head(error)
     })?;
     let attempt_id = head.attempt_id.clone();
+    if let RequestOrigin::Daemon(from) = &origin {
+        tracing::info!(request = %attempt_id, from = %from.sender, "relay: taken");
+    }
     let log_refusal = |refusal: CallRefusal| {
         gateway.metrics.record_refusal(refusal.kind.code());
         let run = refusal.run.code();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -32,7 +32,9 @@
 /// daemon refused the request itself.
 pub(crate) const RELAY_HEADER: &str = "x-kingcupshift-relay";
 /// Daemons that a request is offered to.
-const MAX_HELPERS: usize = 3;
+const MAX_HELPERS: usize = 5;
+/// With less time left, a request is not passed on: it could not be answered.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
 /// For how long a daemon that refused or could not be reached is asked last.
 const UNFIT_TIME: Duration = Duration::from_secs(2);
 /// Longest answer that is buffered.
@@ -66,19 +68,23 @@
     /// A caller.
     Caller,
     /// Another daemon that passes it on.
-    Daemon(#[expect(dead_code, reason = "counts the request while it lives")] RelayedGuard),
+    Daemon(RelayedGuard),
 }
 
 /// Counts a request that another daemon passed on until this is dropped.
 #[derive(Debug, Clone)]
-pub(crate) struct RelayedGuard(#[expect(dead_code)] Arc<()>);
+pub(crate) struct RelayedGuard {
+    /// The id of the other daemon, for the log.
+    pub(crate) sender: Box<str>,
+    _count: Arc<()>,
+}
 
 impl RelayState {
     /// Takes a request that another daemon passes on; `None` if there is no room for it.
-    pub(crate) fn take(&self, max_sockets: usize) -> Option<RelayedGuard> {
+    pub(crate) fn take(&self, max_sockets: usize, sender: &str) -> Option<RelayedGuard> {
         let taken = Arc::strong_count(&self.taken) - 1;
         let has_room = replica_path::takes_relayed(taken, max_sockets);
-        has_room.then(|| RelayedGuard(self.taken.clone()))
+        has_room.then(|| RelayedGuard { sender: sender.into(), _count: self.taken.clone() })
     }
 
     /// Whether the replicas of any pool are out of reach.
@@ -112,8 +118,11 @@
     /// certainly did not run.
     pub(crate) async fn relay(&mut self) -> RelayOutcome {
         for (helper, address) in self.helpers() {
-            let request = self.relay_request();
             let left = self.deadline.saturating_sub(self.gateway.now());
+            if left < MIN_TIME_LEFT {
+                break;
+            }
+            let request = self.relay_request();
             let key = format!("relay/{}", helper.id);
             let connections = &self.gateway.connections;
             let sent =
@@ -146,7 +155,7 @@
         RelayOutcome::NotTaken
     }
 
-    /// The daemons to offer the request to: spread over all, those of this domain first.
+    /// The daemons to offer the request to.
     fn helpers(&self) -> Vec<(MemberEntry, SocketAddr)> {
         let gateway = &self.gateway;
         let now = gateway.now();
@@ -156,12 +165,13 @@
             .map(|it| (it.clone(), SocketAddr::new(it.address, port)))
             .collect();
         helpers.shuffle(&mut rand::rng());
-        let mut unfit = lock(&gateway.relay.unfit_helpers);
-        unfit.retain(|_, until| now < *until);
-        let domain = &gateway.own.domain;
-        helpers.sort_by_key(|(it, address)| (unfit.contains_key(address), it.domain != *domain));
-        helpers.truncate(MAX_HELPERS);
-        helpers
+        let mut known_unfit = lock(&gateway.relay.unfit_helpers);
+        known_unfit.retain(|_, until| now < *until);
+        let (unfit, fit): (Vec<_>, Vec<_>) =
+            helpers.into_iter().partition(|it| known_unfit.contains_key(&it.1));
+        let (own_domain, others) =
+            fit.into_iter().partition(|it| it.0.domain == gateway.own.domain);
+        replica_path::order_helpers(own_domain, others, unfit, MAX_HELPERS)
     }
 
     fn mark_unfit(&self, address: SocketAddr) {
--- a/crates/policy/src/replica_path.rs
+++ b/crates/policy/src/replica_path.rs
@@ -139,3 +139,22 @@
     const SOCKETS_PER_REQUEST: usize = 4;
     relayed < (max_sockets / SOCKETS_PER_REQUEST).max(1)
 }
+
+/// The order in which other daemons are asked to take a request, `count` at most: by turns one of the
+/// own failure domain and one of another, as all of a domain may be cut off with this daemon, and
+/// last those that refused lately.
+pub fn order_helpers<T>(own_domain: Vec<T>, others: Vec<T>, unfit: Vec<T>, count: usize) -> Vec<T> {
+    let mut own_domain = own_domain.into_iter();
+    let mut others = others.into_iter();
+    let mut ordered = Vec::new();
+    loop {
+        let pair: Vec<T> = own_domain.next().into_iter().chain(others.next()).collect();
+        if pair.is_empty() || ordered.len() >= count {
+            break;
+        }
+        ordered.extend(pair);
+    }
+    ordered.extend(unfit);
+    ordered.truncate(count);
+    ordered
+}
--- a/crates/policy/tests/replica_path.rs
+++ b/crates/policy/tests/replica_path.rs
@@ -117,3 +117,18 @@
 ) {
     assert_eq!(replica_path::takes_relayed(relayed, max_sockets), expected);
 }
+
+#[rstest]
+#[case::both(&[1, 2, 3], &[11, 12, 13], &[21], &[1, 11, 2, 12])]
+#[case::own_domain_only(&[1, 2], &[], &[21], &[1, 2, 21])]
+#[case::own_domain_refused(&[], &[11, 12, 13, 14, 15], &[1, 2], &[11, 12, 13, 14])]
+#[case::none(&[], &[], &[], &[])]
+fn helpers_are_asked_in_both_domains_and_those_that_refused_last(
+    #[case] own: &[u8],
+    #[case] others: &[u8],
+    #[case] unfit: &[u8],
+    #[case] expected: &[u8],
+) {
+    let ordered = replica_path::order_helpers(own.into(), others.into(), unfit.into(), 4);
+    assert_eq!(ordered, expected);
+}
