--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -55,6 +55,11 @@
 }
 
 impl BufferedAnswer {
+    /// An answer that was read from another daemon.
+    pub(crate) fn new(status: StatusCode, headers: HeaderMap, body: BodyBuffer) -> BufferedAnswer {
+        BufferedAnswer { status, headers, body }
+    }
+
     /// The answer to the caller: end-to-end headers only. Counts as memory of `budget` until it is sent;
     /// fails if there is none left for a long one.
     pub(crate) fn into_response(
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -84,6 +84,8 @@
     pub(crate) excluded: Vec<TargetId>,
     /// Attempts that surely did not run it.
     pub(crate) unsent_attempts: u32,
+    /// Whether it was offered to other daemons, none of which took it.
+    is_relay_refused: bool,
     _in_flight: InFlightGuard<D, S>,
 }
 
@@ -109,8 +111,11 @@
         let tokens = rule.cost(request.head.tokens.map(|it| it.0.0 + it.1.0));
         rate_limit::take(gateway, &request.head.attempt_id, id, rule, tokens).await?;
     }
-    if !is_callers && gateway.relay.is_path_cut(&pool) {
-        return Err(CallRefusal::not_run(ErrorKind::NoTarget));
+    if let RequestOrigin::Daemon(from) = &request.origin {
+        if gateway.relay.is_path_cut(&pool) {
+            return Err(CallRefusal::not_run(ErrorKind::NoTarget));
+        }
+        tracing::info!(request = %request.head.attempt_id, from = %from.sender, "relay: taken");
     }
     let prefers_relay = is_callers && replica_path::prefers_relay(gateway, &pool);
     // The daemon that sends it to replicas may send it again.
@@ -142,13 +147,14 @@
         release_draw: ReleaseDraw::random(),
         excluded: Vec::new(),
         unsent_attempts: 0,
+        is_relay_refused: false,
         _in_flight: gateway.track_request(),
     };
     if prefers_relay {
         match call.relay().await {
             RelayOutcome::Answered(response) => return Ok(response),
             RelayOutcome::Failed(refusal) => return Err(refusal),
-            RelayOutcome::NotTaken => {}
+            RelayOutcome::NotTaken => call.is_relay_refused = true,
         }
     }
     call.answer().await
@@ -210,6 +216,7 @@
     /// Whether a request that this daemon has to refuse may be served through another one.
     fn may_relay(&self, refusal: &CallRefusal) -> bool {
         matches!(self.origin, RequestOrigin::Caller)
+            && !self.is_relay_refused
             && refusal.run == RunState::NotRun
             && refusal.kind == ErrorKind::NoTarget
             && replica_path::may_relay(&self.gateway, &self.pool)
--- a/crates/gateway/src/crash_reports.rs
+++ b/crates/gateway/src/crash_reports.rs
@@ -128,7 +128,7 @@
                 );
                 return;
             }
-            if !replica_path::reaches_others(&gateway, &pool, target.member).await {
+            if !replica_path::is_replica_at_fault(&gateway, &pool, target.member).await {
                 gateway.metrics.record_crash_probe("path_cut");
                 tracing::info!(
                     request = %request, target = %target.id,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -179,9 +179,6 @@
         caller_request::refuse_head(error)
     })?;
     let attempt_id = head.attempt_id.clone();
-    if let RequestOrigin::Daemon(from) = &origin {
-        tracing::info!(request = %attempt_id, from = %from.sender, "relay: taken");
-    }
     let log_refusal = |refusal: CallRefusal| {
         gateway.metrics.record_refusal(refusal.kind.code());
         let run = refusal.run.code();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::body::{BodyAborted, CallerBody};
 use crate::body_reader;
 use crate::buffer_share::BufferShare;
-use crate::buffered;
+use crate::buffered::{self, BufferedAnswer};
 use crate::call::Call;
 use crate::connections::{CallerResponse, OpenAnswer, SendError};
 use crate::dialect::Dialect;
@@ -195,30 +195,33 @@
     async fn take_answer(&mut self, answer: OpenAnswer) -> RelayOutcome {
         let (status, mut headers, mut body, connection) = answer.split();
         headers.remove(RELAY_HEADER);
-        let body = if body.size_hint().exact().is_some() {
+        if body.size_hint().exact().is_some() {
             let left = self.deadline.saturating_sub(self.gateway.now());
             let mut share = BufferShare::new(&self.gateway.buffers);
             let read = body_reader::read_body(&mut body, &mut share, MAX_ANSWER_BYTES);
-            match tokio::time::timeout(left, read).await {
-                Ok(Ok(buffer)) => CallerBody::full(buffer.into_bytes()),
+            let body = match tokio::time::timeout(left, read).await {
+                Ok(Ok(body)) => body,
                 Ok(Err(_)) => return self.fail(ErrorKind::TargetFailed),
                 Err(_) => return self.fail(ErrorKind::TargetTimeout),
-            }
-        } else {
-            // The connection is closed when the caller leaves, which cancels the request.
-            let frames = stream::unfold(Some((body, connection)), |state| async move {
-                let (mut body, connection) = state?;
-                match body.frame().await? {
-                    Ok(frame) => {
-                        let data = frame.into_data().unwrap_or_default();
-                        Some((Ok(data), Some((body, connection))))
-                    }
-                    Err(_) => Some((Err(BodyAborted), None)),
+            };
+            let answer = BufferedAnswer::new(status, headers, body);
+            return match answer.into_response(&self.gateway.waiting_answers) {
+                Ok(response) => RelayOutcome::Answered(response),
+                Err(_) => self.fail(ErrorKind::Internal),
+            };
+        }
+        // The connection is closed when the caller leaves, which cancels the request.
+        let frames = stream::unfold(Some((body, connection)), |state| async move {
+            let (mut body, connection) = state?;
+            match body.frame().await? {
+                Ok(frame) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    Some((Ok(data), Some((body, connection))))
                 }
-            });
-            CallerBody::Chunks(Box::pin(frames))
-        };
-        let mut response = Response::new(body);
+                Err(_) => Some((Err(BodyAborted), None)),
+            }
+        });
+        let mut response = Response::new(CallerBody::Chunks(Box::pin(frames)));
         *response.status_mut() = status;
         *response.headers_mut() = buffered::end_to_end(headers);
         RelayOutcome::Answered(response)
--- a/crates/gateway/src/replica_path.rs
+++ b/crates/gateway/src/replica_path.rs
@@ -56,18 +56,18 @@
     replica_path::peers_may_reach(lock(&gateway.fleet).peer_answers(pool))
 }
 
-/// Whether this daemon reaches any of a few replicas of a pool other than this one, so that a failure
-/// there is not its own path's.
-pub(crate) async fn reaches_others<D: Dialect, S: Directory>(
+/// Whether a failure at a replica of a pool is not this daemon's own path's: others of the pool are
+/// reached, or no peer gets answers from them either.
+pub(crate) async fn is_replica_at_fault<D: Dialect, S: Directory>(
     gateway: &Gateway<D, S>,
     pool: &PoolId,
     replica: u64,
 ) -> bool {
-    if gateway.relay.is_path_suspect(gateway.now(), pool) {
+    if gateway.relay.is_path_cut(pool) {
         return false;
     }
     let addresses = lock(&gateway.fleet).draw_addresses(pool, CHECKED_REPLICAS, |it| it == replica);
-    addresses.is_empty() || reaches_any(gateway, &addresses).await
+    reaches_any(gateway, &addresses).await || lock(&gateway.fleet).peer_answers(pool).answered == 0
 }
 
 async fn reaches_any<D: Dialect, S: Directory>(
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -76,9 +76,7 @@
         let view_changed = gateway.view_changed.notified();
         forget_unlisted(&gateway, &commands);
         let needed = find_lagging_pools(&gateway, &commands);
-        // Another daemon reaches the engines.
-        let is_cut = gateway.relay.is_any_path_cut();
-        if needed.is_empty() || gateway.is_leaving() || is_cut {
+        if needed.is_empty() || gateway.is_leaving() {
             lagging_since = None;
             let _ = tokio::time::timeout(IDLE_PERIOD, view_changed).await;
             continue;
@@ -136,7 +134,9 @@
     let Some(config) = view.config() else { return Vec::new() };
     let fleet = lock(&gateway.fleet);
     let mut pools = Vec::new();
-    for (pool, engine) in config.engine_pools() {
+    // Of pools that this daemon does not reach, another one commands the engines.
+    let reached = config.engine_pools().filter(|it| !gateway.relay.is_path_cut(it.0));
+    for (pool, engine) in reached {
         for model in &engine.models {
             let Some((version, published_at)) = view.latest_weights(model) else { continue };
             let (mut needed, mut evacuated) = (Vec::new(), Vec::new());
--- a/crates/xtask/src/mutant_table.rs
+++ b/crates/xtask/src/mutant_table.rs
@@ -483,4 +483,12 @@
         package: "platform",
         test: "interrupted_daemons::the_time_for_older_weights_runs_while_a_daemon_is_cut_off",
     },
+    Mutant {
+        name: "6 what a later era of the store says is newer",
+        file: "crates/ids/src/number.rs",
+        original: "fits.then_some(Revision(era.0 << COUNTER_BITS | counter))",
+        replacement: "fits.then_some(Revision(counter))",
+        package: "platform",
+        test: "restored_store::changes_after_the_return_are_in_force_in_time",
+    },
 ];
