Ask other daemons before a path counts as cut

Cause: that peers got answers from a pool was read from their reports, which name those of the last 1.2 s.

Change: a daemon that reaches no replica asks up to five others, which connect to replicas or wait 250 ms for an answer of one. Only if one reaches the pool is the path cut, and only then is a crash not counted. Replicas that are down are checked once a second.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -203,7 +203,7 @@
         if let Some((target, answer)) = failure {
             return self.forward_answer(&target, answer);
         }
-        if self.may_relay(&refusal) {
+        if self.may_relay(&refusal).await {
             match self.relay().await {
                 RelayOutcome::Answered(response) => return Ok(response),
                 RelayOutcome::Failed(refusal) => return Err(refusal),
@@ -214,12 +214,12 @@
     }
 
     /// Whether a request that this daemon has to refuse may be served through another one.
-    fn may_relay(&self, refusal: &CallRefusal) -> bool {
+    async fn may_relay(&self, refusal: &CallRefusal) -> bool {
         matches!(self.origin, RequestOrigin::Caller)
             && !self.is_relay_refused
             && refusal.run == RunState::NotRun
             && refusal.kind == ErrorKind::NoTarget
-            && replica_path::may_relay(&self.gateway, &self.pool)
+            && replica_path::may_relay(&self.gateway, &self.pool, self.deadline).await
     }
 
     fn record_answer(&mut self, placement: &Placement<D, S>, status: StatusCode) {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -135,6 +135,11 @@
     side: ListenerSide,
     mut request: Request<Incoming>,
 ) -> CallerResponse {
+    if side == ListenerSide::Daemons
+        && let Some(answer) = relay::answer_check(gateway, request.headers()).await
+    {
+        return answer;
+    }
     let max_sockets = gateway.settings().max_sockets;
     let origin = match side {
         ListenerSide::Callers => Some(RequestOrigin::Caller),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::stream;
-use http::{HeaderMap, HeaderValue, Request, Response};
+use futures::{future, stream};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use ids::{ErrorKind, PoolId, RunState};
 use indexmap::IndexMap;
-use policy::replica_path::{self, ReplicaPath};
+use policy::replica_path::{self as path_policy, ReplicaPath};
 use rand::seq::SliceRandom;
 use web::client::{CallError, Connection};
 
@@ -25,12 +25,17 @@
 use crate::connections::{CallerResponse, OpenAnswer, SendError};
 use crate::dialect::Dialect;
 use crate::directory::{Directory, MemberEntry};
-use crate::gateway::lock;
+use crate::gateway::{Gateway, lock};
 use crate::refusal::CallRefusal;
+use crate::replica_path;
 
 /// On a request: the daemon that passes it on. On an answer: the error code with which the other
 /// daemon refused the request itself.
 pub(crate) const RELAY_HEADER: &str = "x-kingcupshift-relay";
+/// On a request that asks whether another daemon reaches replicas of the pool that it names.
+const CHECK_HEADER: &str = "x-kingcupshift-check";
+/// How long other daemons may take to answer that; their connections take most of it.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(800);
 /// Daemons that a request is offered to.
 const MAX_HELPERS: usize = 5;
 /// With less time left, a request is not passed on: it could not be answered.
@@ -83,7 +88,7 @@
     /// Takes a request that another daemon passes on; `None` if there is no room for it.
     pub(crate) fn take(&self, max_sockets: usize, sender: &str) -> Option<RelayedGuard> {
         let taken = Arc::strong_count(&self.taken) - 1;
-        let has_room = replica_path::takes_relayed(taken, max_sockets);
+        let has_room = path_policy::takes_relayed(taken, max_sockets);
         has_room.then(|| RelayedGuard { sender: sender.into(), _count: self.taken.clone() })
     }
 
@@ -117,7 +122,7 @@
     /// Passes the request on through another daemon. It is sent to further ones only as long as it
     /// certainly did not run.
     pub(crate) async fn relay(&mut self) -> RelayOutcome {
-        for (helper, address) in self.helpers() {
+        for (helper, address) in helpers(&self.gateway) {
             let left = self.deadline.saturating_sub(self.gateway.now());
             if left < MIN_TIME_LEFT {
                 break;
@@ -155,25 +160,6 @@
         RelayOutcome::NotTaken
     }
 
-    /// The daemons to offer the request to.
-    fn helpers(&self) -> Vec<(MemberEntry, SocketAddr)> {
-        let gateway = &self.gateway;
-        let now = gateway.now();
-        let port = gateway.settings().peer_port;
-        let mut helpers: Vec<_> = lock(&gateway.members)
-            .helpers(now)
-            .map(|it| (it.clone(), SocketAddr::new(it.address, port)))
-            .collect();
-        helpers.shuffle(&mut rand::rng());
-        let mut known_unfit = lock(&gateway.relay.unfit_helpers);
-        known_unfit.retain(|_, until| now < *until);
-        let (unfit, fit): (Vec<_>, Vec<_>) =
-            helpers.into_iter().partition(|it| known_unfit.contains_key(&it.1));
-        let (own_domain, others) =
-            fit.into_iter().partition(|it| it.0.domain == gateway.own.domain);
-        replica_path::order_helpers(own_domain, others, unfit, MAX_HELPERS)
-    }
-
     fn mark_unfit(&self, address: SocketAddr) {
         let until = self.gateway.now() + UNFIT_TIME;
         lock(&self.gateway.relay.unfit_helpers).insert(address, until);
@@ -234,6 +220,60 @@
     }
 }
 
+/// Whether any of a few other daemons can connect to replicas of a pool now.
+pub(crate) async fn is_reached_by_others<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    pool: &PoolId,
+) -> bool {
+    let Ok(value) = HeaderValue::from_str(pool.as_str()) else { return false };
+    let asking = helpers(gateway).into_iter().map(|(helper, address)| {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        request.headers_mut().insert(CHECK_HEADER, value.clone());
+        let host = HeaderValue::from_static("daemon");
+        request.headers_mut().insert(http::header::HOST, host);
+        async move {
+            let key = format!("relay/{}", helper.id);
+            let connections = &gateway.connections;
+            let (which, admit) = (Connection::Fresh, || Ok(()));
+            let sent = connections.send(address, &key, request, which, CHECK_TIMEOUT, admit).await;
+            sent.is_ok_and(|it| it.status.is_success())
+        }
+    });
+    future::join_all(asking).await.into_iter().any(|it| it)
+}
+
+/// Answers another daemon that asks whether this one reaches replicas of a pool; `None` if it does
+/// not ask.
+pub(crate) async fn answer_check<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    headers: &HeaderMap,
+) -> Option<CallerResponse> {
+    let pool: PoolId = headers.get(CHECK_HEADER)?.to_str().ok()?.parse().ok()?;
+    let is_reached = replica_path::serves_pool(gateway, &pool).await;
+    let mut response = Response::new(CallerBody::full(Bytes::new()));
+    if !is_reached {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Some(response)
+}
+
+/// The daemons to offer a request to.
+fn helpers<D: Dialect, S: Directory>(gateway: &Gateway<D, S>) -> Vec<(MemberEntry, SocketAddr)> {
+    let now = gateway.now();
+    let port = gateway.settings().peer_port;
+    let mut helpers: Vec<_> = lock(&gateway.members)
+        .helpers(now)
+        .map(|it| (it.clone(), SocketAddr::new(it.address, port)))
+        .collect();
+    helpers.shuffle(&mut rand::rng());
+    let mut known_unfit = lock(&gateway.relay.unfit_helpers);
+    known_unfit.retain(|_, until| now < *until);
+    let (unfit, fit): (Vec<_>, Vec<_>) =
+        helpers.into_iter().partition(|it| known_unfit.contains_key(&it.1));
+    let (own_domain, others) = fit.into_iter().partition(|it| it.0.domain == gateway.own.domain);
+    path_policy::order_helpers(own_domain, others, unfit, MAX_HELPERS)
+}
+
 /// Whether another daemon refused the request for a reason of its own.
 fn is_local_refusal(headers: &HeaderMap) -> bool {
     let code = headers.get(RELAY_HEADER).and_then(|it| it.to_str().ok());
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -56,6 +56,8 @@
     pub health: ReplicaHealth,
     /// This daemon's recent answers and failures, which peers get as part of the load.
     pub recent_answers: RecentAnswers,
+    /// When it last answered this daemon.
+    pub(crate) answered_at: Option<Duration>,
     /// How long it wants no requests from this daemon.
     pub hold_off: HoldOff,
     /// The requests that it takes from all daemons together.
@@ -143,6 +145,7 @@
             leaving: entry.leaving,
             health: ReplicaHealth::default(),
             recent_answers: RecentAnswers::default(),
+            answered_at: None,
             hold_off: HoldOff::default(),
             request_limit: RequestLimit::default(),
             cold: ColdPace::at_daemon_start(Duration::ZERO),
--- a/crates/gateway/src/request_ends.rs
+++ b/crates/gateway/src/request_ends.rs
@@ -22,6 +22,7 @@
     pub fn mark_full(&mut self, now: Duration, placed: &PlacedTarget) {
         if let Some(it) = self.same_incarnation(placed) {
             it.recent_answers.record(now, true);
+            it.answered_at = Some(now);
             it.mark_full(now);
             self.record_cold(now, placed.member, placed.incarnation, ColdEvidence::Answered);
         }
@@ -50,6 +51,7 @@
     pub fn record_success(&mut self, now: Duration, placed: &PlacedTarget) {
         if let Some(it) = self.same_incarnation(placed) {
             it.recent_answers.record(now, true);
+            it.answered_at = Some(now);
             it.health.record_success(None);
             self.record_cold(now, placed.member, placed.incarnation, ColdEvidence::Answered);
         }
--- a/crates/policy/src/replica_path.rs
+++ b/crates/policy/src/replica_path.rs
@@ -4,8 +4,9 @@
 //! The load pattern: links of one daemon, or of all of a failure domain, to a pool's replicas fail for
 //! seconds while callers, peers and the store still reach it. New connections fail at once or
 //! hang, and open ones may live on, so only attempts to open connections count. One replica that
-//! fails is that replica's fault. Several in a row without a success may be a rack of replicas or
-//! the daemon's path, which connections to other replicas then tell apart.
+//! fails is that replica's fault. Several in a row without a success may be a rack of replicas, all of
+//! them, or the daemon's path. A check tells these apart: connections to other replicas, and then
+//! connections of other daemons.
 
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 const FAILED_REPLICAS: usize = 3;
 /// Failures further apart than this are not of one cut.
 const FAILURE_WINDOW: Duration = Duration::from_millis(1_500);
+/// The time after a check before the next one may begin: while replicas are down, each would ask other
+/// daemons, and requests would wait for it.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Probes of different replicas that must succeed in a row before requests return.
 const PROBES_TO_REOPEN: u32 = 2;
 /// The time over which requests return.
@@ -22,30 +26,34 @@
 /// The share of requests that return at once.
 const FIRST_RETURN_SHARE: f64 = 0.25;
 
-/// What peers report of the replicas of a pool.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct PeerAnswers {
-    /// Requests that were answered lately.
-    pub answered: u64,
-    /// Requests that failed lately.
-    pub failed: u64,
-}
-
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum PathState {
     #[default]
     Open,
-    /// Connections to further replicas are tried.
+    /// A check is under way.
     Checked,
     Cut,
 }
 
+/// Who reaches replicas of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CheckFinding {
+    /// This daemon.
+    Reached,
+    /// Only other daemons: the path of this one is cut.
+    ReachedByOthers,
+    /// Nobody: the replicas are down.
+    Down,
+}
+
 /// The path from one daemon to the replicas of a pool.
 #[derive(Debug, Clone, Default)]
 pub struct ReplicaPath {
     /// Replicas to which no connection could be opened, since the last success.
     failed: IndexSet<u64>,
     last_failure_at: Duration,
+    /// No check begins before.
+    next_check_at: Duration,
     /// Successful probes in a row while the path is cut.
     probes: u32,
     state: PathState,
@@ -65,7 +73,7 @@
     }
 
     /// Records that no connection to a replica could be opened, one of `known`. Returns whether the
-    /// path is to be checked now, by connections to other replicas.
+    /// path is to be checked now.
     pub fn record_failure(&mut self, now: Duration, replica: u64, known: usize) -> bool {
         if now >= self.last_failure_at + FAILURE_WINDOW {
             self.failed.clear();
@@ -73,24 +81,30 @@
         self.last_failure_at = now;
         self.failed.insert(replica);
         let is_due = self.failed.len() >= FAILED_REPLICAS.min(known.max(2));
-        let begins = self.state == PathState::Open && is_due;
+        let begins = self.state == PathState::Open && is_due && now >= self.next_check_at;
         if begins {
             self.state = PathState::Checked;
         }
         begins
     }
 
-    /// Records whether the check reached any replica. Returns whether the path is cut from now on.
-    pub fn record_check(&mut self, reached: bool) -> bool {
-        let begins = self.state == PathState::Checked && !reached;
+    /// Records the end of a check. Returns whether the path is cut from now on.
+    pub fn record_check(&mut self, now: Duration, finding: CheckFinding) -> bool {
+        let begins = self.state == PathState::Checked && finding == CheckFinding::ReachedByOthers;
         self.state = if begins { PathState::Cut } else { PathState::Open };
         self.probes = 0;
-        if reached {
+        self.next_check_at = now + CHECK_INTERVAL;
+        if !begins {
             self.failed.clear();
         }
         begins
     }
 
+    /// Whether a check is under way.
+    pub fn is_checked(&self) -> bool {
+        self.state == PathState::Checked
+    }
+
     /// Whether a replica failed since the last success.
     pub fn has_failed(&self, replica: u64) -> bool {
         self.failed.contains(&replica)
@@ -126,12 +140,6 @@
     }
 }
 
-/// Whether another daemon may reach the replicas of a pool that this one does not reach: unless all
-/// that peers report of them is failures.
-pub fn peers_may_reach(answers: PeerAnswers) -> bool {
-    answers.answered > 0 || answers.failed == 0
-}
-
 /// Whether a daemon takes a request that another one passes on: those of its own callers go first,
 /// so requests that are passed on get only a part of its sockets.
 pub fn takes_relayed(relayed: usize, max_sockets: usize) -> bool {
--- a/crates/policy/tests/replica_path.rs
+++ b/crates/policy/tests/replica_path.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::replica_path::{self, PeerAnswers, ReplicaPath};
+use policy::replica_path::{self, CheckFinding, ReplicaPath};
 use rstest::rstest;
 
 fn ms(time: u64) -> Duration {
@@ -17,7 +17,7 @@
         check |= path.record_failure(ms(10_000) + gap * replica as u32, replica, 20);
     }
     if check {
-        path.record_check(false);
+        path.record_check(ms(10_100), CheckFinding::ReachedByOthers);
     }
     path
 }
@@ -54,12 +54,15 @@
     assert!(!path.is_cut());
 }
 
-#[test]
-fn a_rack_of_replicas_that_fails_is_not_the_path() {
+#[rstest]
+#[case::a_rack(CheckFinding::Reached, false)]
+#[case::all_of_them(CheckFinding::Down, false)]
+#[case::the_path(CheckFinding::ReachedByOthers, true)]
+fn replicas_that_are_down_are_not_the_path(#[case] finding: CheckFinding, #[case] expected: bool) {
     let mut path = ReplicaPath::default();
     assert!((0..3).any(|it| path.record_failure(ms(10_000), it, 20)));
-    assert!(!path.record_check(true));
-    assert!(!path.is_cut() && !path.is_suspect(ms(10_000)));
+    assert_eq!(path.record_check(ms(10_100), finding), expected);
+    assert_eq!(path.is_cut(), expected);
 }
 
 #[rstest]
@@ -90,22 +93,10 @@
     path.record_probe(ms(11_000), true);
     path.record_probe(ms(11_100), true);
     let is_checked = (0..3).any(|it| path.record_failure(ms(11_200), it, 20));
-    assert!(is_checked && path.record_check(false));
+    assert!(is_checked && path.record_check(ms(10_100), CheckFinding::ReachedByOthers));
     assert_eq!(path.direct_share(ms(11_300)), 0.0);
 }
 
-#[rstest]
-#[case::answers(4, 9, true)]
-#[case::nothing_known(0, 0, true)]
-#[case::down_for_all(0, 1, false)]
-fn peers_are_asked_unless_they_fail_too(
-    #[case] answered: u64,
-    #[case] failed: u64,
-    #[case] expected: bool,
-) {
-    assert_eq!(replica_path::peers_may_reach(PeerAnswers { answered, failed }), expected);
-}
-
 #[rstest]
 #[case::idle(0, 4_000, true)]
 #[case::just_below(999, 4_000, true)]
@@ -132,3 +123,13 @@
     let ordered = replica_path::order_helpers(own.into(), others.into(), unfit.into(), 4);
     assert_eq!(ordered, expected);
 }
+
+#[test]
+fn replicas_that_stay_down_are_checked_once_a_second() {
+    let mut path = ReplicaPath::default();
+    let fail = |path: &mut ReplicaPath, at| (0..5).any(|it| path.record_failure(ms(at), it, 20));
+    assert!(fail(&mut path, 10_000));
+    path.record_check(ms(10_200), CheckFinding::Down);
+    assert!(!fail(&mut path, 10_300) && !fail(&mut path, 11_100));
+    assert!(fail(&mut path, 11_200));
+}
