Count a crash if replicas that were down for all come back meanwhile

Cause: while replicas crash one after the other and restart, a peer may reach one that has just come back; a daemon that had reached none a moment before then took the crash for its own path's and did not count it.

Change: after others reach the pool, this daemon tries once more itself.

--- a/crates/gateway/src/replica_path.rs
+++ b/crates/gateway/src/replica_path.rs
@@ -120,9 +120,13 @@
     if reaches_pool(gateway, pool, last_resort).await {
         return CheckFinding::Reached;
     }
-    match relay::is_reached_by_others(gateway, pool).await {
-        true => CheckFinding::ReachedByOthers,
-        false => CheckFinding::Down,
+    if !relay::is_reached_by_others(gateway, pool).await {
+        return CheckFinding::Down;
+    }
+    // Replicas that were down for all may have come back meanwhile.
+    match reaches_pool(gateway, pool, |_| false).await {
+        true => CheckFinding::Reached,
+        false => CheckFinding::ReachedByOthers,
     }
 }
 
