Keep the version of weights by model, not one for each replica

Cause: a replica's version was the highest of all its models. It was compared with the published version of each model, and requests for any model named it; an answer 421 overwrote it for all. A command kept requests for all models away.

Change: policy::engine_weights keeps the loaded and the commanded version of each model. Placement, sources of prompt parts, answers 421 and commands ask for the request's model. A replica that loads one model serves the others, one that names models without this one is not used for it, and it gets one command at a time, also if several models are named at once. Log lines of commands name the model.

Formats: WeightStatus keeps its bytes and meaning for replicas with one model. Of replicas with several, it holds the highest versions as before; the new build reads only the number of accepted commands from it, also in bytes of the old build. A new message, ModelWeights, names each model; the old build drops it as an unknown kind. gateway model_weights shows both. Beside new daemons, old ones go on asking for the wrong version, and command nothing for the second model; when the lease is free, a new daemon takes it, since only new ones see that replicas lag.

--- a/crates/gateway/src/call_failure.rs
+++ b/crates/gateway/src/call_failure.rs
@@ -98,10 +98,10 @@
                     fleet.mark_leaving(&placement.target);
                     drop(fleet);
                     crash_reports::record_ended(&self.gateway, placement.target.process());
-                } else if let (StatusCode::MISDIRECTED_REQUEST, Some(version)) =
-                    (*status, head.version)
+                } else if let (StatusCode::MISDIRECTED_REQUEST, Some(version), Some(prompt)) =
+                    (*status, head.version, &self.prompt)
                 {
-                    fleet.record_weights(&placement.target, version);
+                    fleet.record_weights(&placement.target, &prompt.model, version);
                 } else {
                     fleet.mark_full(now, &placement.target);
                 }
--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -238,6 +238,7 @@
                 pool: &self.pool,
                 releases,
                 excluded_targets: &self.excluded,
+                model: self.prompt.as_ref().map(|it| &*it.model),
                 min_weights,
                 areas,
                 home_store,
--- a/crates/gateway/src/command_table.rs
+++ b/crates/gateway/src/command_table.rs
@@ -7,10 +7,10 @@
 use indexmap::IndexMap;
 
 /// What this daemon is doing about a replica with old weights.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum CommandState {
-    /// A command runs, until this time at the latest.
-    InProgress(Duration),
+    /// A command to load this model runs, until this time at the latest.
+    InProgress(Box<str>, Duration),
     /// The replica must not be commanded before this time.
     Deferred(Duration),
     /// The same, because it did not report.
@@ -19,8 +19,16 @@
 
 impl CommandState {
     /// Whether the replica must not be commanded at `now`.
-    pub(crate) fn is_deferred(self, now: Duration) -> bool {
-        matches!(self, CommandState::Deferred(it) | CommandState::Unreported(it) if now < it)
+    pub(crate) fn is_deferred(&self, now: Duration) -> bool {
+        matches!(self, CommandState::Deferred(it) | CommandState::Unreported(it) if now < *it)
+    }
+
+    /// The model that it is commanded to load at `now`.
+    pub(crate) fn model_in_progress(&self, now: Duration) -> Option<&str> {
+        match self {
+            CommandState::InProgress(model, until) if now < *until => Some(model),
+            _ => None,
+        }
     }
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -13,7 +13,6 @@
 use policy::rendezvous;
 use policy::replica_pace::{PaceEvent, TypicalTime};
 use policy::unanswered::ReplicaProcess;
-use xxhash_rust::xxh3;
 
 use crate::cold_replicas::{self, ColdReplicas};
 use crate::config::TargetEntry;
@@ -21,14 +20,11 @@
 use crate::kv_store::KvStoreView;
 use crate::load_table::LoadTable;
 use crate::notice_table::{AnswerNotice, NoticeTable, ReplicaNotices};
-use crate::peer_message::{PrefixPlacement, TargetLoad, WeightStatus};
+use crate::peer_message::{PrefixPlacement, TargetLoad};
 use crate::placement::PlacedTarget;
 use crate::recovery_pace::FleetPosition;
-use crate::replica::{self, LoadCount, Replica, ReplicaTimeouts};
-
-/// How long the reported weights of a replica are kept while it is not listed: its entry may arrive
-/// later than the report.
-const REPORTED_WEIGHTS_TTL: Duration = Duration::from_secs(60);
+use crate::replica::{LoadCount, Replica, ReplicaTimeouts};
+use crate::reported_weights::WeightReports;
 
 /// The replicas, loads reported by peers, and estimates of what replicas have cached.
 #[derive(Debug)]
@@ -42,8 +38,7 @@
     pub(crate) peer_loads: LoadTable,
     /// This daemon's loads when the period of reports began, by replica hash.
     reported_own_loads: IndexMap<u64, LoadCount>,
-    /// Reported weights by replica hash and incarnation, also of replicas that are not listed yet.
-    reported_weights: IndexMap<(u64, u64), ReportedWeights>,
+    pub(crate) weight_reports: WeightReports,
     /// What replicas said of themselves, also of those that are not listed now.
     pub(crate) notices: NoticeTable,
     /// Which replicas are expected to hold which prompt prefixes.
@@ -96,13 +91,6 @@
     pub paced: u32,
 }
 
-/// What was last reported of one incarnation of a replica.
-#[derive(Debug)]
-struct ReportedWeights {
-    status: WeightStatus,
-    reported_at: Duration,
-}
-
 impl FleetTable {
     /// An empty table for a daemon in `domain`.
     pub fn new(domain: FailureDomain, timeouts: ReplicaTimeouts) -> FleetTable {
@@ -113,7 +101,7 @@
             pool_orders: IndexMap::new(),
             peer_loads: LoadTable::default(),
             reported_own_loads: IndexMap::new(),
-            reported_weights: IndexMap::new(),
+            weight_reports: WeightReports::default(),
             notices: NoticeTable::default(),
             prefixes: PrefixTable::default(),
             kv_store: None,
@@ -152,7 +140,7 @@
             let replica = match same {
                 Some(mut known) => {
                     known.leaving |= entry.leaving;
-                    known.weights = known.weights.max(replica::newest_weights(entry));
+                    known.weights.apply_listing(&entry.weights);
                     known.entry = entry.clone();
                     known
                 }
@@ -179,10 +167,7 @@
         let notices = self.notices.get(replica.member, entry.incarnation);
         replica.leaving |= notices.leaving;
         replica.hold_off = notices.hold_off;
-        let reported = self.reported_weights.get(&(replica.member, entry.incarnation));
-        let reported = reported.map(|it| it.status);
-        replica.weights = replica.weights.max(reported.map_or(0, |it| it.loaded));
-        replica.accepted_commands = reported.map_or(0, |it| it.accepted);
+        self.weight_reports.apply_to(now, &mut replica);
         replica
     }
 
@@ -214,7 +199,7 @@
         for it in self.replicas.values().filter(is_counted) {
             counts.listed += 1;
             counts.leaving += u32::from(it.leaving);
-            counts.loading += u32::from(it.is_loading(now));
+            counts.loading += u32::from(it.is_any_loading(now));
             counts.paused += u32::from(it.health.state(now) == HealthState::Paused);
             counts.held_off += u32::from(it.hold_off.ends_at(now).is_some());
             counts.evacuated += u32::from(it.evacuated);
@@ -250,12 +235,7 @@
         self.replicas.values_mut().for_each(|it| it.observe_leaving(now));
         self.replicas.values_mut().for_each(|it| cold_replicas::log_change(now, it));
         self.peer_loads.expire(now);
-        self.reported_weights.retain(|_, it| now < it.reported_at + REPORTED_WEIGHTS_TTL);
-    }
-
-    /// Number of replica incarnations whose weights were reported recently.
-    pub fn reported_count(&self) -> usize {
-        self.reported_weights.len()
+        self.weight_reports.expire(now);
     }
 
     /// The summed loads of all daemons but `peer`, for a report to that peer.
@@ -295,17 +275,6 @@
         self.peer_loads.begin_period(members.into_iter());
     }
 
-    /// A digest of what is known of replicas' weights. Commands that are done do not count, as a
-    /// daemon may not have heard of them.
-    pub fn weights_digest(&self) -> u64 {
-        let statuses = self.replicas.values().filter(|it| it.weights > 0);
-        statuses.map(|it| it.weight_status()).fold(0, |digest, it| {
-            let commanded = if it.commanded > it.loaded { it.commanded } else { 0 };
-            let fields = [it.member, it.incarnation, it.loaded, it.accepted, commanded];
-            digest ^ xxh3::xxh3_64(fields.map(u64::to_le_bytes).as_flattened())
-        })
-    }
-
     /// A peer's loads as last reported, to be passed on.
     pub fn peer_loads(&self, peer: u64) -> Vec<TargetLoad> {
         let loads = self.peer_loads.of_peer(peer);
@@ -362,46 +331,6 @@
         leaving.map(|it| (it.member, it.entry.incarnation)).collect()
     }
 
-    /// Merges what a peer or this daemon learned of a replica's weights. Returns true if anything
-    /// changed.
-    pub fn merge_weight_status(&mut self, now: Duration, status: WeightStatus) -> bool {
-        let unknown = WeightStatus { loaded: 0, commanded: 0, accepted: 0, ..status };
-        let reported = self.reported_weights.entry((status.member, status.incarnation));
-        let reported = reported.or_insert(ReportedWeights { status: unknown, reported_at: now });
-        reported.reported_at = now;
-        let reported = &mut reported.status;
-        let changed = reported.loaded < status.loaded
-            || reported.commanded < status.commanded
-            || reported.accepted < status.accepted;
-        reported.loaded = reported.loaded.max(status.loaded);
-        reported.commanded = reported.commanded.max(status.commanded);
-        reported.accepted = reported.accepted.max(status.accepted);
-        let replica = self.replicas.get_mut(&status.member);
-        let same = replica.filter(|it| it.entry.incarnation == status.incarnation);
-        let Some(replica) = same else { return changed };
-        let is_pending = |it: (u64, Duration)| it.0 > replica.weights && it.0 <= status.loaded;
-        if self.pacing.is_some() && replica.last_command.is_some_and(is_pending) {
-            replica.pace.observe(now, PaceEvent::Started);
-        }
-        replica.weights = replica.weights.max(status.loaded);
-        if status.accepted > replica.accepted_commands {
-            replica.last_command_at = Some(now);
-        }
-        replica.accepted_commands = replica.accepted_commands.max(status.accepted);
-        if replica.last_command.is_none_or(|it| it.0 < status.commanded)
-            && status.commanded > replica.weights
-        {
-            replica.last_command = Some((status.commanded, now));
-        }
-        changed
-    }
-
-    /// The weights of all replicas that have any, for a full report.
-    pub fn weight_statuses(&self) -> Vec<WeightStatus> {
-        let replicas = self.replicas.values().filter(|it| it.weights > 0);
-        replicas.map(Replica::weight_status).collect()
-    }
-
     /// The requests of all daemons on a replica, as far as reported.
     pub fn load(&self, now: Duration, replica: &Replica) -> LoadCount {
         let mut sum = replica.own_load(now);
@@ -466,13 +395,6 @@
         }
     }
 
-    /// Records the version of the weights that a replica named in an answer.
-    pub fn record_weights(&mut self, placed: &PlacedTarget, version: u64) {
-        if let Some(it) = self.same_incarnation(placed) {
-            it.weights = version;
-        }
-    }
-
     pub(crate) fn same_incarnation(&mut self, placed: &PlacedTarget) -> Option<&mut Replica> {
         let replica = self.replicas.get_mut(&placed.member);
         replica.filter(|it| it.entry.incarnation == placed.incarnation)
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -19,7 +19,7 @@
 use crate::members::{GOSSIP_PERIOD, MemberTable};
 use crate::peer_message::{
     DaemonStatus, GossipDirection, GossipExtension, GossipReport, PeerMessage, PrefixPlacement,
-    StateDigests, WeightStatus,
+    StateDigests,
 };
 use crate::peer_socket::ReceivedMessage;
 use crate::rate_limit;
@@ -27,6 +27,7 @@
 use crate::request_limits;
 use crate::resend_limit::{ResendLimit, WholeState};
 use crate::rollouts;
+use crate::weight_gossip;
 
 /// The key under which a daemon keeps the loads of all others, as its hub sums them up.
 const HUB_SUM_KEY: u64 = 0;
@@ -113,7 +114,11 @@
     if !to.is_empty() {
         let now = gateway.now();
         let report = build_report(gateway, now, to, direction, prefixes, full);
+        let has_weights = !report.weights.is_empty();
         gateway.peer_socket.send(now, to, &PeerMessage::Gossip(Box::new(report)));
+        if has_weights {
+            weight_gossip::send_model_weights(gateway, to);
+        }
     }
 }
 
@@ -239,27 +244,6 @@
     }
 }
 
-/// Merges weight statuses, wakes the tasks that wait for them and forwards those that changed
-/// anything.
-pub(crate) fn publish_weights<D: Dialect, S: Directory>(
-    gateway: &Gateway<D, S>,
-    statuses: &[WeightStatus],
-    source: Option<IpAddr>,
-) {
-    let now = gateway.now();
-    let changed: Vec<WeightStatus> = {
-        let mut fleet = lock(&gateway.fleet);
-        statuses.iter().filter(|it| fleet.merge_weight_status(now, **it)).copied().collect()
-    };
-    if changed.is_empty() {
-        return;
-    }
-    gateway.view_changed.notify_waiters();
-    gateway.capacity_freed.notify_waiters();
-    let to = lock(&gateway.members).gossip_peers(now).forward_targets(source);
-    gateway.peer_socket.send(now, &to, &PeerMessage::Weights(changed));
-}
-
 /// Handles messages of peers until the process ends.
 pub(crate) async fn receive_loop<D: Dialect, S: Directory>(gateway: Arc<Gateway<D, S>>) {
     let mut buffer = Vec::new();
@@ -302,7 +286,10 @@
             let mut members = lock(&gateway.members);
             entries.iter().for_each(|it| members.add(now, it));
         }
-        PeerMessage::Weights(statuses) => publish_weights(gateway, &statuses, Some(from)),
+        PeerMessage::Weights(statuses) => weight_gossip::publish(gateway, &statuses, Some(from)),
+        PeerMessage::ModelWeights(statuses) => {
+            weight_gossip::publish_models(gateway, &statuses, Some(from));
+        }
         PeerMessage::QuotaQuery(query) => rate_limit::answer_query(gateway, from, &query),
         PeerMessage::QuotaReply { query_id, wait } => {
             gateway.peer_socket.complete_query(query_id, wait)
@@ -397,7 +384,7 @@
     if let Some(relay) = relay {
         lock(relay).extend_from_slice(&report.prefixes);
     }
-    publish_weights(gateway, &report.weights, Some(from));
+    weight_gossip::publish(gateway, &report.weights, Some(from));
     if report.wants_reply {
         send_report(gateway, &[from], GossipDirection::ToChild(sender), &[], true);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,9 +54,11 @@
 pub mod recovery_pace;
 mod refusal;
 mod relay;
+mod release_replicas;
 mod removed_targets;
 pub mod replica;
 mod replica_path;
+mod reported_weights;
 mod request_ends;
 mod request_limits;
 pub mod resend_limit;
@@ -72,5 +74,6 @@
 mod target_client;
 mod token_query;
 mod weight_commands;
+mod weight_gossip;
 
 pub use serve::{serve, serve_until};
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -57,7 +57,8 @@
     }
 }
 
-/// What a daemon knows of a replica's weights.
+/// What a daemon knows of a replica's weights. Of a replica with several models, it holds the highest
+/// versions of all, and only `accepted` is read; daemons of the version before read all of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightStatus {
     /// The hash of the replica's id (`rendezvous::hash_member`).
@@ -72,6 +73,21 @@
     pub accepted: u64,
 }
 
+/// What a daemon knows of the weights of one of several models on a replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelWeightStatus {
+    /// The hash of the replica's id (`rendezvous::hash_member`).
+    pub member: u64,
+    /// The incarnation of the replica: the start of its process in Unix milliseconds.
+    pub incarnation: u64,
+    /// The model.
+    pub model: Box<str>,
+    /// The version of it that the replica has loaded.
+    pub loaded: u64,
+    /// The newest version of it that the replica was commanded to load.
+    pub commanded: u64,
+}
+
 /// A replica was sent a prompt and will hold this prefix of it in its cache.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefixPlacement {
@@ -348,6 +364,9 @@
     ColdReports(Vec<ColdReport>),
     /// Paces of replicas that start or recover; only sent while pacing is on.
     Paces(Vec<ReplicaPaceReport>),
+    /// Weights of replicas with several models, beside [`PeerMessage::Weights`] and full reports.
+    /// Daemons of the version before ignore it.
+    ModelWeights(Vec<ModelWeightStatus>),
 }
 
 impl PeerMessage {
@@ -375,6 +394,7 @@
             PeerMessage::Hubs { .. } => "hubs",
             PeerMessage::ColdReports(_) => "cold_reports",
             PeerMessage::Paces(_) => "paces",
+            PeerMessage::ModelWeights(_) => "model_weights",
         }
     }
 }
--- a/crates/gateway/src/placed_admission.rs
+++ b/crates/gateway/src/placed_admission.rs
@@ -31,7 +31,7 @@
         let replica = self.replicas.get(&placed.member);
         let replica = replica.filter(|it| it.entry.incarnation == placed.incarnation);
         let mut state = match replica {
-            Some(it) => it.state(now),
+            Some(it) => it.state(now, None),
             None => self.notices.get(placed.member, placed.incarnation).state(),
         };
         state.evacuated = self.is_evacuated(&placed.domain);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,10 +13,9 @@
 use policy::home_areas::HomeAreas;
 use policy::plain_choice::PlainView;
 use policy::prefix_table::{PrefixHolder, PromptPrefix};
-use policy::rollout_stage::{self, TrafficShare};
 use policy::unanswered::ReplicaProcess;
 
-use crate::config::{EngineRule, PoolRollout};
+use crate::config::EngineRule;
 use crate::fleet::FleetTable;
 use crate::kv_store::KvStoreView;
 use crate::peer_message::PrefixPlacement;
@@ -48,7 +47,7 @@
     pub address: SocketAddr,
     /// The failure domain that it runs in.
     pub domain: FailureDomain,
-    /// The version of its weights.
+    /// The version of the weights of the request's model; 0 if it is for none.
     pub weights: u64,
     /// Tokens of the prompt estimated to be in its cache.
     pub cached_tokens: u64,
@@ -124,7 +123,9 @@
     pub releases: ReleaseFilter<'a>,
     /// Replicas that the request was already sent to without success.
     pub excluded_targets: &'a [TargetId],
-    /// The lowest version of weights that the request may start on.
+    /// The model that the request is for.
+    pub model: Option<&'a str>,
+    /// The lowest version of the model's weights that the request may start on.
     pub min_weights: u64,
     /// The failure domains that the request may use.
     pub areas: &'a HomeAreas,
@@ -133,6 +134,11 @@
 }
 
 impl PlacementQuery<'_> {
+    /// The version of the model's weights on a replica.
+    fn weights_on(&self, replica: &Replica) -> u64 {
+        self.model.map_or(0, |it| replica.weights.loaded(it))
+    }
+
     fn allows_store(&self, address: SocketAddr) -> bool {
         *self.areas == HomeAreas::Everywhere || self.home_store == Some(address)
     }
@@ -169,45 +175,13 @@
             it.entry.pool == *query.pool
                 && query.releases.allows(it)
                 && query.areas.allows(&it.entry.domain)
-                && it.accepts_requests(now)
+                && it.accepts_requests_for(now, query.model)
                 && self.is_within_pace(now, it)
-                && it.weights >= query.min_weights
+                && query.weights_on(it) >= query.min_weights
                 && !query.excluded_targets.contains(&it.entry.id)
         })
     }
 
-    /// Whether a pool has an active replica of another release.
-    pub fn has_other_release(&self, pool: &PoolId, release: &str) -> bool {
-        let mut active = self.active_replicas(pool, &HomeAreas::Everywhere);
-        active.any(|it| *it.entry.release != *release)
-    }
-
-    /// Number of replicas that accept requests, of the release that a rollout moves to and of
-    /// others.
-    pub fn count_by_release(&self, now: Duration, rollout: &PoolRollout) -> (usize, usize) {
-        let pool = self.replicas.values().filter(|it| it.entry.pool == rollout.pool);
-        let open = pool.filter(|it| it.accepts_requests(now));
-        let (new, old): (Vec<_>, Vec<_>) = open.partition(|it| it.entry.release == rollout.to);
-        (new.len(), old.len())
-    }
-
-    /// Whether any request runs on another release than the one that a rollout moves to.
-    pub fn runs_other_release(&self, now: Duration, rollout: &PoolRollout) -> bool {
-        let mut pool = self.replicas.values().filter(|it| it.entry.pool == rollout.pool);
-        pool.any(|it| it.entry.release != rollout.to && self.load(now, it).running > 0)
-    }
-
-    /// The hashes of the ids of replicas of this release that get its requests at this share. All
-    /// daemons select the same ones.
-    pub fn trial_members(&self, pool: &PoolId, release: &str, share: TrafficShare) -> Vec<u64> {
-        let active = self.active_replicas(pool, &HomeAreas::Everywhere);
-        let mut members: Vec<u64> =
-            active.filter(|it| *it.entry.release == *release).map(|it| it.member).collect();
-        members.sort_unstable();
-        members.truncate(rollout_stage::trial_replicas(share, members.len()));
-        members
-    }
-
     /// Places a call to a plain service and adds it to the replica's load; `None` if no replica is
     /// eligible.
     pub fn place_plain(
@@ -228,7 +202,8 @@
             .collect();
         let index = policy::plain_choice::choose(&views, rand::random())?;
         let (member, load_before) = (eligible[index].member, self.load(now, eligible[index]));
-        let placed = self.reserve(now, member, LoadCount { running: 1, ..LoadCount::default() })?;
+        let load = LoadCount { running: 1, ..LoadCount::default() };
+        let placed = self.reserve(now, query, member, load)?;
         Some(PlacedTarget { load_before, placed_at: now, ..placed })
     }
 
@@ -247,21 +222,22 @@
         let attempts = self.attempts.estimate_unseen(now, is_long, peers, gossip_delay);
         self.attempts.record(now, is_long);
         let eligible: Vec<&Replica> = self.eligible(now, query).collect();
-        let newest = eligible.iter().map(|it| it.weights).max();
+        let newest = eligible.iter().map(|it| query.weights_on(it)).max();
         let newest = newest.ok_or(PlacementMiss::NoReplica)?;
         let order = self.pool_orders.get(query.pool).map_or(&[][..], |it| it);
         let views: Vec<EngineView> = eligible
             .iter()
             .map(|it| {
                 let load = self.load(now, it);
-                let salted = prompt.salted_prefixes(it.weights);
+                let weights = query.weights_on(it);
+                let salted = prompt.salted_prefixes(weights);
                 let cached =
                     self.prefixes.cached_tokens(now, &salted, it.member, it.entry.incarnation);
                 let mut penalty_s = 0.0;
                 if it.health.state(now) != HealthState::Healthy {
                     penalty_s += FAILURE_PENALTY_S;
                 }
-                if it.weights < newest {
+                if weights < newest {
                     penalty_s += old_weights_s;
                 }
                 EngineView {
@@ -291,7 +267,7 @@
         }
         .ok_or(PlacementMiss::NoReplica)?;
         let chosen = eligible[chosen];
-        let (member, weights) = (chosen.member, chosen.weights);
+        let (member, weights) = (chosen.member, query.weights_on(chosen));
         let salted = prompt.salted_prefixes(weights);
         let cached =
             self.prefixes.cached_tokens(now, &salted, chosen.member, chosen.entry.incarnation);
@@ -304,7 +280,7 @@
             ..LoadCount::default()
         };
         let load_before = self.load(now, chosen);
-        let placed = self.reserve(now, member, load).ok_or(PlacementMiss::NoReplica)?;
+        let placed = self.reserve(now, query, member, load).ok_or(PlacementMiss::NoReplica)?;
         let expected = Duration::from_secs_f64(first_token_s);
         let idle_time = Duration::from_secs_f64(speed.first_token_s(load.pending_tokens));
         Ok(PlacedTarget {
@@ -440,9 +416,12 @@
             return None;
         }
         let usable = member != chosen.member
-            && replica.weights == chosen.weights
+            && query.weights_on(replica) == query.weights_on(chosen)
             && query.areas.allows(&replica.entry.domain)
-            && replica.state(now).withhold_reason(now, ReplicaUse::PartSource).is_none();
+            && replica
+                .state(now, query.model)
+                .withhold_reason(now, ReplicaUse::PartSource)
+                .is_none();
         let kind = match replica.leaving || replica.evacuated {
             true => SourceKind::LeavingEngine,
             false => SourceKind::Engine,
@@ -451,7 +430,13 @@
     }
 
     /// Adds a request to a replica's load; `None` if the replica is not listed any more.
-    fn reserve(&mut self, now: Duration, member: u64, load: LoadCount) -> Option<PlacedTarget> {
+    fn reserve(
+        &mut self,
+        now: Duration,
+        query: PlacementQuery<'_>,
+        member: u64,
+        load: LoadCount,
+    ) -> Option<PlacedTarget> {
         let replica = self.replicas.get_mut(&member)?;
         replica.local_load.add(&load);
         Some(PlacedTarget {
@@ -460,7 +445,7 @@
             member: replica.member,
             address: replica.entry.address,
             domain: replica.entry.domain.clone(),
-            weights: replica.weights,
+            weights: query.weights_on(replica),
             cached_tokens: 0,
             fetch_from: None,
             save_to: None,
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -5,6 +5,7 @@
 use ids::RequestRate;
 use policy::admission::{ReplicaState, ReplicaUse};
 use policy::cold_pace::{ColdPace, ColdRule, ColdSource, ColdState};
+use policy::engine_weights::EngineWeights;
 use policy::health::ReplicaHealth;
 use policy::hold_off::HoldOff;
 use policy::rendezvous;
@@ -12,7 +13,7 @@
 use policy::silence::{AnswerCount, RecentAnswers};
 
 use crate::config::TargetEntry;
-use crate::peer_message::WeightStatus;
+use crate::peer_message::{ModelWeightStatus, WeightStatus};
 
 /// Time after a command in which only its sender follows it up; then other daemons may.
 const COMMAND_FOLLOW_UP_TIME: Duration = Duration::from_secs(3);
@@ -74,10 +75,8 @@
     pub(crate) pace: ReplicaPace,
     /// Until when it gets no requests because it was full.
     full_until: Duration,
-    /// The version of its weights, by the newest report.
-    pub weights: u64,
-    /// The version that it was last commanded to load, and when this daemon learned of it.
-    pub last_command: Option<(u64, Duration)>,
+    /// The versions of its weights and the commands to load others, by model.
+    pub weights: EngineWeights,
     /// How many commands it has accepted, as far as known.
     pub accepted_commands: u64,
     /// When this daemon last learned of a command to it.
@@ -154,8 +153,7 @@
             logged_invalid: false,
             pace: ReplicaPace::default(),
             full_until: Duration::ZERO,
-            weights: newest_weights(&entry),
-            last_command: None,
+            weights: EngineWeights::new(&entry.weights),
             accepted_commands: 0,
             last_command_at: None,
             leaving_since: None,
@@ -165,17 +163,30 @@
         }
     }
 
-    /// What is known of its weights and commands, for peers.
+    /// What is known of its weights and commands, for peers. Of several models, daemons of the
+    /// version before know the highest versions only.
     pub fn weight_status(&self) -> WeightStatus {
         WeightStatus {
             member: self.member,
             incarnation: self.entry.incarnation,
-            loaded: self.weights,
-            commanded: self.last_command.map_or(0, |it| it.0),
+            loaded: self.weights.highest_loaded(),
+            commanded: self.weights.highest_commanded(),
             accepted: self.accepted_commands,
         }
     }
 
+    /// The same of each of its models; empty unless it has several.
+    pub fn model_statuses(&self) -> impl Iterator<Item = ModelWeightStatus> {
+        let models = self.weights.models().filter(|_| self.weights.only_model().is_none());
+        models.map(|(model, it)| ModelWeightStatus {
+            member: self.member,
+            incarnation: self.entry.incarnation,
+            model: model.into(),
+            loaded: it.loaded,
+            commanded: it.commanded(),
+        })
+    }
+
     /// This daemon's load on it, with its recent answers.
     pub(crate) fn own_load(&self, now: Duration) -> LoadCount {
         LoadCount { answers: self.recent_answers.count(now), ..self.local_load }
@@ -193,13 +204,19 @@
         }
     }
 
-    /// Whether it may get a request now.
+    /// Whether it may get a request now, for some model at least.
     pub fn accepts_requests(&self, now: Duration) -> bool {
-        self.state(now).withhold_reason(now, ReplicaUse::Request).is_none()
+        self.accepts_requests_for(now, None)
     }
 
-    /// What decides whether it may be used now.
-    pub fn state(&self, now: Duration) -> ReplicaState {
+    /// Whether it may get a request for this model now.
+    pub(crate) fn accepts_requests_for(&self, now: Duration, model: Option<&str>) -> bool {
+        let is_served = model.is_none_or(|it| self.weights.serves(it));
+        is_served && self.state(now, model).withhold_reason(now, ReplicaUse::Request).is_none()
+    }
+
+    /// What decides whether it may be used for this model now.
+    pub(crate) fn state(&self, now: Duration, model: Option<&str>) -> ReplicaState {
         ReplicaState {
             leaving: self.leaving,
             may_be_gone: self.leaving_since.is_some_and(|it| now >= it + self.timeouts.drain),
@@ -208,7 +225,7 @@
             running: self.local_load.running,
             full_until: self.full_until,
             health: self.health.state(now),
-            is_loading: self.is_loading(now),
+            is_loading: self.weights.is_loading(now, model, self.timeouts.load),
             limited_until: self.request_limit.opens_at,
         }
     }
@@ -230,18 +247,17 @@
 
     /// Whether the sender of the last command may still be following it up.
     pub fn was_commanded_recently(&self, now: Duration) -> bool {
-        self.last_command.is_some_and(|it| now < it.1 + COMMAND_FOLLOW_UP_TIME)
+        self.weights.was_commanded_within(now, COMMAND_FOLLOW_UP_TIME)
     }
 
-    /// Whether it was commanded to load weights that it does not have yet. It accepts no requests
-    /// until its last running one has ended, which may take long. A command that counts as lost is
-    /// sent again.
-    pub fn is_loading(&self, now: Duration) -> bool {
-        self.last_command.is_some_and(|it| it.0 > self.weights && now < it.1 + self.timeouts.load)
+    /// Whether it was commanded to load weights of this model that it does not have yet. It accepts
+    /// no requests for the model until its last running one has ended, which may take long.
+    pub fn is_loading(&self, now: Duration, model: &str) -> bool {
+        self.weights.is_loading(now, Some(model), self.timeouts.load)
     }
-}
 
-/// The highest version of weights in a listing entry; 0 without any.
-pub(crate) fn newest_weights(entry: &TargetEntry) -> u64 {
-    entry.weights.values().copied().max().unwrap_or(0)
+    /// Whether it was commanded to load weights of any model that it does not have yet.
+    pub fn is_any_loading(&self, now: Duration) -> bool {
+        self.weights.is_any_loading(now, self.timeouts.load)
+    }
 }
--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -23,10 +23,10 @@
 use crate::dialect::{Dialect, TargetReport, WeightCommand};
 use crate::directory::Directory;
 use crate::gateway::{Gateway, lock};
-use crate::gossip;
 use crate::notice_table::AnswerNotice;
-use crate::peer_message::WeightStatus;
+use crate::peer_message::{ModelWeightStatus, WeightStatus};
 use crate::target_client::{self, AnswerLimits};
+use crate::weight_gossip;
 
 /// The time between two rounds while engines have old weights.
 const ROUND_PERIOD: Duration = Duration::from_millis(60);
@@ -141,25 +141,31 @@
             let Some((version, published_at)) = view.latest_weights(model) else { continue };
             let (mut needed, mut evacuated) = (Vec::new(), Vec::new());
             let mut ready = 0;
-            for replica in fleet.replicas().filter(|it| it.entry.pool == *pool && !it.leaving) {
-                if replica.weights >= version {
+            let serving = fleet
+                .replicas()
+                .filter(|it| it.entry.pool == *pool && !it.leaving && it.weights.serves(model));
+            for replica in serving {
+                let loaded = replica.weights.loaded(model);
+                if loaded >= version {
                     ready += usize::from(!replica.evacuated);
                     continue;
                 }
-                let loading = replica.is_loading(now);
                 let state = commands.get(&replica.entry.id);
-                let in_progress = matches!(state, Some(CommandState::InProgress(it)) if now < *it);
+                let in_progress = state.and_then(|it| it.model_in_progress(now));
+                // A replica that loads another model serves this one, and takes no command meanwhile.
+                let loading = in_progress == Some(&**model) || replica.is_loading(now, model);
+                let is_commanded =
+                    replica.is_any_loading(now) && replica.was_commanded_recently(now);
                 let lagging = if replica.evacuated { &mut evacuated } else { &mut needed };
                 lagging.push(NeededCommand {
                     target: replica.entry.id.clone(),
                     model: model.clone(),
                     version,
                     state: LaggingTarget {
-                        weights: replica.weights,
+                        weights: loaded,
                         running: fleet.load(now, replica).running,
-                        loading: in_progress || loading,
-                        command_active: in_progress
-                            || (loading && replica.was_commanded_recently(now)),
+                        loading,
+                        command_active: in_progress.is_some() || is_commanded,
                         deferred: state.is_some_and(|it| it.is_deferred(now)),
                         unreported: matches!(state, Some(CommandState::Unreported(_))),
                         reachable: replica.health.state(now) != HealthState::Paused,
@@ -182,12 +188,22 @@
     held: &HeldLease,
     pool: &LaggingPool,
 ) {
-    let states: Vec<LaggingTarget> = pool.needed.iter().map(|it| it.state).collect();
+    // Commands to load another model may have begun in this round.
+    let is_commanded = |it: &NeededCommand| {
+        let now = gateway.now();
+        lock(commands).states.get(&it.target).is_some_and(|it| it.model_in_progress(now).is_some())
+    };
+    let states = pool.needed.iter().map(|it| LaggingTarget {
+        command_active: it.state.command_active || is_commanded(it),
+        ..it.state
+    });
+    let states: Vec<LaggingTarget> = states.collect();
     let chosen = weight_rollout::choose_targets(&states, pool.ready, pool.overdue);
     for index in chosen {
         let command = pool.needed[index].clone();
         let until = gateway.now() + gateway.settings().bounds.version;
-        lock(commands).states.insert(command.target.clone(), CommandState::InProgress(until));
+        let in_progress = CommandState::InProgress(command.model.clone(), until);
+        lock(commands).states.insert(command.target.clone(), in_progress);
         let (gateway, commands, held) = (gateway.clone(), commands.clone(), held.clone());
         tokio::spawn(async move {
             let state = match run_command(&gateway, &commands, &held, &command).await {
@@ -209,8 +225,10 @@
     command: &NeededCommand,
     accepted: u64,
 ) {
+    let version = command.version;
+    publish_model(gateway, command, |status| status.commanded = version);
     publish_status(gateway, &command.target, |status| {
-        status.commanded = command.version;
+        status.commanded = status.commanded.max(version);
         status.accepted = accepted;
     });
 }
@@ -224,7 +242,22 @@
     let status = lock(&gateway.fleet).get(target).map(|it| it.weight_status());
     if let Some(mut status) = status {
         change(&mut status);
-        gossip::publish_weights(gateway, &[status], None);
+        weight_gossip::publish(gateway, &[status], None);
+    }
+}
+
+/// The same for the commanded model, if the replica has several.
+fn publish_model<D: Dialect, S: Directory>(
+    gateway: &Gateway<D, S>,
+    command: &NeededCommand,
+    change: impl Fn(&mut ModelWeightStatus),
+) {
+    let status = lock(&gateway.fleet)
+        .get(&command.target)
+        .and_then(|it| it.model_statuses().find(|it| it.model == command.model));
+    if let Some(mut status) = status {
+        change(&mut status);
+        weight_gossip::publish_models(gateway, &[status], None);
     }
 }
 
@@ -325,25 +358,25 @@
     };
     publish_command(gateway, command, accepted_before + 1);
     let answer = call(gateway, &command.target, gateway.dialect.command_request(&message)).await;
-    let (target, version) = (&command.target, command.version);
+    let NeededCommand { target, model, version, .. } = command;
     let token = held.lease.fencing_token;
     match answer {
         Ok((status, _)) if status.is_success() => {
             let status = status.as_u16();
             tracing::info!(
-                %target, version, status, token, accepted_before, "weights: command accepted"
+                %target, %model, version, status, token, accepted_before, "weights: command accepted"
             );
             true
         }
         Ok((status, _)) => {
             tracing::warn!(
-                %target, version, %status, token, "weights: command refused, will retry"
+                %target, %model, version, %status, token, "weights: command refused, will retry"
             );
             false
         }
         Err(CallError::NotSent(error)) => {
             tracing::warn!(
-                %target, version, token, "weights: command not sent, will retry: {error}"
+                %target, %model, version, token, "weights: command not sent, will retry: {error}"
             );
             false
         }
@@ -351,7 +384,7 @@
             // The command may still be carried out. The next one names the same number of accepted
             // commands, so that the replica carries out only one of the two.
             tracing::warn!(
-                %target, version, token, "weights: command not answered, will retry: {error}"
+                %target, %model, version, token, "weights: command not answered, will retry: {error}"
             );
             false
         }
@@ -364,9 +397,11 @@
     loaded: u64,
 ) {
     tracing::info!(
-        target = %command.target, version = loaded, "weights: replica has loaded the new version"
+        target = %command.target, model = %command.model, version = loaded,
+        "weights: replica has loaded the new version"
     );
-    publish_status(gateway, &command.target, |status| status.loaded = loaded);
+    publish_model(gateway, command, |status| status.loaded = loaded);
+    publish_status(gateway, &command.target, |status| status.loaded = status.loaded.max(loaded));
 }
 
 async fn fetch_report<D: Dialect, S: Directory>(
@@ -414,7 +449,7 @@
     target: &TargetId,
 ) -> Result<(), WithholdReason> {
     let now = gateway.now();
-    let state = lock(&gateway.fleet).get(target).map(|it| it.state(now));
+    let state = lock(&gateway.fleet).get(target).map(|it| it.state(now, None));
     let reason = state.and_then(|it| it.withhold_reason(now, ReplicaUse::Command));
     reason.inspect(|it| gateway.metrics.record_withheld(*it)).map_or(Ok(()), Err)
 }
--- a/crates/gateway/tests/leaving_homes.rs
+++ b/crates/gateway/tests/leaving_homes.rs
@@ -73,6 +73,7 @@
         pool: &pool,
         releases,
         excluded_targets: &[],
+        model: Some("m"),
         min_weights: 0,
         areas,
         home_store: None,
--- a/crates/gateway/tests/recovery_pace.rs
+++ b/crates/gateway/tests/recovery_pace.rs
@@ -37,6 +37,7 @@
         pool: &pool,
         releases,
         excluded_targets,
+        model: None,
         min_weights: 0,
         areas: &policy::home_areas::HomeAreas::Everywhere,
         home_store: None,
--- a/crates/gateway/tests/withheld_requests.rs
+++ b/crates/gateway/tests/withheld_requests.rs
@@ -47,6 +47,7 @@
         pool: &pool,
         releases,
         excluded_targets: &[],
+        model: None,
         min_weights: 0,
         areas: &HomeAreas::Everywhere,
         home_store: None,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod demand;
 pub mod engine_choice;
 pub mod engine_room;
+pub mod engine_weights;
 pub mod fair_queue;
 pub mod fetch_source;
 pub mod health;
