Command a replica again if it restarts before its load is confirmed

Cause: the task that follows a command up waits for the loaded version until the time for the load is over, and takes the report of the next process, which has old weights and no command, for one of a load that goes on.

Change: it ends when another process is listed under the id, so that the replica is commanded anew.

--- a/crates/gateway/src/weight_commands.rs
+++ b/crates/gateway/src/weight_commands.rs
@@ -207,7 +207,9 @@
         let (gateway, commands, held) = (gateway.clone(), commands.clone(), held.clone());
         tokio::spawn(async move {
             let state = match run_command(&gateway, &commands, &held, &command).await {
-                CommandOutcome::Loaded => CommandState::Deferred(gateway.now()),
+                CommandOutcome::Loaded | CommandOutcome::Restarted => {
+                    CommandState::Deferred(gateway.now())
+                }
                 CommandOutcome::Unreported => CommandState::Unreported(gateway.now() + RETRY_PAUSE),
                 CommandOutcome::Unknown => CommandState::Deferred(gateway.now() + RETRY_PAUSE),
                 CommandOutcome::TooEarly(safe_at) => CommandState::Deferred(safe_at),
@@ -266,6 +268,8 @@
 enum CommandOutcome {
     /// The replica has loaded the weights.
     Loaded,
+    /// Another process is listed in the place of the commanded one, so that it is commanded anew.
+    Restarted,
     /// The replica did not report, so that it was not commanded.
     Unreported,
     /// It is not known whether the replica has loaded them.
@@ -287,7 +291,12 @@
     let until = started_at + gateway.settings().bounds.version;
     let mut sent = false;
     let mut pause = MIN_REPORT_INTERVAL;
+    let incarnation = || lock(&gateway.fleet).get(&command.target).map(|it| it.entry.incarnation);
+    let commanded = incarnation();
     while gateway.now() < until {
+        if incarnation().is_some_and(|it| Some(it) != commanded) {
+            return CommandOutcome::Restarted;
+        }
         let Some(report) = fetch_report(gateway, &command.target).await else {
             if !sent {
                 return CommandOutcome::Unreported;
