Remember releases that were rejected beyond the next order

Cause: the verdict was kept with the newest order of the pool. What is not on trial ran on "all releases but the new one". The same held for a release whose rollout was replaced before its end, and its failures counted for the old release in the trial of the next one.

Change: policy::release_history keeps the outcome of the last order of each release; rolled back and replaced ones are rejected, completed ones are not. Requests that are not on trial, the count of old replicas and the evidence leave rejected releases out, unless the pool has no replica of another one. An order of the same release begins a new trial. Daemons tell each other the history beside the stage, and the daemon that leads a rollout stores it with the state's row in one transaction.

Formats: the history stands behind the message Rollouts and its stamp, where the old build ignores it; nothing behind it reads as an empty history (gateway rollout_table). What an old build has decided meanwhile is read from the state's row. Old daemons go on sending a rejected release its share while they run beside new ones.

--- a/crates/gateway/src/call_placement.rs
+++ b/crates/gateway/src/call_placement.rs
@@ -218,16 +218,17 @@
             (view.rollout(&self.pool).cloned(), self.prompt.as_ref().map_or(0, min_version))
         };
         let rollout = rollout.map(|it| {
-            let stage = lock(&gateway.rollouts).stage(&self.pool, it.revision);
-            (it, stage)
+            let rollouts = lock(&gateway.rollouts);
+            let stage = rollouts.stage(&self.pool, it.revision);
+            (it, stage, rollouts.history(&self.pool))
         });
         let (peers, gossip_delay) = {
             let members = lock(&gateway.members);
             (members.reachable(now).count(), members.gossip_delay())
         };
         let mut fleet = lock(&gateway.fleet);
-        let choice = rollout.map(|(rollout, stage)| {
-            ReleaseChoice::new(&fleet, &self.pool, rollout, stage, self.release_draw)
+        let choice = rollout.map(|(rollout, stage, history)| {
+            ReleaseChoice::new(&fleet, &self.pool, rollout, stage, history, self.release_draw)
         });
         let engine = self.config.pools.get(&self.pool).and_then(|it| it.engine.as_ref());
         let limits_load = gateway.settings().bounds.limits_engine_load;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -8,6 +8,7 @@
 use ids::{FailureDomain, Incarnation, InstanceId, PoolId, Revision};
 use policy::crash_suspects::SuspectReport;
 use policy::peer_tree::InstanceCapacity;
+use policy::release_history::ReleaseHistory;
 use ports::{CommitResult, StoreError};
 use serde::{Deserialize, Serialize};
 
@@ -79,6 +80,16 @@
     pub state: RolloutState,
 }
 
+/// What the store holds of a pool's rollouts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StoredRollouts {
+    /// The state of the last one that a daemon has taken up, with its row's revision; `None` if
+    /// there is no row.
+    pub status: Option<(RolloutStatus, Revision)>,
+    /// What came of those before. Daemons of the version before neither read nor write it.
+    pub history: ReleaseHistory,
+}
+
 /// The site's store. A call returns what the store held, or why it is not known.
 pub trait Directory: Send + Sync + 'static {
     /// Reads the control state: configuration, weight versions and rollouts.
@@ -114,18 +125,20 @@
         expected: Option<Revision>,
     ) -> impl Future<Output = Result<CommitResult, StoreError>> + Send;
 
-    /// Reads the state of a pool's rollout with its row's revision; `None` if there is no row.
-    fn read_rollout(
+    /// Reads what the store holds of a pool's rollouts.
+    fn read_rollouts(
         &self,
         pool: &PoolId,
-    ) -> impl Future<Output = Result<Snapshot<Option<(RolloutStatus, Revision)>>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<Snapshot<StoredRollouts>, StoreError>> + Send;
 
-    /// Writes the state of a pool's rollout if its row still has the revision `expected`, or if
-    /// there is no row and `expected` is `None`.
+    /// Writes the state of a pool's rollout and, unless it is empty, the history of those before, if
+    /// the state's row still has the revision `expected`, or if there is no row and `expected` is
+    /// `None`.
     fn write_rollout(
         &self,
         pool: &PoolId,
         status: &RolloutStatus,
+        history: &ReleaseHistory,
         expected: Option<Revision>,
     ) -> impl Future<Output = Result<CommitResult, StoreError>> + Send;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -317,7 +317,11 @@
                 self.use_evacuations(&view, read_at, source);
             }
             if change.rollouts {
-                lock(&self.rollouts).renumber(now, &view.take_renumbered());
+                let mut rollouts = lock(&self.rollouts);
+                rollouts.renumber(now, &view.take_renumbered());
+                for (it, _) in view.rollouts(now) {
+                    rollouts.begin(&it.pool, it.revision, &it.to);
+                }
             }
             if let Some(config) = view.config().filter(|_| change.config) {
                 lock(&self.fleet).set_cold_rules(now, config.cold_rules());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod command_table;
 pub mod config;
 pub mod connections;
+mod control_extension;
 mod crash_reports;
 pub mod dialect;
 pub mod directory;
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -4,16 +4,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{CustomerId, FailureDomain, PoolId, Revision, TargetId};
+use ids::{CustomerId, PoolId, Revision, TargetId};
 use policy::cold_pace::ColdEvidence;
 use policy::crash_suspects::SuspectReport;
 use policy::quarantine::Strike;
+use policy::release_history::ReleaseHistory;
 use policy::rollout_stage::RolloutStage;
 use policy::rollout_trial::RouteEvidence;
 use policy::silence::AnswerCount;
 use serde::{Deserialize, Serialize};
 
-use crate::config::{ControlState, RegionRules, SiteConfig, TargetEntry};
+use crate::config::{ControlState, SiteConfig, TargetEntry};
+use crate::control_extension::{CONTROL_EXTENSION_MARK, ControlExtension};
 use crate::directory::MemberEntry;
 use crate::message_parts::{MAX_MESSAGE_BYTES, MessagePart};
 use crate::message_stamp::MessageStamp;
@@ -184,41 +186,6 @@
     pub reachable: u64,
 }
 
-/// Begins the extension of a control state. No encoded integer begins with this byte, so that daemons
-/// of the version before, which expect a stamp in its place, reject it and keep the state.
-const CONTROL_EXTENSION_MARK: u8 = 0xff;
-
-/// Parts of a control state that daemons of the version before do not know. It stands behind the
-/// state if there are any.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct ControlExtension {
-    evacuated: Option<Vec<FailureDomain>>,
-    regions: RegionRules,
-}
-
-impl ControlExtension {
-    /// The encoded extension of a state; empty if the state needs none.
-    fn encode(state: &ControlState) -> Option<Vec<u8>> {
-        let regions = state.config.as_ref().map(|it| &it.regions).filter(|it| !it.is_empty());
-        if state.evacuated.is_none() && regions.is_none() {
-            return Some(Vec::new());
-        }
-        let regions = regions.cloned().unwrap_or_default();
-        let extension = ControlExtension { evacuated: state.evacuated.clone(), regions };
-        let mut bytes = vec![CONTROL_EXTENSION_MARK];
-        bytes.extend(bincode::serde::encode_to_vec(extension, bincode::config::standard()).ok()?);
-        Some(bytes)
-    }
-
-    /// Adds these parts to the state that stands before them.
-    fn apply(self, state: &mut ControlState) {
-        state.evacuated = self.evacuated;
-        if let Some(config) = &mut state.config {
-            config.regions = self.regions;
-        }
-    }
-}
-
 /// Digests of a daemon's state, equal where the state is equal.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateDigests {
@@ -257,6 +224,10 @@
     /// Outcomes of requests: those of the daemons that the report covers, by its direction in the
     /// tree of hubs.
     pub evidence: Vec<RouteEvidence>,
+    /// What came of earlier rollouts of the pool. Sent behind the message, where daemons of the version
+    /// before ignore it.
+    #[serde(skip)]
+    pub history: ReleaseHistory,
 }
 
 /// Asks the daemon that keeps a customer's bucket for tokens.
@@ -432,12 +403,20 @@
 /// Encodes what is sent behind a message and its stamp, where daemons that do not know it ignore it;
 /// empty for most messages.
 pub fn encode_tail(message: &PeerMessage) -> Vec<u8> {
-    let PeerMessage::Control(_, _, state) = message else { return Vec::new() };
-    let rules = state.config.as_ref().map(SiteConfig::cold_rules).unwrap_or_default();
-    if rules.is_empty() {
-        return Vec::new();
-    }
-    bincode::serde::encode_to_vec(&rules, bincode::config::standard()).unwrap_or_default()
+    let config = bincode::config::standard();
+    let tail = match message {
+        PeerMessage::Control(_, _, state) => {
+            let rules = state.config.as_ref().map(SiteConfig::cold_rules).unwrap_or_default();
+            (!rules.is_empty()).then(|| bincode::serde::encode_to_vec(&rules, config))
+        }
+        PeerMessage::Rollouts { reports, .. } => {
+            let histories: Vec<&ReleaseHistory> = reports.iter().map(|it| &it.history).collect();
+            let has_any = histories.iter().any(|it| !it.is_empty());
+            has_any.then(|| bincode::serde::encode_to_vec(&histories, config))
+        }
+        _ => None,
+    };
+    tail.and_then(Result::ok).unwrap_or_default()
 }
 
 /// Decodes a datagram and the stamp behind it, if there is one; `None` if the bytes are not a valid
@@ -489,11 +468,20 @@
         }
         _ => None,
     };
-    if let PeerMessage::Control(_, _, state) = &mut message
-        && let Some(site) = &mut state.config
-        && let Ok((rules, _)) = bincode::serde::decode_from_slice(rest, config)
-    {
-        site.set_cold_rules(rules);
+    match &mut message {
+        PeerMessage::Control(_, _, state) => {
+            if let Some(site) = &mut state.config
+                && let Ok((rules, _)) = bincode::serde::decode_from_slice(rest, config)
+            {
+                site.set_cold_rules(rules);
+            }
+        }
+        PeerMessage::Rollouts { reports, .. } => {
+            let histories: Vec<ReleaseHistory> =
+                bincode::serde::decode_from_slice(rest, config).map_or(Vec::new(), |it| it.0);
+            reports.iter_mut().zip(histories).for_each(|(report, it)| report.history = it);
+        }
+        _ => {}
     }
     Some((message, stamp))
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,6 +13,7 @@
 use policy::home_areas::HomeAreas;
 use policy::plain_choice::PlainView;
 use policy::prefix_table::{PrefixHolder, PromptPrefix};
+use policy::release_history::ReleaseHistory;
 use policy::unanswered::ReplicaProcess;
 
 use crate::config::EngineRule;
@@ -96,19 +97,22 @@
 pub enum ReleaseFilter<'a> {
     /// All of them.
     Any,
-    /// All but one.
-    Without(&'a str),
+    /// Those that did not fail their last rollout, but not this one.
+    Accepted(&'a ReleaseHistory, Option<&'a str>),
     /// Only this one, and of its replicas those with these hashes of their ids.
     Only(&'a str, &'a [u64]),
 }
 
 impl ReleaseFilter<'_> {
-    fn allows(&self, replica: &Replica) -> bool {
+    pub(crate) fn allows(&self, replica: &Replica) -> bool {
+        let release = &*replica.entry.release;
         match self {
             ReleaseFilter::Any => true,
-            ReleaseFilter::Without(release) => *replica.entry.release != **release,
-            ReleaseFilter::Only(release, members) => {
-                *replica.entry.release == **release && members.contains(&replica.member)
+            ReleaseFilter::Accepted(history, except) => {
+                *except != Some(release) && !history.is_rejected(release)
+            }
+            ReleaseFilter::Only(only, members) => {
+                release == *only && members.contains(&replica.member)
             }
         }
     }
--- a/crates/gateway/src/rollout_choice.rs
+++ b/crates/gateway/src/rollout_choice.rs
@@ -1,6 +1,9 @@
 //! Chooses the software releases that a request may run on, and records how it ended there.
 
+use std::sync::Arc;
+
 use ids::{PoolId, Revision};
+use policy::release_history::ReleaseHistory;
 use policy::rendezvous;
 use policy::rollout_stage::{ALL_TRAFFIC, RolloutStage, TrafficShare};
 use policy::rollout_trial::AttemptOutcome;
@@ -41,6 +44,8 @@
     rollout: PoolRollout,
     /// `None` if it is not known how far the rollout is.
     stage: Option<RolloutStage>,
+    /// What came of earlier rollouts.
+    history: Arc<ReleaseHistory>,
     /// The replicas of the new release that may get the request; `None` if it stays on others.
     new_members: Option<Vec<u64>>,
 }
@@ -58,6 +63,7 @@
         pool: &PoolId,
         rollout: PoolRollout,
         stage: Option<RolloutStage>,
+        history: Arc<ReleaseHistory>,
         draw: ReleaseDraw,
     ) -> ReleaseChoice {
         let share = match stage {
@@ -66,7 +72,7 @@
             _ => None,
         };
         let new_members = share.map(|it| fleet.trial_members(pool, &rollout.to, it));
-        ReleaseChoice { rollout, stage, new_members }
+        ReleaseChoice { rollout, stage, history, new_members }
     }
 
     /// The releases that the request may run on, the preferred ones first.
@@ -77,19 +83,23 @@
             self.stage,
             Some(RolloutStage::Running(ALL_TRAFFIC) | RolloutStage::Completed)
         );
-        let other = match !is_moved && fleet.has_other_release(&self.rollout.pool, to) {
-            true => ReleaseFilter::Without(to),
-            false => ReleaseFilter::Any,
-        };
+        // A release that was rejected gets requests only if the pool has no replica of another one.
+        let others = ReleaseFilter::Accepted(&self.history, Some(to));
+        let accepted = ReleaseFilter::Accepted(&self.history, None);
+        let mut candidates = [others, accepted].into_iter().skip(usize::from(is_moved));
+        let other = candidates.find(|it| fleet.has_release(&self.rollout.pool, *it));
+        let other = other.unwrap_or(ReleaseFilter::Any);
         new.into_iter().chain([other]).collect()
     }
 
-    /// The evidence that a request on a replica of this release gives; `None` if the release is
-    /// not on trial.
+    /// The evidence that a request on a replica of this release gives; `None` if no release is on
+    /// trial. Failures of a rejected release say nothing of the old one.
     pub(crate) fn evidence(&self, release: &str) -> Option<ReleaseEvidence> {
         let on_trial = matches!(self.stage, Some(RolloutStage::Running(_)));
         let order = self.rollout.revision;
-        on_trial.then(|| ReleaseEvidence { order, on_new: *self.rollout.to == *release })
+        let on_new = *self.rollout.to == *release;
+        let counts = on_trial && (on_new || !self.history.is_rejected(release));
+        counts.then_some(ReleaseEvidence { order, on_new })
     }
 }
 
--- a/crates/gateway/src/rollout_table.rs
+++ b/crates/gateway/src/rollout_table.rs
@@ -1,9 +1,11 @@
 //! What this daemon knows of rollouts: their stages, its own evidence and that of its peers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use ids::{PoolId, Revision};
 use indexmap::IndexMap;
+use policy::release_history::{ReleaseHistory, RolloutOutcome};
 use policy::rollout_stage::RolloutStage;
 use policy::rollout_trial::{AttemptOutcome, RolloutEvidence, RolloutTrial, RouteEvidence};
 use policy::version_trial::TrialFault;
@@ -22,6 +24,8 @@
 struct PoolTrial {
     /// The revision of the operator's row.
     order: Revision,
+    /// The release that it moves to; `None` while only peers have named the order.
+    to: Option<Box<str>>,
     /// `None` until the store or a peer says how far it is.
     stage: Option<RolloutStage>,
     /// When a peer last moved it on.
@@ -51,9 +55,36 @@
 #[derive(Debug, Default)]
 pub struct RolloutTable {
     pools: IndexMap<PoolId, PoolTrial>,
+    /// What came of earlier rollouts.
+    histories: IndexMap<PoolId, Arc<ReleaseHistory>>,
 }
 
 impl RolloutTable {
+    /// Begins a rollout to this release, unless it is known or a later one is. The one before is over,
+    /// however far it was.
+    pub fn begin(&mut self, pool: &PoolId, order: Revision, to: &str) {
+        if let Some(trial) = self.trial_mut(pool, order) {
+            trial.to = Some(to.into());
+            self.record_end(pool);
+        }
+    }
+
+    /// What is known of earlier rollouts of a pool.
+    pub fn history(&self, pool: &PoolId) -> Arc<ReleaseHistory> {
+        self.histories.get(pool).cloned().unwrap_or_default()
+    }
+
+    /// Merges what a peer or the store knows of rollouts up to this order.
+    pub fn merge_history(&mut self, pool: &PoolId, order: Revision, history: &ReleaseHistory) {
+        if history.is_empty() {
+            return;
+        }
+        let known = Arc::make_mut(self.histories.entry(pool.clone()).or_default());
+        if known.merge(history, order) {
+            tracing::info!(%pool, releases = ?known, "rollout: earlier releases learned");
+        }
+    }
+
     /// How far this rollout is; `None` if that is not known yet.
     pub fn stage(&self, pool: &PoolId, order: Revision) -> Option<RolloutStage> {
         self.pools.get(pool).filter(|it| it.order == order)?.stage
@@ -83,6 +114,21 @@
             trial.ended_at = Some(now);
         }
         tracing::info!(%pool, order = order.0, ?stage, "rollout: stage");
+        self.record_end(pool);
+    }
+
+    /// Records the outcome of the current rollout of a pool, if it has ended.
+    fn record_end(&mut self, pool: &PoolId) {
+        let Some(PoolTrial { order, to: Some(to), stage, .. }) = self.pools.get(pool) else {
+            return;
+        };
+        let outcome = match stage {
+            Some(RolloutStage::RolledBack) => RolloutOutcome::Rejected,
+            Some(RolloutStage::Completed) => RolloutOutcome::Completed,
+            Some(RolloutStage::Running(_)) | None => return,
+        };
+        let history = self.histories.entry(pool.clone()).or_default();
+        Arc::make_mut(history).record(to, *order, outcome);
     }
 
     /// Continues rollouts under the revisions that their orders have since the store came back from
@@ -114,6 +160,7 @@
     /// Merges the report of a peer with the hash `sender`. Returns whether the peer lacks a stage
     /// that is known here.
     pub fn merge(&mut self, now: Duration, sender: u64, report: &RolloutReport) -> bool {
+        self.merge_history(&report.pool, report.order, &report.history);
         let before = self.stage(&report.pool, report.order);
         if let Some(stage) = report.stage {
             self.advance(now, &report.pool, report.order, stage);
@@ -144,7 +191,9 @@
         });
         let evidence: Vec<RouteEvidence> =
             evidence.iter().flat_map(RolloutEvidence::routes).copied().collect();
-        RolloutReport { pool: pool.clone(), order, stage: trial.and_then(|it| it.stage), evidence }
+        let stage = trial.and_then(|it| it.stage);
+        let history = self.history(pool).as_ref().clone();
+        RolloutReport { pool: pool.clone(), order, stage, evidence, history }
     }
 
     /// Judges the new release by the evidence of all daemons. `from_hub` is the hash of this
@@ -189,7 +238,14 @@
             return None;
         }
         if trial.order < order {
-            *trial = PoolTrial { order, ..PoolTrial::default() };
+            let replaced = std::mem::replace(trial, PoolTrial { order, ..PoolTrial::default() });
+            let is_completed = replaced.stage == Some(RolloutStage::Completed);
+            if let Some(to) = replaced.to.filter(|_| !is_completed) {
+                let history = Arc::make_mut(self.histories.entry(pool.clone()).or_default());
+                if history.record(&to, replaced.order, RolloutOutcome::Rejected) {
+                    tracing::info!(%pool, release = %to, "rollout: replaced before its end");
+                }
+            }
         }
         Some(trial)
     }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -11,13 +11,14 @@
 
 use ids::{PoolId, Revision};
 use indexmap::IndexMap;
+use policy::release_history::{ReleaseHistory, RolloutOutcome};
 use policy::rendezvous;
 use policy::rollout_stage::{self, RolloutStage, RolloutView};
 use ports::{CommitResult, StoreError};
 
 use crate::config::PoolRollout;
 use crate::dialect::Dialect;
-use crate::directory::{Directory, RolloutState, RolloutStatus};
+use crate::directory::{Directory, RolloutState, RolloutStatus, StoredRollouts};
 use crate::gateway::{Gateway, lock};
 use crate::members::GOSSIP_PERIOD;
 use crate::peer_message::{GossipDirection, PeerMessage, RolloutReport};
@@ -169,8 +170,9 @@
     let now = gateway.now();
     let gossip_delay = lock(&gateway.members).gossip_delay();
     let (replicas, busy) = {
+        let history = lock(&gateway.rollouts).history(&rollout.pool);
         let fleet = lock(&gateway.fleet);
-        (fleet.count_by_release(now, rollout), fleet.runs_other_release(now, rollout))
+        (fleet.count_by_release(now, rollout, &history), fleet.runs_other_release(now, rollout))
     };
     let old_idle =
         lock(&gateway.rollouts).observe_old_release(now, &rollout.pool, rollout.revision, busy);
@@ -195,30 +197,50 @@
     row: &mut StatusRow,
 ) -> Result<(), StoreError> {
     let asked_at = gateway.now();
-    let read = gateway.directory.read_rollout(&rollout.pool).await;
+    let read = gateway.directory.read_rollouts(&rollout.pool).await;
     record_call(gateway, "rollout", asked_at, read.is_err());
-    let stored = read?.value;
+    let StoredRollouts { status: stored, history } = read?.value;
     // A row that is older than the order is about an earlier one.
-    let current = stored
-        .as_ref()
-        .filter(|(status, revision)| *revision > rollout.revision && status.to == rollout.to);
+    let is_current = |status: &RolloutStatus, revision: Revision| {
+        revision > rollout.revision && status.to == rollout.to
+    };
     let first = rollout_stage::first_stage(gateway.settings().bounds.rollout_exposure);
-    if let Some((status, revision)) = current {
-        row.revision = Some(*revision);
-        row.is_final = status.state != RolloutState::Running;
+    let mut stored_history = history.clone();
+    let expected = stored.as_ref().map(|it| it.1);
+    let current = match stored {
+        Some((status, revision)) if is_current(&status, revision) => Some((status, revision)),
+        Some((status, revision)) => {
+            // The state may have been written after the order that replaces it.
+            let order = revision.min(rollout.revision);
+            stored_history.record(&status.to, order, outcome(status.state));
+            None
+        }
+        None => None,
+    };
+    let known_history = {
+        let mut rollouts = lock(&gateway.rollouts);
+        rollouts.merge_history(&rollout.pool, rollout.revision, &stored_history);
+        rollouts.history(&rollout.pool)
+    };
+    if let Some((status, revision)) = &current {
         let stage = match status.state {
             RolloutState::Running => first,
             RolloutState::Completed => RolloutStage::Completed,
             RolloutState::RolledBack => RolloutStage::RolledBack,
         };
         advance(gateway, rollout, Some(stage));
-        return Ok(());
+        if *known_history == history {
+            row.revision = Some(*revision);
+            row.is_final = status.state != RolloutState::Running;
+            return Ok(());
+        }
     }
     // A store that came back from an older copy may have lost how far the rollout is.
     let known = lock(&gateway.rollouts).stage(&rollout.pool, rollout.revision).unwrap_or(first);
-    let status = RolloutStatus { to: rollout.to.clone(), state: stored_state(known) };
-    let expected = stored.map(|it| it.1);
-    if let CommitResult::Done(revision) = write_row(gateway, rollout, &status, expected).await? {
+    let state = current.map_or(stored_state(known), |it| it.0.state);
+    let status = RolloutStatus { to: rollout.to.clone(), state };
+    let written = write_row(gateway, rollout, &status, &known_history, expected).await?;
+    if let CommitResult::Done(revision) = written {
         row.revision = Some(revision);
         row.is_final = status.state != RolloutState::Running;
         advance(gateway, rollout, Some(known));
@@ -226,6 +248,14 @@
     Ok(())
 }
 
+/// What came of a rollout that another order has replaced in this state.
+fn outcome(state: RolloutState) -> RolloutOutcome {
+    match state {
+        RolloutState::Completed => RolloutOutcome::Completed,
+        RolloutState::Running | RolloutState::RolledBack => RolloutOutcome::Rejected,
+    }
+}
+
 fn stored_state(stage: RolloutStage) -> RolloutState {
     match stage {
         RolloutStage::Running(_) => RolloutState::Running,
@@ -247,8 +277,10 @@
     // Read again after each write, also after one without an answer.
     row.revision = None;
     let status = RolloutStatus { to: rollout.to.clone(), state };
+    let mut history = lock(&gateway.rollouts).history(&rollout.pool).as_ref().clone();
+    history.record(&rollout.to, rollout.revision, outcome(state));
     if let CommitResult::Done(revision) =
-        write_row(gateway, rollout, &status, Some(revision)).await?
+        write_row(gateway, rollout, &status, &history, Some(revision)).await?
     {
         tracing::info!(pool = %rollout.pool, release = %rollout.to, ?state, "rollout: ended");
         *row = StatusRow { revision: Some(revision), is_final: true, ..*row };
@@ -261,10 +293,11 @@
     gateway: &Gateway<D, S>,
     rollout: &PoolRollout,
     status: &RolloutStatus,
+    history: &ReleaseHistory,
     expected: Option<Revision>,
 ) -> Result<CommitResult, StoreError> {
     let asked_at = gateway.now();
-    let written = gateway.directory.write_rollout(&rollout.pool, status, expected).await;
+    let written = gateway.directory.write_rollout(&rollout.pool, status, history, expected).await;
     record_call(gateway, "rollout-write", asked_at, written.is_err());
     written
 }
@@ -329,8 +362,17 @@
     let mut lacking = Vec::new();
     for report in reports {
         if rollouts.merge(now, sender, report) && report.stage.is_none() {
-            let stage = rollouts.stage(&report.pool, report.order);
-            lacking.push(RolloutReport { stage, evidence: Vec::new(), ..report.clone() });
+            let RolloutReport { pool, order, .. } = report;
+            let stage = rollouts.stage(pool, *order);
+            let history = rollouts.history(pool).as_ref().clone();
+            let evidence = Vec::new();
+            lacking.push(RolloutReport {
+                pool: pool.clone(),
+                order: *order,
+                stage,
+                evidence,
+                history,
+            });
         }
     }
     drop(rollouts);
--- a/crates/gateway/tests/rollout_table.rs
+++ b/crates/gateway/tests/rollout_table.rs
@@ -3,9 +3,10 @@
 
 use std::time::Duration;
 
-use gateway::peer_message::{GossipDirection, RolloutReport};
+use gateway::message_stamp::MessageStamp;
+use gateway::peer_message::{self, GossipDirection, PeerMessage, RolloutReport};
 use gateway::rollout_table::RolloutTable;
-use ids::{PoolId, Revision};
+use ids::{Incarnation, PoolId, Revision};
 use policy::rollout_stage::{ALL_TRAFFIC, RolloutStage, TrafficShare};
 use policy::rollout_trial::{AttemptOutcome, RolloutEvidence};
 use rstest::rstest;
@@ -77,7 +78,13 @@
 #[case::taken_back(RolloutStage::RolledBack, RolloutStage::RolledBack)]
 fn the_latest_stage_counts(#[case] heard: RolloutStage, #[case] expected: RolloutStage) {
     let mut table = daemon(0);
-    let news = RolloutReport { pool: pool(), order: ORDER, stage: Some(heard), evidence: vec![] };
+    let news = RolloutReport {
+        pool: pool(),
+        order: ORDER,
+        stage: Some(heard),
+        evidence: vec![],
+        history: Default::default(),
+    };
     table.merge(NOW, 1, &news);
     assert_eq!(table.stage(&pool(), ORDER), Some(expected));
 }
@@ -91,7 +98,13 @@
     table.advance(NOW, &pool(), next, TRIAL);
     assert_eq!(table.judge(NOW, &pool(), next, None).new_requests, 0);
     let stage = Some(RolloutStage::Completed);
-    let old = RolloutReport { pool: pool(), order: ORDER, stage, evidence: vec![] };
+    let old = RolloutReport {
+        pool: pool(),
+        order: ORDER,
+        stage,
+        evidence: vec![],
+        history: Default::default(),
+    };
     table.merge(NOW, 1, &old);
     assert_eq!(table.stage(&pool(), next), Some(TRIAL));
 }
@@ -113,3 +126,67 @@
     assert!(table.is_active(NOW + Duration::from_secs(5), &pool(), ORDER));
     assert!(!table.is_active(NOW + Duration::from_secs(11), &pool(), ORDER));
 }
+
+/// The order that replaces `ORDER`.
+const NEXT_ORDER: Revision = Revision(9);
+
+/// Guards against a release that counts as an old one because another order replaced its rollout.
+#[rstest]
+#[case::on_trial(Some(TRIAL), true)]
+#[case::not_begun(None, true)]
+#[case::with_all_traffic(Some(RolloutStage::Running(ALL_TRAFFIC)), true)]
+#[case::rolled_back(Some(RolloutStage::RolledBack), true)]
+#[case::completed(Some(RolloutStage::Completed), false)]
+fn a_release_is_rejected_unless_its_rollout_was_completed(
+    #[case] stage: Option<RolloutStage>,
+    #[case] is_rejected: bool,
+) {
+    let mut table = RolloutTable::default();
+    // A peer may name the stage before this daemon knows the order.
+    stage.iter().for_each(|it| table.advance(NOW, &pool(), ORDER, *it));
+    table.begin(&pool(), ORDER, "v2");
+    assert!(!table.history(&pool()).is_rejected("v1"));
+    table.begin(&pool(), NEXT_ORDER, "v3");
+    assert_eq!(table.history(&pool()).is_rejected("v2"), is_rejected);
+    assert!(!table.history(&pool()).is_rejected("v3"));
+}
+
+/// A daemon that has not heard of the completion takes the release for replaced, until a peer tells.
+#[test]
+fn peers_tell_each_other_what_came_of_earlier_rollouts() {
+    let (mut late, mut knowing) = (RolloutTable::default(), RolloutTable::default());
+    for table in [&mut late, &mut knowing] {
+        table.begin(&pool(), ORDER, "v2");
+    }
+    knowing.advance(NOW, &pool(), ORDER, RolloutStage::Completed);
+    for table in [&mut late, &mut knowing] {
+        table.begin(&pool(), NEXT_ORDER, "v3");
+    }
+    assert!(late.history(&pool()).is_rejected("v2"));
+    let direction = GossipDirection::BetweenHubs;
+    let news = knowing.report(NOW, &pool(), NEXT_ORDER, direction, &[]);
+    knowing.merge(NOW, 1, &late.report(NOW, &pool(), NEXT_ORDER, direction, &[]));
+    late.merge(NOW, 2, &news);
+    assert_eq!(late.history(&pool()), knowing.history(&pool()));
+    assert!(!late.history(&pool()).is_rejected("v2"));
+}
+
+/// The version before reads a message up to its stamp and writes nothing behind that.
+#[test]
+fn earlier_rollouts_stand_behind_the_message_and_its_stamp() {
+    let mut table = RolloutTable::default();
+    table.begin(&pool(), ORDER, "v2");
+    let bare = table.report(NOW, &pool(), ORDER, GossipDirection::ToParent, &[]);
+    table.advance(NOW, &pool(), ORDER, RolloutStage::RolledBack);
+    let history = table.history(&pool()).as_ref().clone();
+    let message = |report| PeerMessage::Rollouts { sender: 5, reports: vec![report] };
+    let full = message(RolloutReport { history, ..bare.clone() });
+    let bytes = peer_message::encode(&full).expect("encodes");
+    assert_eq!(peer_message::encode(&message(bare.clone())), Some(bytes.clone()));
+    let stamp = MessageStamp { incarnation: Incarnation(3), sent_at: NOW, echo: None }.encode();
+    let before = [&bytes[..], &stamp].concat();
+    assert_eq!(peer_message::decode(&before).expect("decodes").0, message(bare));
+    let tail = peer_message::encode_tail(&full);
+    let now = [&before[..], &tail].concat();
+    assert_eq!(peer_message::decode(&now).expect("decodes").0, full);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod quarantine;
 pub mod rate_shares;
 pub mod read_schedule;
+pub mod release_history;
 pub mod rendezvous;
 pub mod repeated_query;
 pub mod replica_pace;
